--- /dev/null
+++ b/internal/model/duration.go
@@ -0,0 +1,29 @@
+package model
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Duration is a time.Duration that TOML and JSON write as text such as "250ms".
+type Duration time.Duration
+
+// Std returns d as a time.Duration.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
+
+// String returns d in the form that time.ParseDuration reads.
+func (d Duration) String() string { return time.Duration(d).String() }
+
+// MarshalText encodes d as text.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
+
+// UnmarshalText decodes text such as "1m30s".
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return errors.Errorf("%q is not a duration such as 250ms or 3s", text)
+	}
+	*d = Duration(v)
+	return nil
+}
--- /dev/null
+++ b/internal/model/reason.go
@@ -0,0 +1,58 @@
+package model
+
+// Reason is the typed cause of a refusal, a retry or an unknown outcome. Its
+// text is the value of the Fuchsiaspar-Reason header and of the reason tag on
+// counters.
+type Reason string
+
+// Reasons for refusing a request before any attempt at it.
+const (
+	ReasonNone             Reason = ""
+	ReasonMalformed        Reason = "malformed"
+	ReasonTooLarge         Reason = "too_large"
+	ReasonUnknownAccount   Reason = "unknown_account"
+	ReasonUnknownService   Reason = "unknown_service"
+	ReasonNoConfig         Reason = "no_config"
+	ReasonTicketMissing    Reason = "ticket_missing"
+	ReasonTicketInvalid    Reason = "ticket_invalid"
+	ReasonTicketExpired    Reason = "ticket_expired"
+	ReasonTicketSealed     Reason = "ticket_sealed"
+	ReasonTicketReused     Reason = "ticket_reused"
+	ReasonTicketOwnerGone  Reason = "ticket_owner_gone"
+	ReasonTicketsExhausted Reason = "tickets_exhausted"
+)
+
+// Reasons for refusing a request at admission.
+const (
+	ReasonQueueFull       Reason = "queue_full"
+	ReasonDeadline        Reason = "deadline"
+	ReasonShedByAge       Reason = "shed_by_age"
+	ReasonDisplaced       Reason = "displaced"
+	ReasonNoServer        Reason = "no_server"
+	ReasonShiftCap        Reason = "shift_cap"
+	ReasonLinkCap         Reason = "link_cap"
+	ReasonIsolated        Reason = "isolated"
+	ReasonStopping        Reason = "stopping"
+	ReasonNotOwner        Reason = "not_owner"
+	ReasonRevoked         Reason = "revoked"
+	ReasonRetryBudget     Reason = "retry_budget"
+	ReasonPlaceRamping    Reason = "place_ramping"
+	ReasonPlaceDraining   Reason = "place_draining"
+	ReasonCallerGone      Reason = "caller_gone"
+	ReasonPeerUnreachable Reason = "peer_unreachable"
+)
+
+// Reasons that describe the end of one attempt at a backend server.
+const (
+	ReasonConnect      Reason = "connect"
+	ReasonShed         Reason = "shed"
+	ReasonCancelled    Reason = "cancelled"
+	ReasonSilent       Reason = "silent_connection"
+	ReasonReset        Reason = "reset"
+	ReasonTruncated    Reason = "truncated"
+	ReasonTimeout      Reason = "timeout"
+	ReasonBadAnswer    Reason = "bad_answer"
+	ReasonCrossed      Reason = "crossed_answer"
+	ReasonPeerLost     Reason = "peer_lost"
+	ReasonAnswerTooBig Reason = "answer_not_kept"
+)
--- /dev/null
+++ b/internal/quota/quota.go
@@ -0,0 +1,48 @@
+// Package quota divides caps that many entry VMs spend together: caps on
+// shifts of traffic between places and caps on links between regions. Each
+// slot holds a floor share that is always valid; a lender, held under a lease,
+// lends the remainder in grants that expire.
+package quota
+
+import (
+	"fuchsiaspar/internal/model"
+)
+
+// Kind says what a cap bounds.
+type Kind uint8
+
+// The kinds of caps.
+const (
+	// KindShift caps requests a second of one account and service that leave
+	// one availability zone for others.
+	KindShift Kind = iota + 1
+	// KindLink caps bytes a second from one region to another.
+	KindLink
+)
+
+// Key names one cap. It is comparable.
+type Key struct {
+	Kind    Kind
+	Account model.AccountID
+	Service model.ServiceName
+	// Zone is the place that a shift leaves.
+	Zone model.Zone
+	// From and To are the regions at the ends of a link.
+	From, To model.Region
+}
+
+// ShiftKey names the cap on an account's shifts away from zone.
+func ShiftKey(a model.AccountID, s model.ServiceName, zone model.Zone) Key {
+	return Key{Kind: KindShift, Account: a, Service: s, Zone: zone}
+}
+
+// LinkKey names the cap on the link from one region to another.
+func LinkKey(from, to model.Region) Key {
+	return Key{Kind: KindLink, From: from, To: to}
+}
+
+// Cap is the bound on one key, in units a second, for the whole deployment.
+type Cap struct {
+	Key       Key
+	PerSecond int64
+}
