--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -38,9 +38,12 @@
 	Load []ServiceLoad
 }
 
-// ServiceLoad summarises the servers of one service that a VM owns.
+// ServiceLoad summarises the servers of one service in one availability zone
+// that a VM owns.
 type ServiceLoad struct {
 	Service model.ServiceName
+	// Zone is where the servers are.
+	Zone model.Zone
 	// Slots is the count of requests that the servers can run at once now.
 	Slots int
 	// Busy is the count of slots in use.
--- a/internal/model/reason.go
+++ b/internal/model/reason.go
@@ -40,6 +40,7 @@
 	ReasonPlaceDraining   Reason = "place_draining"
 	ReasonCallerGone      Reason = "caller_gone"
 	ReasonPeerUnreachable Reason = "peer_unreachable"
+	ReasonPreempted       Reason = "preempted"
 )
 
 // Reasons that describe the end of one attempt at a backend server.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -25,6 +25,8 @@
 	KindConfigAnnounce Kind = 31 // config: a higher revision exists
 	KindConfigFetch    Kind = 32 // config: fetch objects of a revision
 	KindStatus         Kind = 40 // operator: status of one entry VM
+	KindServers        Kind = 50 // servers: VM list of a zone's reader
+	KindSeal           Kind = 21 // entry: seal a ticket
 )
 
 // Errors that Links return. Test for them with errors.Is.
