quota: add the ledger and the lender

Cause: caps on shifts and links are spent by many VMs that can be cut off from each other, and must hold all the same. Change: Ledger spends a floor share and expiring grants within a sliding window; Lender lends what floors leave and counts a grant one window beyond its end. Lower values hold at once, higher ones after a changeover.

--- /dev/null
+++ b/internal/quota/lender.go
@@ -0,0 +1,147 @@
+package quota
+
+import (
+	"time"
+
+	"fuchsiaspar/internal/model"
+)
+
+// maxDemands bounds the demands that a lender serves in one request.
+const maxDemands = 512
+
+// LenderOptions configures a Lender.
+type LenderOptions struct {
+	Timing Timing
+}
+
+// GrantRequest asks a lender for parts of its caps.
+type GrantRequest struct {
+	// Epoch is the term of the lender that the borrower knows of.
+	Epoch   uint64
+	Demands []Demand
+}
+
+// GrantStatus says how a lender took a request.
+type GrantStatus uint8
+
+// The statuses of grant replies.
+const (
+	// GrantServed means that the lender lends.
+	GrantServed GrantStatus = iota + 1
+	// GrantSettling means that the lender does not lend yet.
+	GrantSettling
+	// GrantNotHolder means that the VM is no lender, or in another epoch.
+	GrantNotHolder
+)
+
+// Loan is one grant as it travels: with a remaining duration in place of a
+// time, counted from the moment the borrower sent its request.
+type Loan struct {
+	Key       Key
+	Value     int64
+	Remaining time.Duration
+}
+
+// GrantReply answers a GrantRequest.
+type GrantReply struct {
+	Status GrantStatus
+	Epoch  uint64
+	Loans  []Loan
+}
+
+// Lender lends what floors leave of each cap. It is a state machine without a
+// clock; it is not safe for concurrent use. The holder of a lease drives it.
+//
+// For each borrower the largest grant that ended less than a Window ago
+// counts as lent. The sum over borrowers never grows past the lendable part.
+type Lender struct {
+	timing Timing
+	pools  map[Key]*pool
+	epoch  uint64
+	// from and until bound the term; until is zero without a lease.
+	from, until time.Time
+}
+
+// NewLender returns a lender without a lease.
+func NewLender(opts LenderOptions) *Lender {
+	return &Lender{timing: opts.Timing.withDefaults(), pools: make(map[Key]*pool)}
+}
+
+// SetCaps adopts the caps of a configuration. A lender must be told of caps
+// from the start of its process, also without a lease, since a cap that is new
+// to it is lent only after Timing.Changeover.
+func (l *Lender) SetCaps(now time.Time, slots int, caps []Cap) {
+	listed := make(map[Key]bool, len(caps))
+	for _, c := range caps {
+		listed[c.Key] = true
+		count := c.slots(slots)
+		lendable := c.PerSecond - floorShare(c.PerSecond, count)*int64(count)
+		l.pool(c.Key).lendable.set(now, lendable, l.timing.Changeover())
+	}
+	for key, p := range l.pools {
+		if listed[key] {
+			continue
+		}
+		p.lendable.set(now, 0, l.timing.Changeover())
+		if p.lendable.idle(now, l.timing.Changeover()) && p.lent(now, "") == 0 {
+			delete(l.pools, key)
+		}
+	}
+}
+
+func (l *Lender) pool(key Key) *pool {
+	p, ok := l.pools[key]
+	if !ok {
+		p = &pool{borrowers: make(map[model.VMID]*borrower)}
+		l.pools[key] = p
+	}
+	return p
+}
+
+// Acquired begins a term that ends at until. Lending starts after
+// Timing.Settling.
+func (l *Lender) Acquired(now, until time.Time, epoch uint64) {
+	l.epoch = epoch
+	l.from = now.Add(l.timing.Settling())
+	l.until = until
+}
+
+// Renewed moves the end of the term. It never revives an ended term.
+func (l *Lender) Renewed(now, until time.Time) {
+	if l.Holds(now) {
+		l.until = until
+	}
+}
+
+// Lost ends the term.
+func (l *Lender) Lost() { l.until = time.Time{} }
+
+// Holds reports whether the term lasts at now.
+func (l *Lender) Holds(now time.Time) bool { return now.Before(l.until) }
+
+// Epoch returns the latest term.
+func (l *Lender) Epoch() uint64 { return l.epoch }
+
+// Lend answers a borrower's request.
+func (l *Lender) Lend(now time.Time, from model.VMID, req GrantRequest) GrantReply {
+	reply := GrantReply{Status: GrantNotHolder, Epoch: l.epoch}
+	if !l.Holds(now) || req.Epoch != l.epoch {
+		return reply
+	}
+	if now.Before(l.from) {
+		reply.Status = GrantSettling
+		return reply
+	}
+	reply.Status = GrantServed
+	for _, d := range req.Demands[:min(len(req.Demands), maxDemands)] {
+		p, ok := l.pools[d.Key]
+		if !ok {
+			continue
+		}
+		value := p.lend(now, from, d.Want, l.timing)
+		if value > 0 {
+			reply.Loans = append(reply.Loans, Loan{Key: d.Key, Value: value, Remaining: l.timing.GrantTTL})
+		}
+	}
+	return reply
+}
--- /dev/null
+++ b/internal/quota/meter.go
@@ -0,0 +1,118 @@
+package quota
+
+import (
+	"sync"
+	"time"
+
+	"fuchsiaspar/internal/model"
+)
+
+// reservedPercent bounds the part of an allowance that demand of more urgent
+// priorities keeps from a lower one.
+const reservedPercent = 80
+
+// urgentBurst is how many times the even share of a sub-window urgent work may
+// take on a link. Other work is spread evenly.
+const urgentBurst = 4
+
+// held is a grant that this VM may spend until it expires.
+type held struct {
+	value   int64
+	expires time.Time
+}
+
+// meter holds what one VM may spend on one key, and what it has spent.
+type meter struct {
+	mu    sync.Mutex
+	key   Key
+	cap   history
+	floor history
+	// grants are in order of falling value and rising expiry.
+	grants []held
+	// window is nil while the key is unused.
+	window *window
+	// latest is the latest time seen. An earlier one, from a goroutine that
+	// was overtaken, counts as latest, so that it revives no grant.
+	latest time.Time
+}
+
+// observe returns the later of now and the latest time seen.
+func (m *meter) observe(now time.Time) time.Time {
+	if now.After(m.latest) {
+		m.latest = now
+	}
+	return m.latest
+}
+
+// allowance returns the units that may be spent in one Window that ends now.
+func (m *meter) allowance(now time.Time, changeover time.Duration) int64 {
+	allowed := m.floor.lowest(now, changeover) + m.granted(now)
+	return min(allowed, m.cap.current)
+}
+
+// granted returns the largest live grant.
+func (m *meter) granted(now time.Time) int64 {
+	for len(m.grants) > 0 && !now.Before(m.grants[0].expires) {
+		m.grants = m.grants[1:]
+	}
+	if len(m.grants) == 0 {
+		return 0
+	}
+	return m.grants[0].value
+}
+
+// addGrant keeps g beside the earlier grants. Grants do not add up: the
+// largest live one counts, as it does at the lender.
+func (m *meter) addGrant(now time.Time, g held) {
+	if g.value <= 0 || !now.Before(g.expires) {
+		return
+	}
+	kept := make([]held, 0, len(m.grants)+1)
+	for _, old := range m.grants {
+		if old.value > g.value && now.Before(old.expires) {
+			kept = append(kept, old)
+		}
+	}
+	for _, old := range kept {
+		if !old.expires.Before(g.expires) {
+			m.grants = kept
+			return
+		}
+	}
+	m.grants = append(kept, g)
+}
+
+// room returns how many units priority p may spend now.
+func (m *meter) room(allowed int64, p model.Priority) int64 {
+	reserved := min(m.window.total.wantedAbove(p), allowed*reservedPercent/100)
+	room := min(
+		allowed-m.window.total.spentFrom(0),
+		allowed-reserved-m.window.total.spentFrom(p),
+	)
+	if m.key.Kind == KindLink {
+		room = min(room, subWindowLimit(allowed, p)-m.window.newest().spentFrom(0))
+	}
+	return max(room, 0)
+}
+
+// subWindowLimit returns the units that may leave on a link in one sub-window,
+// so that traffic is spread over the Window.
+func subWindowLimit(allowed int64, p model.Priority) int64 {
+	even := (allowed + numCells - 1) / numCells
+	if p == model.PriorityUrgent {
+		return even * urgentBurst
+	}
+	return even
+}
+
+// demand returns the units a second that recent work needs.
+func (m *meter) demand() int64 {
+	var wanted int64
+	for _, n := range m.window.total.wanted {
+		wanted += n
+	}
+	return wanted + wanted/demandHeadroom
+}
+
+// demandHeadroom is the divisor of demand that is asked for on top of it.
+const demandHeadroom = 4
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -5,6 +5,8 @@
 package quota
 
 import (
+	"cmp"
+
 	"fuchsiaspar/internal/model"
 )
 
@@ -45,4 +47,27 @@
 type Cap struct {
 	Key       Key
 	PerSecond int64
+	// Slots is the count of slots that share the floors of this cap, where it
+	// differs from the count of all slots. Only those slots have a floor.
+	Slots int
+}
+
+// slots returns the count of slots that share the floors, given that of all.
+func (c Cap) slots(all int) int {
+	if all <= 0 || c.Slots <= 0 {
+		return all
+	}
+	return c.Slots
+}
+
+// compare orders keys.
+func (k Key) compare(o Key) int {
+	return cmp.Or(
+		cmp.Compare(k.Kind, o.Kind),
+		cmp.Compare(k.Account, o.Account),
+		cmp.Compare(k.Service, o.Service),
+		cmp.Compare(k.Zone, o.Zone),
+		cmp.Compare(k.From, o.From),
+		cmp.Compare(k.To, o.To),
+	)
 }
