--- /dev/null
+++ b/internal/admit/estimate.go
@@ -0,0 +1,52 @@
+package admit
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// meanWeight is the share of a new sample in a moving mean.
+	meanWeight = 1.0 / 16
+	// rateWindow is the time constant of arrival rates.
+	rateWindow = time.Second
+)
+
+// movingMean is an exponentially weighted mean of durations; zero until the
+// first sample.
+type movingMean struct {
+	value time.Duration
+}
+
+func (m *movingMean) add(sample time.Duration) {
+	if m.value == 0 {
+		m.value = sample
+		return
+	}
+	m.value += time.Duration(float64(sample-m.value) * meanWeight)
+}
+
+// arrivalRate counts arrivals with exponential decay.
+type arrivalRate struct {
+	count float64
+	at    time.Time
+}
+
+func (r *arrivalRate) add(now time.Time) {
+	r.count = r.decayed(now) + 1
+	r.at = now
+}
+
+// decayed returns the arrivals that still count at now.
+func (r *arrivalRate) decayed(now time.Time) float64 {
+	age := now.Sub(r.at)
+	if r.count == 0 || age <= 0 {
+		return r.count
+	}
+	return r.count * math.Exp(-age.Seconds()/rateWindow.Seconds())
+}
+
+// perSecond returns the arrivals a second at now.
+func (r *arrivalRate) perSecond(now time.Time) float64 {
+	return r.decayed(now) / rateWindow.Seconds()
+}
--- /dev/null
+++ b/internal/admit/floor.go
@@ -0,0 +1,53 @@
+package admit
+
+import "time"
+
+const (
+	// creditWindow bounds the slot time that a floor can be owed, as the time
+	// in which the floor yields it.
+	creditWindow = time.Second
+	// debtServices bounds the slot time that a priority can be in debt, in
+	// mean service times.
+	debtServices = 2
+)
+
+// floorShare returns the slot time that a floor yields in elapsed.
+func floorShare(percent, slots int, elapsed time.Duration) time.Duration {
+	return elapsed * time.Duration(percent*slots) / percentBase
+}
+
+// accrue moves the credit of every priority on by elapsed. A priority with
+// waiting work earns its floor and pays for the slots that it holds; without
+// waiting work it can pay a debt off but earns nothing.
+func (q *Queue) accrue(elapsed time.Duration) {
+	elapsed = min(elapsed, creditWindow)
+	for p := range q.classes {
+		c := &q.classes[p]
+		percent := q.policy.Floors[p]
+		c.credit += floorShare(percent, q.fleet.slots, elapsed)
+		c.credit -= elapsed * time.Duration(c.running)
+		c.credit = min(c.credit, c.maxCredit(percent, q.fleet.slots))
+		c.credit = max(c.credit, -c.maxDebt())
+	}
+}
+
+func (c *class) maxCredit(percent, slots int) time.Duration {
+	if c.queued == 0 {
+		return 0
+	}
+	return floorShare(percent, slots, creditWindow)
+}
+
+func (c *class) maxDebt() time.Duration {
+	return debtServices * max(c.service[laneShort].value, c.service[laneLong].value)
+}
+
+// owed reports whether the priority holds less than its floor and is not in
+// debt for earlier work.
+func (q *Queue) owed(c *class) bool {
+	if c.credit > 0 {
+		return true
+	}
+	floor := q.policy.Floors[c.priority] * q.fleet.slots
+	return c.credit == 0 && c.running*percentBase < floor
+}
--- /dev/null
+++ b/internal/admit/heap.go
@@ -0,0 +1,81 @@
+package admit
+
+// heapNode is an element that knows its position in an indexedHeap.
+type heapNode[T any] interface {
+	// before reports whether the element leaves the heap ahead of other.
+	before(other T) bool
+	setIndex(i int)
+}
+
+// notInHeap is the index of an element outside its heap.
+const notInHeap = -1
+
+// indexedHeap is a binary heap whose elements can move and leave by index.
+type indexedHeap[T heapNode[T]] struct {
+	nodes []T
+}
+
+func (h *indexedHeap[T]) push(n T) {
+	h.nodes = append(h.nodes, n)
+	last := len(h.nodes) - 1
+	n.setIndex(last)
+	h.up(last)
+}
+
+// removeAt takes the element at index i out.
+func (h *indexedHeap[T]) removeAt(i int) {
+	last := len(h.nodes) - 1
+	gone := h.nodes[i]
+	h.nodes[i] = h.nodes[last]
+	h.nodes[i].setIndex(i)
+	var none T
+	h.nodes[last] = none
+	h.nodes = h.nodes[:last]
+	if i < last {
+		h.fix(i)
+	}
+	gone.setIndex(notInHeap)
+}
+
+// fix restores the order after the element at index i has changed.
+func (h *indexedHeap[T]) fix(i int) {
+	if !h.down(i) {
+		h.up(i)
+	}
+}
+
+func (h *indexedHeap[T]) up(i int) {
+	for i > 0 {
+		parent := (i - 1) / 2
+		if !h.nodes[i].before(h.nodes[parent]) {
+			return
+		}
+		h.swap(i, parent)
+		i = parent
+	}
+}
+
+func (h *indexedHeap[T]) down(i int) bool {
+	start := i
+	for {
+		child := 2*i + 1
+		if child >= len(h.nodes) {
+			break
+		}
+		if right := child + 1; right < len(h.nodes) && h.nodes[right].before(h.nodes[child]) {
+			child = right
+		}
+		if !h.nodes[child].before(h.nodes[i]) {
+			break
+		}
+		h.swap(i, child)
+		i = child
+	}
+	return i > start
+}
+
+func (h *indexedHeap[T]) swap(i, j int) {
+	h.nodes[i], h.nodes[j] = h.nodes[j], h.nodes[i]
+	h.nodes[i].setIndex(i)
+	h.nodes[j].setIndex(j)
+}
--- /dev/null
+++ b/internal/admit/list.go
@@ -0,0 +1,65 @@
+package admit
+
+// linkKind selects one of the lists that an entry can be in at once.
+type linkKind uint8
+
+const (
+	// byAccount links the entries of one account and lane.
+	byAccount linkKind = iota
+	// byAge links the waiting entries of a priority in order of arrival, or
+	// its cancellable running entries in order of start.
+	byAge
+	numLinks
+)
+
+// links are an entry's neighbours in one list.
+type links struct {
+	prev, next *entry
+}
+
+// list is an intrusive doubly linked list of entries.
+type list struct {
+	kind       linkKind
+	head, tail *entry
+}
+
+func (l *list) pushBack(e *entry) {
+	e.links[l.kind] = links{prev: l.tail}
+	if l.tail == nil {
+		l.head = e
+	} else {
+		l.tail.links[l.kind].next = e
+	}
+	l.tail = e
+}
+
+func (l *list) remove(e *entry) {
+	at := e.links[l.kind]
+	if at.prev == nil {
+		l.head = at.next
+	} else {
+		at.prev.links[l.kind].next = at.next
+	}
+	if at.next == nil {
+		l.tail = at.prev
+	} else {
+		at.next.links[l.kind].prev = at.prev
+	}
+	e.links[l.kind] = links{}
+}
+
+// after returns the entry after e, towards the tail or towards the head.
+func (l *list) after(e *entry, towardsHead bool) *entry {
+	if towardsHead {
+		return e.links[l.kind].prev
+	}
+	return e.links[l.kind].next
+}
+
+// first returns the entry to serve first, from the tail or from the head.
+func (l *list) first(fromTail bool) *entry {
+	if fromTail {
+		return l.tail
+	}
+	return l.head
+}
