--- /dev/null
+++ b/internal/health/server.go
@@ -0,0 +1,223 @@
+package health
+
+import "time"
+
+const (
+	// minLimit is the limit of a server that is in use.
+	minLimit = 1
+	// decrease is the factor by which a shed answer or a risen latency shrinks
+	// the limit.
+	decrease = 0.7
+	// minDecreasePause is the least time between two decreases.
+	minDecreasePause = 100 * time.Millisecond
+	// recentWeight and usualWeight are the shares of a new sample in the
+	// recent and in the usual latency.
+	recentWeight = 1.0 / 8
+	usualWeight  = 1.0 / 256
+	// usualMinAnswers is the count of answers from which the usual latency is
+	// known well enough to compare with.
+	usualMinAnswers = 32
+	// coldAnswers is the count of answers for each slot that a cold server
+	// gives before it runs at its full limit.
+	coldAnswers = 20
+	// forgiveAnswers is the count of answers in a row that halves the time of
+	// the next ejection.
+	forgiveAnswers = 200
+	// maxDoublings bounds the growth of the time of an ejection.
+	maxDoublings = 16
+)
+
+// state says how much work a server may get.
+type state uint8
+
+const (
+	healthy state = iota
+	// ejected servers get no work.
+	ejected
+	// probing servers get one request at a time after an ejection.
+	probing
+)
+
+// report is a statement with the times between which it counts.
+type report struct {
+	Report
+	made, expires time.Time
+}
+
+// server is the state of one backend server.
+type server struct {
+	info   ServerInfo
+	listed bool
+	state  state
+	// limit is the count of requests that may run at once.
+	limit        float64
+	decreasedAt  time.Time
+	recent       mean
+	usual        mean
+	answers      int
+	lastAnswer   time.Time
+	answerRun    int
+	failureRun   int
+	ejections    int
+	ejectedUntil time.Time
+	// warm is the count of answers since a cold start.
+	cold      bool
+	warm      int
+	firstSeen time.Time
+	report    report
+}
+
+func newServer(now time.Time, info ServerInfo) *server {
+	s := &server{info: info, limit: float64(info.Slots), firstSeen: now, cold: info.Cold}
+	if s.cold {
+		s.limit = minLimit
+	}
+	return s
+}
+
+// answered learns from an answer: the limit grows by one for each round of
+// limit answers, and shrinks while the latency is too far above the usual one.
+func (s *server) answered(now time.Time, latency time.Duration, opts Options) {
+	s.lastAnswer = now
+	s.answers++
+	s.answerRun++
+	s.failureRun = 0
+	s.forgive()
+	s.warmUp(now)
+	s.recent.add(latency, recentWeight)
+	s.usual.add(latency, usualWeight)
+	if s.slow(opts) {
+		s.shrink(now)
+		return
+	}
+	s.limit = min(float64(s.info.Slots), s.limit+1/max(s.limit, minLimit))
+}
+
+// slow reports whether the recent latency is too far above the usual one.
+func (s *server) slow(opts Options) bool {
+	if s.cold || s.answers < usualMinAnswers {
+		return false
+	}
+	return float64(s.recent.value) > opts.LatencyRatio*float64(s.usual.value)
+}
+
+func (s *server) shed(now time.Time) {
+	s.shrink(now)
+}
+
+func (s *server) failed(now time.Time) {
+	s.failureRun++
+	s.answerRun = 0
+	s.shrink(now)
+}
+
+// shrink lowers the limit, at most once in the time that the effect takes to
+// show.
+func (s *server) shrink(now time.Time) {
+	pause := max(minDecreasePause, s.recent.value)
+	if now.Sub(s.decreasedAt) < pause {
+		return
+	}
+	s.decreasedAt = now
+	s.limit = max(minLimit, s.limit*decrease)
+}
+
+// forgive shortens the next ejection after a long run of answers.
+func (s *server) forgive() {
+	if s.answerRun%forgiveAnswers == 0 && s.ejections > 0 {
+		s.ejections--
+	}
+}
+
+// eject takes the server out of use for a time that doubles with each
+// ejection.
+func (s *server) eject(now time.Time, opts Options) {
+	pause := opts.EjectBase << min(s.ejections, maxDoublings)
+	s.state = ejected
+	s.ejectedUntil = now.Add(min(pause, opts.EjectMax))
+	s.ejections++
+	s.answerRun = 0
+}
+
+// endEjection starts the probation of a server whose ejection has run out.
+func (s *server) endEjection(now time.Time) {
+	if s.state == ejected && !now.Before(s.ejectedUntil) {
+		s.state = probing
+		s.answerRun = 0
+	}
+}
+
+// restore returns the server to use with a small limit.
+func (s *server) restore(time.Time) {
+	s.state = healthy
+	s.failureRun = 0
+	s.limit = minLimit
+}
+
+// warmUp counts an answer towards the end of a cold start.
+func (s *server) warmUp(now time.Time) {
+	if !s.cold {
+		return
+	}
+	s.warm++
+	if s.coldLimit(now) >= s.info.Slots {
+		s.cold = false
+	}
+}
+
+// coldLimit bounds the limit of a cold server by the lesser of the time and
+// the answered work since its start.
+func (s *server) coldLimit(now time.Time) int {
+	slots := s.info.Slots
+	byWork := minLimit + s.warm/coldAnswers
+	if s.info.ColdStart <= 0 {
+		return min(slots, byWork)
+	}
+	age := min(now.Sub(s.firstSeen), s.info.ColdStart)
+	byTime := minLimit + int(age*time.Duration(slots-minLimit)/s.info.ColdStart)
+	return min(slots, byWork, byTime)
+}
+
+// current returns the count of requests that the server may run at once now.
+func (s *server) current(now time.Time) int {
+	if s.info.Draining || s.state == ejected || s.info.Slots <= 0 {
+		return 0
+	}
+	if s.state == probing {
+		return minLimit
+	}
+	limit := min(int(s.limit), s.info.Slots)
+	if s.cold {
+		limit = min(limit, s.coldLimit(now))
+	}
+	return s.reported(now, limit)
+}
+
+// reported lowers limit where a fresh report asks for it and no answer since
+// has contradicted the report. One request at a time stays, so that a wrong
+// report can be contradicted.
+func (s *server) reported(now time.Time, limit int) int {
+	if !now.Before(s.report.expires) || s.lastAnswer.After(s.report.made) {
+		return limit
+	}
+	if !s.report.Ready {
+		return min(limit, minLimit)
+	}
+	if s.report.Load >= 1 {
+		return max(minLimit, limit/2)
+	}
+	return limit
+}
+
+// mean is an exponentially weighted mean of latencies.
+type mean struct {
+	value time.Duration
+}
+
+func (m *mean) add(sample time.Duration, weight float64) {
+	if m.value == 0 {
+		m.value = sample
+		return
+	}
+	m.value += time.Duration(float64(sample-m.value) * weight)
+}
