--- /dev/null
+++ b/internal/config/problems.go
@@ -0,0 +1,102 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// Problem is one fault of a document: where it is, what was found and what is
+// allowed there.
+type Problem struct {
+	Path    string `json:"path"`
+	Value   string `json:"value"`
+	Allowed string `json:"allowed"`
+}
+
+// String returns the problem on one line.
+func (p Problem) String() string {
+	return fmt.Sprintf("%s: %q is not allowed: want %s", p.Path, p.Value, p.Allowed)
+}
+
+// Problems is the error that lists every fault of a document.
+type Problems []Problem
+
+// Error returns one line a problem.
+func (p Problems) Error() string {
+	lines := make([]string, len(p))
+	for i, problem := range p {
+		lines[i] = problem.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// AsProblems returns the problems that err holds, if any.
+func AsProblems(err error) (Problems, bool) {
+	var problems Problems
+	if errors.As(err, &problems) {
+		return problems, true
+	}
+	return nil, false
+}
+
+// checker collects problems.
+type checker struct {
+	problems Problems
+}
+
+// add records a problem at the path that format and args build.
+func (c *checker) add(value any, allowed string, format string, args ...any) {
+	c.problems = append(c.problems, Problem{
+		Path:    fmt.Sprintf(format, args...),
+		Value:   fmt.Sprint(value),
+		Allowed: allowed,
+	})
+}
+
+// within records a problem unless low <= value <= high.
+func (c *checker) within(value, low, high int64, format string, args ...any) {
+	if value >= low && value <= high {
+		return
+	}
+	c.add(value, fmt.Sprintf("%d to %d", low, high), format, args...)
+}
+
+// name records a problem unless value is a usable name.
+func (c *checker) name(value string, format string, args ...any) {
+	if validName(value) {
+		return
+	}
+	allowed := fmt.Sprintf("1 to %d of a-z A-Z 0-9 . _ -", maxNameBytes)
+	c.add(value, allowed, format, args...)
+}
+
+func validName(name string) bool {
+	if name == "" || len(name) > maxNameBytes {
+		return false
+	}
+	for _, r := range name {
+		if !nameRune(r) {
+			return false
+		}
+	}
+	return true
+}
+
+func nameRune(r rune) bool {
+	switch {
+	case r >= 'a' && r <= 'z', r >= 'A' && r <= 'Z', r >= '0' && r <= '9':
+		return true
+	default:
+		return r == '.' || r == '_' || r == '-'
+	}
+}
+
+// unique records a problem when value was seen before in the set.
+func unique[K comparable](c *checker, seen map[K]bool, value K, format string, args ...any) {
+	if seen[value] {
+		c.add(value, "a value used once", format, args...)
+	}
+	seen[value] = true
+}
--- /dev/null
+++ b/internal/config/toml.go
@@ -0,0 +1,96 @@
+package config
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pkg/errors"
+)
+
+// ParseError reports TOML text that is no document, with every place at fault.
+type ParseError struct {
+	Faults []ParseFault
+}
+
+// ParseFault is one place at fault in a TOML text.
+type ParseFault struct {
+	Line, Column int
+	// Key is the dotted key at fault, empty when none is known.
+	Key    string
+	Reason string
+}
+
+// Error returns one line a fault.
+func (e *ParseError) Error() string {
+	lines := make([]string, len(e.Faults))
+	for i, f := range e.Faults {
+		lines[i] = f.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// String returns the fault on one line.
+func (f ParseFault) String() string {
+	if f.Key == "" {
+		return fmt.Sprintf("line %d, column %d: %s", f.Line, f.Column, f.Reason)
+	}
+	return fmt.Sprintf("line %d, column %d: key %s: %s", f.Line, f.Column, f.Key, f.Reason)
+}
+
+// ParseTOML decodes a document. Unknown keys are faults. It does not check
+// the document's values; see Validate.
+func ParseTOML(text []byte) (*Document, error) {
+	doc := new(Document)
+	if err := decodeTOML(text, doc); err != nil {
+		return nil, err
+	}
+	return doc, nil
+}
+
+// MarshalTOML encodes a document so that ParseTOML reads it back.
+func MarshalTOML(doc *Document) ([]byte, error) {
+	var buf bytes.Buffer
+	encoder := toml.NewEncoder(&buf)
+	encoder.SetArraysMultiline(false)
+	if err := encoder.Encode(doc); err != nil {
+		return nil, errors.Wrap(err, "encode document as TOML")
+	}
+	return buf.Bytes(), nil
+}
+
+// decodeTOML decodes text into v strictly, with a *ParseError on failure.
+func decodeTOML(text []byte, v any) error {
+	err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(v)
+	if err == nil {
+		return nil
+	}
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) {
+		return unknownKeys(strict)
+	}
+	var decode *toml.DecodeError
+	if errors.As(err, &decode) {
+		return &ParseError{Faults: []ParseFault{faultOf(decode, decode.Error())}}
+	}
+	return &ParseError{Faults: []ParseFault{{Reason: err.Error()}}}
+}
+
+func unknownKeys(strict *toml.StrictMissingError) *ParseError {
+	e := new(ParseError)
+	for i := range strict.Errors {
+		e.Faults = append(e.Faults, faultOf(&strict.Errors[i], "unknown key"))
+	}
+	return e
+}
+
+func faultOf(err *toml.DecodeError, reason string) ParseFault {
+	line, column := err.Position()
+	return ParseFault{
+		Line:   line,
+		Column: column,
+		Key:    strings.Join(err.Key(), "."),
+		Reason: strings.TrimPrefix(reason, "toml: "),
+	}
+}
