--- /dev/null
+++ b/internal/peer/metrics.go
@@ -0,0 +1,88 @@
+package peer
+
+import (
+	"sync/atomic"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// Traffic counts the bytes of WebSocket frames on all links of a process since
+// its start. It leaves out TCP, IP and handshake headers.
+type Traffic struct {
+	SentBytes     uint64
+	ReceivedBytes uint64
+}
+
+// Sizes of WebSocket frame headers, in bytes.
+const (
+	shortHeader  = 2
+	mediumHeader = 4
+	longHeader   = 10
+	maskBytes    = 4
+	shortLimit   = 126
+	mediumLimit  = 1 << 16
+)
+
+// FrameBytes returns the size of a WebSocket frame with payload bytes. Frames
+// from the side that dialled are masked.
+func FrameBytes(payload int, masked bool) int {
+	size := payload + headerBytes(payload)
+	if masked {
+		size += maskBytes
+	}
+	return size
+}
+
+func headerBytes(payload int) int {
+	switch {
+	case payload < shortLimit:
+		return shortHeader
+	case payload < mediumLimit:
+		return mediumHeader
+	default:
+		return longHeader
+	}
+}
+
+type metrics struct {
+	scope    tally.Scope
+	sent     atomic.Uint64
+	received atomic.Uint64
+	dials    tally.Counter
+	failures tally.Counter
+	silent   tally.Counter
+	idle     tally.Counter
+	replaced tally.Counter
+	full     tally.Counter
+	busy     tally.Counter
+	links    tally.Gauge
+}
+
+func newMetrics(scope tally.Scope) *metrics {
+	scope = scope.SubScope("peer")
+	return &metrics{
+		scope:    scope,
+		dials:    scope.Counter("dials"),
+		failures: scope.Counter("dial_failures"),
+		silent:   scope.Counter("links_silent"),
+		idle:     scope.Counter("links_idle"),
+		replaced: scope.Counter("links_replaced"),
+		full:     scope.Counter("queue_full"),
+		busy:     scope.Counter("slow_handlers_busy"),
+		links:    scope.Gauge("links"),
+	}
+}
+
+func (m *metrics) countSent(kind Kind, bytes int) {
+	m.sent.Add(uint64(bytes))
+	m.byKind(kind).Counter("sent_bytes").Inc(int64(bytes))
+}
+
+func (m *metrics) countReceived(kind Kind, bytes int) {
+	m.received.Add(uint64(bytes))
+	m.byKind(kind).Counter("received_bytes").Inc(int64(bytes))
+}
+
+func (m *metrics) byKind(kind Kind) tally.Scope {
+	return m.scope.Tagged(map[string]string{"kind": kind.String()})
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -63,3 +63,27 @@
 	// Drop closes the links to vm, as when membership declared it dead.
 	Drop(vm model.VMID)
 }
+
+var kindNames = map[Kind]string{
+	KindHeartbeat:      "heartbeat",
+	KindZoneDelta:      "zone_delta",
+	KindProbe:          "probe",
+	KindGrantRequest:   "grant_request",
+	KindRevoke:         "revoke",
+	KindConfigPropose:  "config_propose",
+	KindConfigAnnounce: "config_announce",
+	KindConfigFetch:    "config_fetch",
+	KindStatus:         "status",
+}
+
+// String returns the name of k that counters carry. Replies and pings have no
+// kind and count as "link".
+func (k Kind) String() string {
+	if name, ok := kindNames[k]; ok {
+		return name
+	}
+	if k == 0 {
+		return "link"
+	}
+	return "unknown"
+}
