Issue and check tickets for non-idempotent requests

Cause: a reservation, order or deposit must run at most once, also across repeats, relays and restarts. Change: package once with the ticket registry of an owner and the state of relayed attempts at the far side of a relay.

--- /dev/null
+++ b/internal/once/clock.go
@@ -0,0 +1,19 @@
+package once
+
+import "time"
+
+// clock turns instants into offsets from the first instant it was given. The
+// offset never decreases, so a record that was dropped as expired cannot be
+// taken for unexpired by a call with an earlier instant.
+type clock struct {
+	origin time.Time
+	offset time.Duration
+}
+
+func (c *clock) advance(now time.Time) time.Duration {
+	if c.origin.IsZero() {
+		c.origin = now
+	}
+	c.offset = max(c.offset, now.Sub(c.origin))
+	return c.offset
+}
--- /dev/null
+++ b/internal/once/registry.go
@@ -0,0 +1,281 @@
+// Package once makes a non-idempotent request run at most once. It issues and
+// checks tickets at the entry VM that owns them, and it keeps the state of
+// relayed attempts at the far side of a relay. It starts no goroutine, reads no
+// clock and opens no socket: callers pass the current time.
+package once
+
+import (
+	"container/list"
+	"crypto/hmac"
+	"io"
+	"sync"
+	"time"
+
+	"fuchsiaspar/internal/model"
+
+	"github.com/pkg/errors"
+)
+
+// Options configures a Registry.
+type Options struct {
+	VM          model.VMID
+	Incarnation model.Incarnation
+	// Key signs tickets. It is drawn at random when the process starts and
+	// never leaves it.
+	Key [32]byte
+	// Validity is how long a ticket may begin its run.
+	Validity time.Duration
+	// Retain is how long a record is kept after its ticket has expired, so
+	// that a late repeat still learns the outcome. Zero means Validity.
+	Retain time.Duration
+	// MaxRecords bounds the tickets that may begin plus the records kept.
+	MaxRecords int
+	// MaxAccountRecords bounds the unexpired tickets of one client account.
+	// Zero means no bound of its own.
+	MaxAccountRecords int
+	// MaxKeptBytes bounds all kept answers together, MaxAnswerBytes one.
+	MaxKeptBytes   int
+	MaxAnswerBytes int
+	// Rand is the source of ticket identifiers.
+	Rand io.Reader
+}
+
+// Registry issues tickets and holds the records of the requests that use them.
+// It is safe for concurrent use.
+type Registry struct {
+	opts Options
+
+	mu      sync.Mutex
+	clock   clock
+	records map[TicketID]*record
+	buckets buckets
+	// held counts the records that exist or that an unexpired ticket may yet
+	// create.
+	held      int
+	byAccount map[model.AccountID]int
+	kept      *list.List // of *record, oldest first
+	keptBytes int
+}
+
+// record is the state of one ticket that has begun or was sealed.
+type record struct {
+	id          TicketID
+	fingerprint Fingerprint
+	run         *run
+	finished    bool
+	// overdue marks a running record whose bucket has been dropped.
+	overdue bool
+	result  Result
+	kept    *list.Element
+}
+
+// NewRegistry returns a registry without records.
+func NewRegistry(opts Options) *Registry {
+	if opts.Retain == 0 {
+		opts.Retain = opts.Validity
+	}
+	return &Registry{
+		opts:      opts,
+		records:   make(map[TicketID]*record),
+		buckets:   newBuckets(opts.Validity, opts.Retain),
+		byAccount: make(map[model.AccountID]int),
+		kept:      list.New(),
+	}
+}
+
+// Issue returns a new ticket and its remaining validity. An issued ticket takes
+// no record until it is used, but room for its record is set aside, so that
+// Begin never refuses a valid ticket for lack of room. It returns ErrExhausted
+// when MaxRecords or MaxAccountRecords is reached.
+func (r *Registry) Issue(now time.Time, account model.AccountID, service model.ServiceName) (string, time.Duration, error) {
+	info := Info{
+		Owner:       r.opts.VM,
+		Incarnation: r.opts.Incarnation,
+		Account:     account,
+		Service:     service,
+	}
+	if err := checkNames(info); err != nil {
+		return "", 0, err
+	}
+	if err := r.drawID(&info); err != nil {
+		return "", 0, err
+	}
+	if err := r.reserve(now, &info); err != nil {
+		return "", 0, err
+	}
+	return encode(info, r.opts.Key[:]), r.opts.Validity, nil
+}
+
+func (r *Registry) drawID(info *Info) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, err := io.ReadFull(r.opts.Rand, info.ID[:])
+	return errors.Wrap(err, "once: draw ticket identifier")
+}
+
+func (r *Registry) reserve(now time.Time, info *Info) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	offset := r.clock.advance(now)
+	r.expire(offset)
+	if r.held >= r.opts.MaxRecords {
+		return ErrExhausted
+	}
+	if limit := r.opts.MaxAccountRecords; limit > 0 && r.byAccount[info.Account] >= limit {
+		return ErrExhausted
+	}
+	info.expiry = offset + r.opts.Validity
+	r.buckets.issue(info.expiry, info.Account)
+	r.byAccount[info.Account]++
+	r.held++
+	return nil
+}
+
+// verify checks that this process issued the ticket.
+func (r *Registry) verify(ticket string) (Info, error) {
+	info, signed, mac, err := decode(ticket)
+	if err != nil {
+		return Info{}, err
+	}
+	if info.Owner != r.opts.VM {
+		return Info{}, ErrNotOwner
+	}
+	if info.Incarnation != r.opts.Incarnation {
+		return Info{}, ErrOwnerGone
+	}
+	if !hmac.Equal(mac, sign(signed, r.opts.Key[:])) {
+		return Info{}, ErrInvalid
+	}
+	return info, nil
+}
+
+// Begin claims the run of the request that the ticket stands for. Every error
+// is an *Error and means that this copy of the request does not run; its
+// Outcome says whether another copy may have run.
+func (r *Registry) Begin(now time.Time, ticket string, req Fingerprint) (Claim, error) {
+	info, err := r.verify(ticket)
+	if err != nil {
+		return Claim{}, err
+	}
+	if info.Account != req.Account || info.Service != req.Service {
+		return Claim{}, ErrInvalid
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	offset := r.clock.advance(now)
+	if rec, ok := r.records[info.ID]; ok {
+		return rec.claim(req)
+	}
+	if offset >= info.expiry {
+		return Claim{}, r.expired(info)
+	}
+	rec := r.newRecord(info)
+	rec.fingerprint = req
+	return Claim{Kind: ClaimRun, ID: info.ID, run: rec.run}, nil
+}
+
+func (rec *record) claim(req Fingerprint) (Claim, error) {
+	if rec.finished && rec.result.Outcome == model.OutcomeNotRun {
+		return Claim{}, ErrSealed
+	}
+	if !rec.fingerprint.matches(req) {
+		return Claim{}, ErrReused
+	}
+	if !rec.finished {
+		return Claim{Kind: ClaimJoin, ID: rec.id, run: rec.run}, nil
+	}
+	return Claim{Kind: ClaimKept, ID: rec.id, Result: rec.result, run: rec.run}, nil
+}
+
+// expired tells an expired ticket that never began from one whose record may
+// have been dropped.
+func (r *Registry) expired(info Info) error {
+	if r.buckets.covers(info.expiry) {
+		return errExpiredUnused
+	}
+	return ErrExpired
+}
+
+func (r *Registry) newRecord(info Info) *record {
+	rec := &record{id: info.ID, run: &run{done: make(chan struct{})}}
+	r.records[info.ID] = rec
+	r.buckets.add(info.expiry, rec)
+	return rec
+}
+
+// Finish ends the run of a ticket. OutcomeNotRun seals the ticket. A later call
+// may replace OutcomeUnknown by a definite outcome; a definite outcome stays.
+func (r *Registry) Finish(id TicketID, result Result) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rec, ok := r.records[id]
+	if !ok {
+		return
+	}
+	if rec.finished && rec.result.Outcome != model.OutcomeUnknown {
+		return
+	}
+	first := !rec.finished
+	rec.finished = true
+	r.keep(rec, result)
+	if first {
+		rec.run.result = rec.result
+		close(rec.run.done)
+	}
+	if rec.overdue {
+		r.drop(rec)
+		r.held--
+	}
+}
+
+// Seal makes sure that a ticket which has not begun never will. It returns
+// OutcomeNotRun when the request did not run and never will, OutcomeUnknown
+// while it runs, and the outcome once it has ended.
+func (r *Registry) Seal(now time.Time, ticket string) (model.Outcome, error) {
+	info, err := r.verify(ticket)
+	if err != nil {
+		return OutcomeOf(err), err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	offset := r.clock.advance(now)
+	if rec, ok := r.records[info.ID]; ok {
+		return rec.outcome(), nil
+	}
+	if offset >= info.expiry {
+		err := r.expired(info)
+		return OutcomeOf(err), err
+	}
+	rec := r.newRecord(info)
+	rec.finished = true
+	rec.result = Result{Outcome: model.OutcomeNotRun, Reason: model.ReasonTicketSealed}
+	rec.run.result = rec.result
+	close(rec.run.done)
+	return model.OutcomeNotRun, nil
+}
+
+func (rec *record) outcome() model.Outcome {
+	if !rec.finished {
+		return model.OutcomeUnknown
+	}
+	return rec.result.Outcome
+}
+
+// OutcomeOf returns the outcome that an error of this package carries, or
+// OutcomeUnknown for any other error.
+func OutcomeOf(err error) model.Outcome {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Outcome
+	}
+	return model.OutcomeUnknown
+}
+
+// ReasonOf returns the reason that an error of this package carries.
+func ReasonOf(err error) model.Reason {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Reason
+	}
+	return model.ReasonNone
+}
--- /dev/null
+++ b/internal/once/ticket.go
@@ -0,0 +1,140 @@
+package once
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/hex"
+	"strings"
+	"time"
+
+	"fuchsiaspar/internal/model"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// MaxTicketBytes is the length of the longest ticket text.
+	MaxTicketBytes = 512
+	// MaxNameBytes is the length of the longest VM, account or service name
+	// that a ticket can carry.
+	MaxNameBytes = 96
+
+	ticketVersion    = 1
+	idBytes          = 16
+	macBytes         = sha256.Size
+	fixedTicketBytes = 1 + idBytes + 8 + 8
+)
+
+// ErrNameTooLong reports a VM, account or service name over MaxNameBytes.
+var ErrNameTooLong = errors.New("once: name too long for a ticket")
+
+// errVersion reports a ticket of another version of the format.
+var errVersion = &Error{Reason: model.ReasonTicketInvalid, Outcome: model.OutcomeUnknown}
+
+var ticketEncoding = base64.RawURLEncoding.Strict()
+
+// TicketID identifies a ticket among all tickets of its owner.
+type TicketID [idBytes]byte
+
+// String returns the identifier in hexadecimal.
+func (id TicketID) String() string { return hex.EncodeToString(id[:]) }
+
+// Info is what any entry VM can read from a ticket. It is not verified.
+type Info struct {
+	ID          TicketID
+	Owner       model.VMID
+	Incarnation model.Incarnation
+	Account     model.AccountID
+	Service     model.ServiceName
+
+	// expiry is an offset on the clock of the owner's process.
+	expiry time.Duration
+}
+
+// Parse reads a ticket without verifying it. Only the owner's process can
+// verify a ticket; others use Parse to learn whom to relay the request to.
+func Parse(ticket string) (Info, error) {
+	info, _, _, err := decode(ticket)
+	return info, err
+}
+
+// decode splits a ticket into its fields, the bytes that the MAC covers and
+// the MAC.
+func decode(ticket string) (info Info, signed, mac []byte, err error) {
+	if len(ticket) > MaxTicketBytes || strings.ContainsAny(ticket, "\r\n") {
+		return Info{}, nil, nil, ErrInvalid
+	}
+	raw, err := ticketEncoding.DecodeString(ticket)
+	if err != nil || len(raw) < fixedTicketBytes+macBytes {
+		return Info{}, nil, nil, ErrInvalid
+	}
+	if raw[0] != ticketVersion {
+		return Info{}, nil, nil, errVersion
+	}
+	signed = raw[:len(raw)-macBytes]
+	info, err = decodeFields(signed)
+	if err != nil {
+		return Info{}, nil, nil, err
+	}
+	return info, signed, raw[len(signed):], nil
+}
+
+func decodeFields(signed []byte) (Info, error) {
+	var info Info
+	rest := signed[1:]
+	copy(info.ID[:], rest)
+	rest = rest[idBytes:]
+	info.Incarnation = model.Incarnation(binary.BigEndian.Uint64(rest))
+	rest = rest[8:]
+	info.expiry = time.Duration(binary.BigEndian.Uint64(rest))
+	rest = rest[8:]
+	var names [3]string
+	for i := range names {
+		if len(rest) == 0 || len(rest) <= int(rest[0]) {
+			return Info{}, ErrInvalid
+		}
+		n := int(rest[0])
+		names[i] = string(rest[1 : 1+n])
+		rest = rest[1+n:]
+	}
+	if len(rest) != 0 {
+		return Info{}, ErrInvalid
+	}
+	info.Owner = model.VMID(names[0])
+	info.Account = model.AccountID(names[1])
+	info.Service = model.ServiceName(names[2])
+	return info, nil
+}
+
+func checkNames(info Info) error {
+	longest := max(len(info.Owner), len(info.Account), len(info.Service))
+	if longest > MaxNameBytes {
+		return ErrNameTooLong
+	}
+	return nil
+}
+
+// encode returns the text of a ticket with its MAC under key. The names must
+// have passed checkNames.
+func encode(info Info, key []byte) string {
+	names := [3]string{string(info.Owner), string(info.Account), string(info.Service)}
+	raw := make([]byte, 0, fixedTicketBytes+len(names)*(1+MaxNameBytes)+macBytes)
+	raw = append(raw, ticketVersion)
+	raw = append(raw, info.ID[:]...)
+	raw = binary.BigEndian.AppendUint64(raw, uint64(info.Incarnation))
+	raw = binary.BigEndian.AppendUint64(raw, uint64(info.expiry))
+	for _, name := range names {
+		raw = append(raw, byte(len(name)))
+		raw = append(raw, name...)
+	}
+	raw = append(raw, sign(raw, key)...)
+	return ticketEncoding.EncodeToString(raw)
+}
+
+func sign(signed, key []byte) []byte {
+	mac := hmac.New(sha256.New, key)
+	mac.Write(signed)
+	return mac.Sum(nil)
+}
--- /dev/null
+++ b/internal/once/token.go
@@ -0,0 +1,67 @@
+package once
+
+import (
+	"encoding/hex"
+	"io"
+	"strconv"
+	"strings"
+	"time"
+
+	"fuchsiaspar/internal/model"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	attemptRandomBytes = 12
+	// tokenSeparator joins the parts of tokens and attempt identifiers.
+	tokenSeparator = "-"
+	hexBase        = 16
+)
+
+// Token is proof that the far side of a relay was running a short time ago. It
+// names the far side's incarnation and an instant on the clock of its process.
+// The far side hands out tokens with its heartbeats, relay answers and
+// refusals; the origin puts the newest one into each attempt identifier.
+type Token string
+
+// NewAttemptID draws the identifier of an attempt that is relayed to the far
+// side that handed out token. An empty token makes an identifier for an attempt
+// that is not relayed.
+func NewAttemptID(token Token, rand io.Reader) (model.AttemptID, error) {
+	var raw [attemptRandomBytes]byte
+	if _, err := io.ReadFull(rand, raw[:]); err != nil {
+		return "", errors.Wrap(err, "once: draw attempt identifier")
+	}
+	random := hex.EncodeToString(raw[:])
+	if token == "" {
+		return model.AttemptID(random), nil
+	}
+	return model.AttemptID(string(token) + tokenSeparator + random), nil
+}
+
+func newToken(incarnation model.Incarnation, at time.Duration) Token {
+	return Token(strconv.FormatUint(uint64(incarnation), hexBase) + tokenSeparator +
+		strconv.FormatInt(int64(at), hexBase))
+}
+
+// tokenOf reads the token in an attempt identifier.
+func tokenOf(attempt model.AttemptID) (incarnation model.Incarnation, at time.Duration, ok bool) {
+	first, rest, ok := strings.Cut(string(attempt), tokenSeparator)
+	if !ok {
+		return 0, 0, false
+	}
+	second, _, ok := strings.Cut(rest, tokenSeparator)
+	if !ok {
+		return 0, 0, false
+	}
+	inc, err := strconv.ParseUint(first, hexBase, 64)
+	if err != nil {
+		return 0, 0, false
+	}
+	offset, err := strconv.ParseInt(second, hexBase, 64)
+	if err != nil || offset < 0 {
+		return 0, 0, false
+	}
+	return model.Incarnation(inc), time.Duration(offset), true
+}
