quota: add the service

Cause: ledgers and lenders are pure; something has to hold the lease, carry requests and adopt configurations. Change: Service runs one agent for each region. An agent reads the lease's record only when its lender does not answer, takes a free lease in turn, and lends while it keeps the lease alive. A VM outside the region may take the lease while it has demand there, so that the loss of a whole region does not leave its caps at their floors.

--- /dev/null
+++ b/internal/quota/agent.go
@@ -0,0 +1,314 @@
+package quota
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"fuchsiaspar/internal/model"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+// Durations of leases.
+const (
+	// leaseTTL is how long a lease lasts without being kept alive.
+	leaseTTL = 3 * time.Second
+	// leaseMargin is how long before the lease's end the lender stops, to
+	// allow for clocks that run at different rates.
+	leaseMargin = 300 * time.Millisecond
+	// keepAliveInterval is the mean time between two renewals.
+	keepAliveInterval = 800 * time.Millisecond
+	// firstBackoff and maxBackoff bound the wait after a failed store call.
+	firstBackoff = 250 * time.Millisecond
+	maxBackoff   = 4 * time.Second
+	// maxDoublings bounds the doublings of a back-off.
+	maxDoublings = 4
+	// rankDelay separates the VMs that compete for a lease.
+	rankDelay = 100 * time.Millisecond
+	// maxRankDelay bounds the sum of rank delays.
+	maxRankDelay = 2 * time.Second
+	// foreignDelay is how much longer VMs outside the region wait.
+	foreignDelay = time.Second
+)
+
+// leasePrefix is the start of the store's keys of lease records.
+const leasePrefix = "quota/"
+
+// record is the value under a region's key.
+type record struct {
+	VM    model.VMID `cbor:"1,keyasint"`
+	Epoch uint64     `cbor:"2,keyasint"`
+}
+
+// agent deals with the caps of one region: it knows their lender, and becomes
+// the lender itself when there is none. Its run goroutine makes all store
+// calls; the other methods are safe for concurrent use.
+type agent struct {
+	service *Service
+	region  model.Region
+	lease   lease
+	// renewing reports that the latest renewal failed and is due at once.
+	renewing bool
+	// recheck wakes the run goroutine to read the lease's record.
+	recheck chan struct{}
+
+	mu       sync.Mutex
+	lender   *Lender
+	holder   record
+	rank     time.Duration
+	asking   bool
+	// unanswered counts the requests in a row that no lender served.
+	unanswered int
+	askedAt  time.Time
+	wantedAt time.Time
+}
+
+func newAgent(s *Service, region model.Region) *agent {
+	a := &agent{
+		service: s,
+		region:  region,
+		recheck: make(chan struct{}, 1),
+		lender:  NewLender(LenderOptions{Timing: s.opts.Timing}),
+	}
+	a.lease = lease{store: s.opts.Store, key: leasePrefix + string(region), now: s.opts.Now}
+	return a
+}
+
+func (a *agent) setCaps(now time.Time, d *deployment, caps []Cap) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.lender.SetCaps(now, d.slots, caps)
+	a.rank = rankOf(a.service.opts.Self, a.region, d)
+}
+
+// lend serves a request in the time of its arrival.
+func (a *agent) lend(from model.VMID, req GrantRequest) GrantReply {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.lender.Lend(a.service.opts.Now(), from, req)
+}
+
+func (a *agent) currentHolder() record {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.holder
+}
+
+// asked ends a request and notes whether a lender served it.
+func (a *agent) asked(served bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.asking = false
+	a.unanswered++
+	if served {
+		a.unanswered = 0
+	}
+}
+
+// forget drops a holder that does not lend and looks for the next one.
+func (a *agent) forget(h record) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.holder == h {
+		a.holder = record{}
+	}
+	a.signal()
+}
+
+// signal wakes the run goroutine.
+func (a *agent) signal() {
+	select {
+	case a.recheck <- struct{}{}:
+	default:
+	}
+}
+
+// run follows the lease of the region until ctx ends.
+func (a *agent) run(ctx context.Context) {
+	backoff := firstBackoff
+	for ctx.Err() == nil {
+		err := a.step(ctx)
+		if err == nil {
+			backoff = firstBackoff
+			continue
+		}
+		if !sleep(ctx, a.service.jitter.around(backoff)) {
+			return
+		}
+		backoff = nextBackoff(backoff, err)
+	}
+}
+
+// nextBackoff doubles the wait while the store is in trouble.
+func nextBackoff(backoff time.Duration, err error) time.Duration {
+	if errors.Is(err, errStoreRefused) || errors.Is(err, errStoreUncertain) {
+		return min(2*backoff, maxBackoff)
+	}
+	return firstBackoff
+}
+
+// step renews a held lease, or else finds the holder or takes the lease.
+func (a *agent) step(ctx context.Context) error {
+	if a.lease.held() {
+		if !a.renewing && !sleep(ctx, a.service.jitter.around(keepAliveInterval)) {
+			return nil
+		}
+		return a.renew(ctx)
+	}
+	if err := a.find(ctx); !errors.Is(err, errNoLease) {
+		if err != nil {
+			return err
+		}
+		return a.await(ctx)
+	}
+	if !a.eligible() {
+		return a.await(ctx)
+	}
+	return a.compete(ctx)
+}
+
+// await sleeps until the holder has to be looked up, at least for one back-off.
+func (a *agent) await(ctx context.Context) error {
+	if a.lease.held() {
+		return nil
+	}
+	if !sleep(ctx, a.service.jitter.around(a.patience())) {
+		return nil
+	}
+	select {
+	case <-a.recheck:
+	case <-ctx.Done():
+	}
+	return nil
+}
+
+// patience returns how long to wait before the store is read again. It doubles
+// with each request that no lender served.
+func (a *agent) patience() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return min(firstBackoff<<min(a.unanswered, maxDoublings), maxBackoff)
+}
+
+// eligible reports whether this VM may take the lease: always in its own
+// region, elsewhere only while it has demand there.
+func (a *agent) eligible() bool {
+	if a.region == a.service.opts.Region {
+		return true
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !a.wantedAt.IsZero() && a.service.opts.Now().Sub(a.wantedAt) < checkInterval
+}
+
+// find reads the record of the lease. A record that this VM wrote without
+// learning of it makes it the holder.
+func (a *agent) find(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	found, err := a.lease.read(ctx)
+	if err != nil {
+		a.service.metrics.store("get", err)
+		return err
+	}
+	if a.lease.confirm(found) {
+		a.acquired(found)
+		return nil
+	}
+	a.setHolder(found)
+	return nil
+}
+
+// compete waits for its turn and then takes the lease if it is still free.
+func (a *agent) compete(ctx context.Context) error {
+	if !sleep(ctx, a.turn()) {
+		return nil
+	}
+	if err := a.find(ctx); !errors.Is(err, errNoLease) {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	rec := record{VM: a.service.opts.Self, Epoch: a.service.jitter.uint64() | 1}
+	if err := a.lease.take(ctx, rec); err != nil {
+		a.service.metrics.store("take", err)
+		return err
+	}
+	a.acquired(rec)
+	return nil
+}
+
+func (a *agent) turn() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.rank
+}
+
+// acquired begins a term as the lender.
+func (a *agent) acquired(rec record) {
+	a.setHolder(rec)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.lender.Acquired(a.service.opts.Now(), a.lease.until, rec.Epoch)
+	a.service.metrics.holding(a.region, true)
+	a.service.opts.Logger.Info("quota lease acquired", "region", a.region, "epoch", rec.Epoch)
+}
+
+func (a *agent) setHolder(rec record) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.holder = rec
+}
+
+// renew keeps the lease alive. The term ends when the lease has lapsed or the
+// store stays silent until its end.
+func (a *agent) renew(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	err := a.lease.renew(ctx)
+	a.renewing = err != nil
+	if err != nil {
+		a.service.metrics.store("keep_alive", err)
+	}
+	if !a.lease.held() {
+		a.lost(err)
+		return err
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.lender.Renewed(a.service.opts.Now(), a.lease.until)
+	return err
+}
+
+// lost ends the term as the lender.
+func (a *agent) lost(cause error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.lender.Lost()
+	a.holder = record{}
+	a.signal()
+	a.service.metrics.holding(a.region, false)
+	a.service.opts.Logger.Warn("quota lease lost", "region", a.region, "cause", cause)
+}
+
+// release gives the lease up. The run goroutine has ended.
+func (a *agent) release(ctx context.Context) {
+	if !a.lease.held() {
+		return
+	}
+	a.lost(nil)
+	if err := a.lease.release(ctx); err != nil {
+		a.service.metrics.store("revoke", err)
+	}
+}
+
+// decodeRecord reads the value under a region's key.
+func decodeRecord(value []byte) (record, error) {
+	var rec record
+	if err := cbor.Unmarshal(value, &rec); err != nil {
+		return record{}, errors.WithMessage(errBadRecord, err.Error())
+	}
+	return rec, nil
+}
--- /dev/null
+++ b/internal/quota/lease.go
@@ -0,0 +1,143 @@
+package quota
+
+import (
+	"cmp"
+	"context"
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"fuchsiaspar/internal/model"
+	"fuchsiaspar/internal/platform"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+// lease is one VM's side of a lease in the store. It is used by one goroutine.
+type lease struct {
+	store platform.Store
+	key   string
+	now   func() time.Time
+	// id is zero without a lease.
+	id platform.LeaseID
+	// rec is the record that was written under the lease, perhaps unconfirmed.
+	rec record
+	// confirmed reports that the record was seen in the store.
+	confirmed bool
+	// until is when this VM stops to act as the holder.
+	until time.Time
+}
+
+// held reports whether this VM holds the lease.
+func (l *lease) held() bool { return l.confirmed && l.now().Before(l.until) }
+
+// read returns the record in the store, or errNoLease.
+func (l *lease) read(ctx context.Context) (record, error) {
+	entry, err := l.store.Get(ctx, l.key)
+	if err != nil {
+		return record{}, translateStore(err)
+	}
+	return decodeRecord(entry.Value)
+}
+
+// take creates a lease and writes rec under it. A lost answer leaves the
+// record unconfirmed.
+func (l *lease) take(ctx context.Context, rec record) error {
+	value, err := cbor.Marshal(rec)
+	if err != nil {
+		return errors.WithMessage(errBadRecord, err.Error())
+	}
+	sent := l.now()
+	id, err := l.store.Grant(ctx, leaseTTL)
+	if err != nil {
+		return translateStore(err)
+	}
+	l.id, l.rec, l.confirmed = id, rec, false
+	l.until = sent.Add(leaseTTL - leaseMargin)
+	if _, err = l.store.Put(ctx, l.key, value, 0, id); err != nil {
+		return translateStore(err)
+	}
+	if !l.confirm(rec) {
+		return errLeaseLapsed
+	}
+	return nil
+}
+
+// confirm reports whether found is the record of this VM's live lease, and
+// makes it the holder if so.
+func (l *lease) confirm(found record) bool {
+	if l.id == 0 || found != l.rec || !l.now().Before(l.until) {
+		return false
+	}
+	l.confirmed = true
+	return true
+}
+
+// renew keeps the lease alive. After errLeaseLapsed it is no longer held.
+func (l *lease) renew(ctx context.Context) error {
+	sent := l.now()
+	err := translateStore(l.store.KeepAlive(ctx, l.id))
+	if errors.Is(err, errNoLease) {
+		l.drop()
+		return errLeaseLapsed
+	}
+	if !l.held() {
+		l.drop()
+		return errLeaseLapsed
+	}
+	if err != nil {
+		return err
+	}
+	l.until = sent.Add(leaseTTL - leaseMargin)
+	return nil
+}
+
+// release ends the lease in the store.
+func (l *lease) release(ctx context.Context) error {
+	id := l.id
+	l.drop()
+	return translateStore(l.store.Revoke(ctx, id))
+}
+
+func (l *lease) drop() {
+	l.id = 0
+	l.confirmed = false
+}
+
+// rankOf returns how long a VM waits before it takes a free lease: the VMs of
+// the region first, each set in an order that differs by region.
+func rankOf(self model.VMID, region model.Region, d *deployment) time.Duration {
+	own := d.slotsOf[region]
+	if at := slices.Index(byHash(own, region), self); at >= 0 {
+		return min(time.Duration(at)*rankDelay, maxRankDelay)
+	}
+	var others []model.VMID
+	for r, vms := range d.slotsOf {
+		if r != region {
+			others = append(others, vms...)
+		}
+	}
+	at := max(slices.Index(byHash(others, region), self), 0)
+	return foreignDelay + min(time.Duration(at)*rankDelay, maxRankDelay)
+}
+
+// byHash orders VMs by a hash of their name and the region.
+func byHash(vms []model.VMID, region model.Region) []model.VMID {
+	sorted := slices.Clone(vms)
+	slices.SortFunc(sorted, func(a, b model.VMID) int {
+		return cmp.Or(
+			cmp.Compare(hashOf(a, region), hashOf(b, region)),
+			cmp.Compare(a, b),
+		)
+	})
+	return sorted
+}
+
+func hashOf(vm model.VMID, region model.Region) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(region))
+	h.Write([]byte{0})
+	h.Write([]byte(vm))
+	return h.Sum64()
+}
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -29,9 +29,9 @@
 
 // Demand is the part of a cap that a VM wants beyond its floor.
 type Demand struct {
-	Key Key
+	Key Key `cbor:"1,keyasint"`
 	// Want is in units a second.
-	Want int64
+	Want int64 `cbor:"2,keyasint"`
 }
 
 // Ledger holds what one entry VM may spend of each cap. In any Window it
@@ -62,7 +62,7 @@
 }
 
 // SetCaps adopts the caps of a configuration with a count of provisioned
-// slots; zero slots leave this VM without floors. A lower floor holds at once,
+// slots. A lower floor holds at once,
 // a higher one after Timing.Changeover, as does the first.
 func (l *Ledger) SetCaps(now time.Time, slots int, caps []Cap) {
 	l.setMu.Lock()
@@ -75,7 +75,7 @@
 		if !ok {
 			m = &meter{key: c.Key}
 		}
-		m.set(now, c.PerSecond, floorShare(c.PerSecond, c.slots(slots)), l.timing.Changeover())
+		m.set(now, c.PerSecond, c.floor(slots), l.timing.Changeover())
 		next[c.Key] = m
 	}
 	l.retire(now, previous, next)
--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -16,9 +16,12 @@
 
 // GrantRequest asks a lender for parts of its caps.
 type GrantRequest struct {
+	// Region is the region whose caps are asked for.
+	Region model.Region `cbor:"1,keyasint"`
 	// Epoch is the term of the lender that the borrower knows of.
-	Epoch   uint64
-	Demands []Demand
+	Epoch uint64 `cbor:"2,keyasint"`
+	// Demands may be empty, which only tests whether the lender answers.
+	Demands []Demand `cbor:"3,keyasint,omitempty"`
 }
 
 // GrantStatus says how a lender took a request.
@@ -37,16 +40,16 @@
 // Loan is one grant as it travels: with a remaining duration in place of a
 // time, counted from the moment the borrower sent its request.
 type Loan struct {
-	Key       Key
-	Value     int64
-	Remaining time.Duration
+	Key       Key           `cbor:"1,keyasint"`
+	Value     int64         `cbor:"2,keyasint"`
+	Remaining time.Duration `cbor:"3,keyasint"`
 }
 
 // GrantReply answers a GrantRequest.
 type GrantReply struct {
-	Status GrantStatus
-	Epoch  uint64
-	Loans  []Loan
+	Status GrantStatus `cbor:"1,keyasint"`
+	Epoch  uint64      `cbor:"2,keyasint"`
+	Loans  []Loan      `cbor:"3,keyasint,omitempty"`
 }
 
 // Lender lends what floors leave of each cap. It is a state machine without a
@@ -74,9 +77,7 @@
 	listed := make(map[Key]bool, len(caps))
 	for _, c := range caps {
 		listed[c.Key] = true
-		count := c.slots(slots)
-		lendable := c.PerSecond - floorShare(c.PerSecond, count)*int64(count)
-		l.pool(c.Key).lendable.set(now, lendable, l.timing.Changeover())
+		l.pool(c.Key).lendable.set(now, c.lendable(slots), l.timing.Changeover())
 	}
 	for key, p := range l.pools {
 		if listed[key] {
--- /dev/null
+++ b/internal/quota/metrics.go
@@ -0,0 +1,60 @@
+package quota
+
+import (
+	"fuchsiaspar/internal/model"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// metrics counts what a Service does.
+type metrics struct {
+	scope   tally.Scope
+	replies map[GrantStatus]tally.Counter
+}
+
+func newMetrics(scope tally.Scope) *metrics {
+	scope = scope.SubScope("quota")
+	m := &metrics{scope: scope, replies: make(map[GrantStatus]tally.Counter)}
+	for status, name := range statusNames {
+		m.replies[status] = scope.Tagged(map[string]string{"status": name}).Counter("grant_replies")
+	}
+	return m
+}
+
+// statusNames holds the values of the status tag.
+var statusNames = map[GrantStatus]string{
+	GrantServed:    "served",
+	GrantSettling:  "settling",
+	GrantNotHolder: "not_holder",
+}
+
+// String returns the name of s.
+func (s GrantStatus) String() string {
+	if name, ok := statusNames[s]; ok {
+		return name
+	}
+	return "invalid"
+}
+
+func (m *metrics) reply(s GrantStatus) {
+	if c, ok := m.replies[s]; ok {
+		c.Inc(1)
+	}
+}
+
+func (m *metrics) call(err error) {
+	m.scope.Tagged(map[string]string{"reason": reasonOf(err)}).Counter("grant_call_failures").Inc(1)
+}
+
+func (m *metrics) store(op string, err error) {
+	tags := map[string]string{"op": op, "reason": reasonOf(err)}
+	m.scope.Tagged(tags).Counter("store_failures").Inc(1)
+}
+
+func (m *metrics) holding(region model.Region, holds bool) {
+	value := 0.0
+	if holds {
+		value = 1
+	}
+	m.scope.Tagged(map[string]string{"region": string(region)}).Gauge("lender").Update(value)
+}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -24,13 +24,14 @@
 
 // Key names one cap. It is comparable.
 type Key struct {
-	Kind    Kind
-	Account model.AccountID
-	Service model.ServiceName
+	Kind    Kind              `cbor:"1,keyasint"`
+	Account model.AccountID   `cbor:"2,keyasint,omitempty"`
+	Service model.ServiceName `cbor:"3,keyasint,omitempty"`
 	// Zone is the place that a shift leaves.
-	Zone model.Zone
+	Zone model.Zone `cbor:"4,keyasint,omitempty"`
 	// From and To are the regions at the ends of a link.
-	From, To model.Region
+	From model.Region `cbor:"5,keyasint,omitempty"`
+	To   model.Region `cbor:"6,keyasint,omitempty"`
 }
 
 // ShiftKey names the cap on an account's shifts away from zone.
@@ -48,16 +49,33 @@
 	Key       Key
 	PerSecond int64
 	// Slots is the count of slots that share the floors of this cap, where it
-	// differs from the count of all slots. Only those slots have a floor.
+	// differs from the count of all slots.
 	Slots int
+	// NoFloor marks a cap of which this VM has no floor, since it is not among
+	// the slots that share them.
+	NoFloor bool
+}
+
+// floor returns the floor of this VM, given the count of all slots.
+func (c Cap) floor(all int) int64 {
+	if c.NoFloor {
+		return 0
+	}
+	return floorShare(c.PerSecond, c.slots(all))
+}
+
+// lendable returns what the floors of all slots leave.
+func (c Cap) lendable(all int) int64 {
+	count := c.slots(all)
+	return c.PerSecond - floorShare(c.PerSecond, count)*int64(count)
 }
 
 // slots returns the count of slots that share the floors, given that of all.
 func (c Cap) slots(all int) int {
-	if all <= 0 || c.Slots <= 0 {
-		return all
+	if c.Slots > 0 {
+		return c.Slots
 	}
-	return c.Slots
+	return max(all, 0)
 }
 
 // compare orders keys.
--- /dev/null
+++ b/internal/quota/service.go
@@ -0,0 +1,236 @@
+package quota
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"fuchsiaspar/internal/config"
+	"fuchsiaspar/internal/model"
+	"fuchsiaspar/internal/peer"
+	"fuchsiaspar/internal/platform"
+
+	"github.com/charmbracelet/log"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+)
+
+// Errors of a Service. Test for them with errors.Is.
+var (
+	// ErrBadRequest reports a grant request that cannot be decoded.
+	ErrBadRequest = errors.New("quota: bad grant request")
+	// ErrStarted reports a second Start.
+	ErrStarted = errors.New("quota: service already started")
+)
+
+// Intervals of a Service.
+const (
+	// borrowInterval is the mean time between two requests to a lender.
+	borrowInterval = 200 * time.Millisecond
+	// checkInterval is how often an idle VM tests the lender of its region.
+	checkInterval = time.Second
+	// callTimeout bounds one request to a lender.
+	callTimeout = 400 * time.Millisecond
+	// storeTimeout bounds one call to the store.
+	storeTimeout = time.Second
+)
+
+// ServiceOptions configures a Service. Rand, Logger, Scope and Now have
+// defaults.
+type ServiceOptions struct {
+	Self   model.VMID
+	Region model.Region
+	Store  platform.Store
+	Links  peer.Links
+	Timing Timing
+	Rand   *rand.Rand
+	Logger *log.Logger
+	Scope  tally.Scope
+	// Now returns the time with its monotonic reading.
+	Now func() time.Time
+}
+
+func (o ServiceOptions) withDefaults() ServiceOptions {
+	o.Timing = o.Timing.withDefaults()
+	if o.Rand == nil {
+		o.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	if o.Logger == nil {
+		o.Logger = log.New(io.Discard)
+	}
+	if o.Scope == nil {
+		o.Scope = tally.NoopScope
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	return o
+}
+
+// Service runs the ledger of one entry VM and, where it holds a region's
+// lease, the lender of that region.
+type Service struct {
+	opts    ServiceOptions
+	ledger  *Ledger
+	metrics *metrics
+	jitter  *jitter
+
+	mu      sync.Mutex
+	doc     *deployment
+	agents  map[model.Region]*agent
+	runCtx  context.Context
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+}
+
+// NewService returns a service that is not started. It registers its handler
+// with opts.Links.
+func NewService(opts ServiceOptions) *Service {
+	opts = opts.withDefaults()
+	s := &Service{
+		opts:    opts,
+		ledger:  NewLedger(opts.Self, LedgerOptions{Timing: opts.Timing}),
+		metrics: newMetrics(opts.Scope),
+		jitter:  &jitter{rand: opts.Rand},
+		agents:  make(map[model.Region]*agent),
+	}
+	opts.Links.Handle(peer.KindGrantRequest, s.handle)
+	return s
+}
+
+// Ledger returns what this VM may spend.
+func (s *Service) Ledger() *Ledger { return s.ledger }
+
+// Start begins to borrow and to compete for leases. It does not block.
+func (s *Service) Start(ctx context.Context) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cancel != nil {
+		return ErrStarted
+	}
+	s.runCtx, s.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	for _, a := range s.agents {
+		s.startAgent(a)
+	}
+	s.running.Go(func() { s.borrow(s.runCtx) })
+	return nil
+}
+
+// Stop ends lending and borrowing, gives up leases and waits until ctx ends.
+func (s *Service) Stop(ctx context.Context) error {
+	s.mu.Lock()
+	if s.cancel == nil {
+		s.mu.Unlock()
+		return nil
+	}
+	s.cancel()
+	s.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		s.running.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "quota: stop")
+	}
+	for _, a := range s.allAgents() {
+		a.release(ctx)
+	}
+	return nil
+}
+
+// SetDocument adopts the caps of a configuration.
+func (s *Service) SetDocument(doc *config.Document) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.doc = readDocument(doc, s.opts.Self)
+	now := s.opts.Now()
+	s.ledger.SetCaps(now, s.doc.slots, s.doc.all())
+	for region := range s.doc.caps {
+		if _, ok := s.agents[region]; !ok {
+			s.addAgent(region)
+		}
+	}
+	for region, a := range s.agents {
+		a.setCaps(now, s.doc, s.doc.caps[region])
+	}
+}
+
+// addAgent begins to watch over the lease of a region. The caller holds s.mu.
+func (s *Service) addAgent(region model.Region) {
+	a := newAgent(s, region)
+	s.agents[region] = a
+	if s.runCtx != nil && s.runCtx.Err() == nil {
+		s.startAgent(a)
+	}
+}
+
+func (s *Service) startAgent(a *agent) {
+	ctx := s.runCtx
+	s.running.Go(func() { a.run(ctx) })
+}
+
+func (s *Service) agent(region model.Region) *agent {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.agents[region]
+}
+
+func (s *Service) allAgents() []*agent {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	agents := make([]*agent, 0, len(s.agents))
+	for _, a := range s.agents {
+		agents = append(agents, a)
+	}
+	return agents
+}
+
+// handle answers a grant request from another VM.
+func (s *Service) handle(_ context.Context, from model.VMID, body []byte) (any, error) {
+	var req GrantRequest
+	if err := cbor.Unmarshal(body, &req); err != nil {
+		return nil, errors.WithMessage(ErrBadRequest, err.Error())
+	}
+	a := s.agent(req.Region)
+	if a == nil {
+		return GrantReply{Status: GrantNotHolder}, nil
+	}
+	return a.lend(from, req), nil
+}
+
+// jitter spreads intervals at random. It is safe for concurrent use.
+type jitter struct {
+	mu   sync.Mutex
+	rand *rand.Rand
+}
+
+// around returns a duration between half of d and one and a half times d.
+func (j *jitter) around(d time.Duration) time.Duration {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return d/2 + time.Duration(j.rand.Int64N(int64(d)+1))
+}
+
+func (j *jitter) uint64() uint64 {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.rand.Uint64()
+}
+
+// sleep waits for d and reports false when ctx ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/quota/window.go
+++ b/internal/quota/window.go
@@ -20,13 +20,6 @@
 	wanted [model.NumPriorities]int64
 }
 
-func (c *cell) add(o *cell) {
-	for p := range c.spent {
-		c.spent[p] += o.spent[p]
-		c.wanted[p] += o.wanted[p]
-	}
-}
-
 func (c *cell) subtract(o *cell) {
 	for p := range c.spent {
 		c.spent[p] -= o.spent[p]
