--- /dev/null
+++ b/internal/backend/standin/conn.go
@@ -0,0 +1,158 @@
+package standin
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// gate blocks its waiters while it is closed.
+type gate struct {
+	mu   sync.Mutex
+	open chan struct{} // nil while the gate is open
+}
+
+func (g *gate) close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.open == nil {
+		g.open = make(chan struct{})
+	}
+}
+
+func (g *gate) reopen() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.open != nil {
+		close(g.open)
+		g.open = nil
+	}
+}
+
+func (g *gate) wait() {
+	g.mu.Lock()
+	open := g.open
+	g.mu.Unlock()
+	if open != nil {
+		<-open
+	}
+}
+
+// listener accepts a bounded count of connections and can spoil them.
+type listener struct {
+	net.Listener
+	opts   Options
+	gate   gate
+	killed chan struct{}
+
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+}
+
+func newListener(inner net.Listener, opts Options) *listener {
+	return &listener{Listener: inner, opts: opts, killed: make(chan struct{}), conns: make(map[*conn]struct{})}
+}
+
+// Accept returns the next connection and closes those over the limit.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		inner, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		l.gate.wait()
+		if c := l.add(inner); c != nil {
+			return c, nil
+		}
+		inner.Close()
+	}
+}
+
+func (l *listener) add(inner net.Conn) *conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.conns) >= l.opts.MaxConns {
+		return nil
+	}
+	c := &conn{Conn: inner, listener: l}
+	l.conns[c] = struct{}{}
+	return c
+}
+
+func (l *listener) remove(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+}
+
+func (l *listener) silence() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		c.silent.Store(true)
+	}
+}
+
+func (l *listener) pause() { l.gate.close() }
+
+func (l *listener) resume() { l.gate.reopen() }
+
+// kill resets all connections and ends the listener.
+func (l *listener) kill() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	select {
+	case <-l.killed:
+		return
+	default:
+	}
+	close(l.killed)
+	l.Listener.Close()
+	for c := range l.conns {
+		_ = c.Conn.(*net.TCPConn).SetLinger(0)
+		c.Conn.Close()
+	}
+	l.gate.reopen()
+}
+
+// conn is one accepted connection.
+type conn struct {
+	net.Conn
+	listener *listener
+	setUp    atomic.Bool
+	silent   atomic.Bool
+}
+
+// Read reads from the connection. On a silent one it blocks until the server is
+// killed.
+func (c *conn) Read(p []byte) (int, error) {
+	if !c.setUp.Swap(true) {
+		time.Sleep(c.listener.opts.ConnSetup)
+	}
+	n, err := c.Conn.Read(p)
+	c.listener.gate.wait()
+	if c.silent.Load() {
+		<-c.listener.killed
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// Write writes to the connection. On a silent one the bytes are lost.
+func (c *conn) Write(p []byte) (int, error) {
+	c.listener.gate.wait()
+	if c.silent.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// Close closes the connection, unless it is silent.
+func (c *conn) Close() error {
+	if c.silent.Load() {
+		return nil
+	}
+	c.listener.remove(c)
+	return c.Conn.Close()
+}
--- a/internal/once/attempts.go
+++ b/internal/once/attempts.go
@@ -232,7 +232,7 @@
 // attempts are kept for Retain after their tokens have become invalid.
 func (a *Attempts) neverAccepted(id model.AttemptID, offset time.Duration) bool {
 	incarnation, token, ok := tokenOf(id)
-	if !ok || incarnation != a.opts.Incarnation {
+	if !ok || incarnation != a.opts.Incarnation || token > max(offset, a.floor+1) {
 		return false
 	}
 	return offset < token+a.opts.TokenValidity+a.opts.Retain
