--- a/design/caller.go
+++ b/design/caller.go
@@ -61,4 +61,21 @@
 			Response(StatusCreated)
 		})
 	})
+
+	Method("seal", func() {
+		Description("Make sure that the request of a ticket never begins, or tell its outcome if it has begun.")
+		Payload(func() {
+			Attribute("ticket", String, "Ticket to seal.")
+			Required("ticket")
+		})
+		Result(func() {
+			Attribute("outcome", String, "ran, not-run or unknown; not-run is final.")
+			Attribute("reason", String, "Typed reason of an unknown outcome.")
+			Required("outcome", "reason")
+		})
+		HTTP(func() {
+			POST("/v1/tickets/seal")
+			Response(StatusOK)
+		})
+	})
 })
--- a/gen/caller/client.go
+++ b/gen/caller/client.go
@@ -17,13 +17,15 @@
 type Client struct {
 	LookupEndpoint goa.Endpoint
 	TicketEndpoint goa.Endpoint
+	SealEndpoint   goa.Endpoint
 }
 
 // NewClient initializes a "caller" service client given the endpoints.
-func NewClient(lookup, ticket goa.Endpoint) *Client {
+func NewClient(lookup, ticket, seal goa.Endpoint) *Client {
 	return &Client{
 		LookupEndpoint: lookup,
 		TicketEndpoint: ticket,
+		SealEndpoint:   seal,
 	}
 }
 
@@ -54,3 +56,17 @@
 	}
 	return ires.(*TicketResult), nil
 }
+
+// Seal calls the "seal" endpoint of the "caller" service.
+// Seal may return the following errors:
+//   - "refused" (type *Refusal): The call was refused and nothing ran.
+//   - "unavailable" (type *Refusal): The entry VM can't answer now; try another.
+//   - error: internal error
+func (c *Client) Seal(ctx context.Context, p *SealPayload) (res *SealResult, err error) {
+	var ires any
+	ires, err = c.SealEndpoint(ctx, p)
+	if err != nil {
+		return
+	}
+	return ires.(*SealResult), nil
+}
--- a/gen/caller/endpoints.go
+++ b/gen/caller/endpoints.go
@@ -17,6 +17,7 @@
 type Endpoints struct {
 	Lookup goa.Endpoint
 	Ticket goa.Endpoint
+	Seal   goa.Endpoint
 }
 
 // NewEndpoints wraps the methods of the "caller" service with endpoints.
@@ -24,6 +25,7 @@
 	return &Endpoints{
 		Lookup: NewLookupEndpoint(s),
 		Ticket: NewTicketEndpoint(s),
+		Seal:   NewSealEndpoint(s),
 	}
 }
 
@@ -31,6 +33,7 @@
 func (e *Endpoints) Use(m func(goa.Endpoint) goa.Endpoint) {
 	e.Lookup = m(e.Lookup)
 	e.Ticket = m(e.Ticket)
+	e.Seal = m(e.Seal)
 }
 
 // NewLookupEndpoint returns an endpoint function that calls the method
@@ -50,3 +53,12 @@
 		return s.Ticket(ctx, p)
 	}
 }
+
+// NewSealEndpoint returns an endpoint function that calls the method "seal" of
+// service "caller".
+func NewSealEndpoint(s Service) goa.Endpoint {
+	return func(ctx context.Context, req any) (any, error) {
+		p := req.(*SealPayload)
+		return s.Seal(ctx, p)
+	}
+}
--- a/gen/caller/service.go
+++ b/gen/caller/service.go
@@ -17,6 +17,9 @@
 	Lookup(context.Context, *LookupPayload) (res *LookupResult, err error)
 	// Issue a ticket for one non-idempotent request.
 	Ticket(context.Context, *TicketPayload) (res *TicketResult, err error)
+	// Make sure that the request of a ticket never begins, or tell its outcome if
+	// it has begun.
+	Seal(context.Context, *SealPayload) (res *SealResult, err error)
 }
 
 // APIName is the name of the API as defined in the design.
@@ -33,7 +36,7 @@
 // MethodNames lists the service method names as defined in the design. These
 // are the same values that are set in the endpoint request contexts under the
 // MethodKey key.
-var MethodNames = [2]string{"lookup", "ticket"}
+var MethodNames = [3]string{"lookup", "ticket", "seal"}
 
 type EntryVM struct {
 	// Name of the entry VM.
@@ -74,6 +77,20 @@
 	Message string
 }
 
+// SealPayload is the payload type of the caller service seal method.
+type SealPayload struct {
+	// Ticket to seal.
+	Ticket string
+}
+
+// SealResult is the result type of the caller service seal method.
+type SealResult struct {
+	// ran, not-run or unknown; not-run is final.
+	Outcome string
+	// Typed reason of an unknown outcome.
+	Reason string
+}
+
 // TicketPayload is the payload type of the caller service ticket method.
 type TicketPayload struct {
 	// Client account.
--- a/gen/http/caller/client/cli.go
+++ b/gen/http/caller/client/cli.go
@@ -44,7 +44,7 @@
 	{
 		err = json.Unmarshal([]byte(callerTicketBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"account\": \"Dolorum sapiente aliquam nostrum iste.\",\n      \"service\": \"Ipsa consequatur perspiciatis.\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"account\": \"Sunt enim.\",\n      \"service\": \"Ratione illum placeat assumenda atque velit possimus.\"\n   }'")
 		}
 	}
 	v := &caller.TicketPayload{
@@ -54,3 +54,21 @@
 
 	return v, nil
 }
+
+// BuildSealPayload builds the payload for the caller seal endpoint from CLI
+// flags.
+func BuildSealPayload(callerSealBody string) (*caller.SealPayload, error) {
+	var err error
+	var body SealRequestBody
+	{
+		err = json.Unmarshal([]byte(callerSealBody), &body)
+		if err != nil {
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"ticket\": \"Omnis minus pariatur.\"\n   }'")
+		}
+	}
+	v := &caller.SealPayload{
+		Ticket: body.Ticket,
+	}
+
+	return v, nil
+}
--- a/gen/http/caller/client/client.go
+++ b/gen/http/caller/client/client.go
@@ -23,6 +23,9 @@
 	// Ticket Doer is the HTTP client used to make requests to the ticket endpoint.
 	TicketDoer goahttp.Doer
 
+	// Seal Doer is the HTTP client used to make requests to the seal endpoint.
+	SealDoer goahttp.Doer
+
 	// RestoreResponseBody controls whether the response bodies are reset after
 	// decoding so they can be read again.
 	RestoreResponseBody bool
@@ -45,6 +48,7 @@
 	return &Client{
 		LookupDoer:          doer,
 		TicketDoer:          doer,
+		SealDoer:            doer,
 		RestoreResponseBody: restoreBody,
 		scheme:              scheme,
 		host:                host,
@@ -100,3 +104,27 @@
 		return decodeResponse(resp)
 	}
 }
+
+// Seal returns an endpoint that makes HTTP requests to the caller service seal
+// server.
+func (c *Client) Seal() goa.Endpoint {
+	var (
+		encodeRequest  = EncodeSealRequest(c.encoder)
+		decodeResponse = DecodeSealResponse(c.decoder, c.RestoreResponseBody)
+	)
+	return func(ctx context.Context, v any) (any, error) {
+		req, err := c.BuildSealRequest(ctx, v)
+		if err != nil {
+			return nil, err
+		}
+		err = encodeRequest(req, v)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := c.SealDoer.Do(req)
+		if err != nil {
+			return nil, goahttp.ErrRequestError("caller", "seal", err)
+		}
+		return decodeResponse(resp)
+	}
+}
--- a/gen/http/caller/client/encode_decode.go
+++ b/gen/http/caller/client/encode_decode.go
@@ -225,6 +225,109 @@
 	}
 }
 
+// BuildSealRequest instantiates a HTTP request object with method and path set
+// to call the "caller" service "seal" endpoint
+func (c *Client) BuildSealRequest(ctx context.Context, v any) (*http.Request, error) {
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: SealCallerPath()}
+	req, err := http.NewRequest("POST", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("caller", "seal", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// EncodeSealRequest returns an encoder for requests sent to the caller seal
+// server.
+func EncodeSealRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+	return func(req *http.Request, v any) error {
+		p, ok := v.(*caller.SealPayload)
+		if !ok {
+			return goahttp.ErrInvalidType("caller", "seal", "*caller.SealPayload", v)
+		}
+		body := NewSealRequestBody(p)
+		if err := encoder(req).Encode(&body); err != nil {
+			return goahttp.ErrEncodingError("caller", "seal", err)
+		}
+		return nil
+	}
+}
+
+// DecodeSealResponse returns a decoder for responses returned by the caller
+// seal endpoint. restoreBody controls whether the response body should be
+// restored after having been read.
+// DecodeSealResponse may return the following errors:
+//   - "refused" (type *caller.Refusal): http.StatusUnprocessableEntity
+//   - "unavailable" (type *caller.Refusal): http.StatusServiceUnavailable
+//   - error: internal error
+func DecodeSealResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
+			var (
+				body SealResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("caller", "seal", err)
+			}
+			err = ValidateSealResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("caller", "seal", err)
+			}
+			res := NewSealResultOK(&body)
+			return res, nil
+		case http.StatusUnprocessableEntity:
+			var (
+				body SealRefusedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("caller", "seal", err)
+			}
+			err = ValidateSealRefusedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("caller", "seal", err)
+			}
+			return nil, NewSealRefused(&body)
+		case http.StatusServiceUnavailable:
+			var (
+				body SealUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("caller", "seal", err)
+			}
+			err = ValidateSealUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("caller", "seal", err)
+			}
+			return nil, NewSealUnavailable(&body)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("caller", "seal", resp.StatusCode, string(body))
+		}
+	}
+}
+
 // unmarshalEntryVMResponseBodyToCallerEntryVM builds a value of type
 // *caller.EntryVM from a value of type *EntryVMResponseBody.
 func unmarshalEntryVMResponseBodyToCallerEntryVM(v *EntryVMResponseBody) *caller.EntryVM {
--- a/gen/http/caller/client/paths.go
+++ b/gen/http/caller/client/paths.go
@@ -16,3 +16,8 @@
 func TicketCallerPath() string {
 	return "/v1/tickets"
 }
+
+// SealCallerPath returns the URL path to the caller service seal HTTP endpoint.
+func SealCallerPath() string {
+	return "/v1/tickets/seal"
+}
--- a/gen/http/caller/client/types.go
+++ b/gen/http/caller/client/types.go
@@ -22,6 +22,13 @@
 	Service string `form:"service" json:"service" xml:"service"`
 }
 
+// SealRequestBody is the type of the "caller" service "seal" endpoint HTTP
+// request body.
+type SealRequestBody struct {
+	// Ticket to seal.
+	Ticket string `form:"ticket" json:"ticket" xml:"ticket"`
+}
+
 // LookupResponseBody is the type of the "caller" service "lookup" endpoint
 // HTTP response body.
 type LookupResponseBody struct {
@@ -42,6 +49,15 @@
 	ExpiresInMs *int64 `form:"expires_in_ms,omitempty" json:"expires_in_ms,omitempty" xml:"expires_in_ms,omitempty"`
 }
 
+// SealResponseBody is the type of the "caller" service "seal" endpoint HTTP
+// response body.
+type SealResponseBody struct {
+	// ran, not-run or unknown; not-run is final.
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Typed reason of an unknown outcome.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+}
+
 // LookupRefusedResponseBody is the type of the "caller" service "lookup"
 // endpoint HTTP response body for the "refused" error.
 type LookupRefusedResponseBody struct {
@@ -86,6 +102,28 @@
 	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
 }
 
+// SealRefusedResponseBody is the type of the "caller" service "seal" endpoint
+// HTTP response body for the "refused" error.
+type SealRefusedResponseBody struct {
+	// Name of the error.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// Typed reason, equal to the Fuchsiaspar-Reason header.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// What was wrong and what to do next.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+}
+
+// SealUnavailableResponseBody is the type of the "caller" service "seal"
+// endpoint HTTP response body for the "unavailable" error.
+type SealUnavailableResponseBody struct {
+	// Name of the error.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// Typed reason, equal to the Fuchsiaspar-Reason header.
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// What was wrong and what to do next.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+}
+
 // EntryVMResponseBody is used to define fields on response body types.
 type EntryVMResponseBody struct {
 	// Name of the entry VM.
@@ -106,6 +144,15 @@
 	return body
 }
 
+// NewSealRequestBody builds the HTTP request body from the payload of the
+// "seal" endpoint of the "caller" service.
+func NewSealRequestBody(p *caller.SealPayload) *SealRequestBody {
+	body := &SealRequestBody{
+		Ticket: p.Ticket,
+	}
+	return body
+}
+
 // NewLookupResultOK builds a "caller" service "lookup" endpoint result from a
 // HTTP "OK" response.
 func NewLookupResultOK(body *LookupResponseBody) *caller.LookupResult {
@@ -182,6 +229,39 @@
 	return v
 }
 
+// NewSealResultOK builds a "caller" service "seal" endpoint result from a HTTP
+// "OK" response.
+func NewSealResultOK(body *SealResponseBody) *caller.SealResult {
+	v := &caller.SealResult{
+		Outcome: *body.Outcome,
+		Reason:  *body.Reason,
+	}
+
+	return v
+}
+
+// NewSealRefused builds a caller service seal endpoint refused error.
+func NewSealRefused(body *SealRefusedResponseBody) *caller.Refusal {
+	v := &caller.Refusal{
+		Name:    *body.Name,
+		Reason:  *body.Reason,
+		Message: *body.Message,
+	}
+
+	return v
+}
+
+// NewSealUnavailable builds a caller service seal endpoint unavailable error.
+func NewSealUnavailable(body *SealUnavailableResponseBody) *caller.Refusal {
+	v := &caller.Refusal{
+		Name:    *body.Name,
+		Reason:  *body.Reason,
+		Message: *body.Message,
+	}
+
+	return v
+}
+
 // ValidateLookupResponseBody runs the validations defined on LookupResponseBody
 func ValidateLookupResponseBody(body *LookupResponseBody) (err error) {
 	if body.Entries == nil {
@@ -214,6 +294,17 @@
 	return
 }
 
+// ValidateSealResponseBody runs the validations defined on SealResponseBody
+func ValidateSealResponseBody(body *SealResponseBody) (err error) {
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Reason == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("reason", "body"))
+	}
+	return
+}
+
 // ValidateLookupRefusedResponseBody runs the validations defined on
 // lookup_refused_response_body
 func ValidateLookupRefusedResponseBody(body *LookupRefusedResponseBody) (err error) {
@@ -274,6 +365,36 @@
 	return
 }
 
+// ValidateSealRefusedResponseBody runs the validations defined on
+// seal_refused_response_body
+func ValidateSealRefusedResponseBody(body *SealRefusedResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Reason == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("reason", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	return
+}
+
+// ValidateSealUnavailableResponseBody runs the validations defined on
+// seal_unavailable_response_body
+func ValidateSealUnavailableResponseBody(body *SealUnavailableResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Reason == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("reason", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	return
+}
+
 // ValidateEntryVMResponseBody runs the validations defined on
 // EntryVMResponseBody
 func ValidateEntryVMResponseBody(body *EntryVMResponseBody) (err error) {
--- a/gen/http/caller/server/encode_decode.go
+++ b/gen/http/caller/server/encode_decode.go
@@ -189,6 +189,90 @@
 	}
 }
 
+// EncodeSealResponse returns an encoder for responses returned by the caller
+// seal endpoint.
+func EncodeSealResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
+	return func(ctx context.Context, w http.ResponseWriter, v any) error {
+		res, _ := v.(*caller.SealResult)
+		enc := encoder(ctx, w)
+		body := NewSealResponseBody(res)
+		w.WriteHeader(http.StatusOK)
+		return enc.Encode(body)
+	}
+}
+
+// DecodeSealRequest returns a decoder for requests sent to the caller seal
+// endpoint.
+func DecodeSealRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*caller.SealPayload, error) {
+	return func(r *http.Request) (*caller.SealPayload, error) {
+		var payload *caller.SealPayload
+		var (
+			body SealRequestBody
+			err  error
+		)
+		err = decoder(r).Decode(&body)
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				return payload, goa.MissingPayloadError()
+			}
+			var gerr *goa.ServiceError
+			if errors.As(err, &gerr) {
+				return payload, gerr
+			}
+			return payload, goa.DecodePayloadError(err.Error())
+		}
+		err = ValidateSealRequestBody(&body)
+		if err != nil {
+			return payload, err
+		}
+		payload = NewSealPayload(&body)
+
+		return payload, nil
+	}
+}
+
+// EncodeSealError returns an encoder for errors returned by the seal caller
+// endpoint.
+func EncodeSealError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
+	encodeError := goahttp.ErrorEncoder(encoder, formatter)
+	return func(ctx context.Context, w http.ResponseWriter, v error) error {
+		var en goa.GoaErrorNamer
+		if !errors.As(v, &en) {
+			return encodeError(ctx, w, v)
+		}
+		switch en.GoaErrorName() {
+		case "refused":
+			var res *caller.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewSealRefusedResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnprocessableEntity)
+			return enc.Encode(body)
+		case "unavailable":
+			var res *caller.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewSealUnavailableResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		default:
+			return encodeError(ctx, w, v)
+		}
+	}
+}
+
 // marshalCallerEntryVMToEntryVMResponseBody builds a value of type
 // *EntryVMResponseBody from a value of type *caller.EntryVM.
 func marshalCallerEntryVMToEntryVMResponseBody(v *caller.EntryVM) *EntryVMResponseBody {
--- a/gen/http/caller/server/server.go
+++ b/gen/http/caller/server/server.go
@@ -21,6 +21,7 @@
 	Mounts []*MountPoint
 	Lookup http.Handler
 	Ticket http.Handler
+	Seal   http.Handler
 }
 
 // MountPoint holds information about the mounted endpoints.
@@ -52,9 +53,11 @@
 		Mounts: []*MountPoint{
 			{"Lookup", "GET", "/v1/lookup"},
 			{"Ticket", "POST", "/v1/tickets"},
+			{"Seal", "POST", "/v1/tickets/seal"},
 		},
 		Lookup: NewLookupHandler(e.Lookup, mux, decoder, encoder, errhandler, formatter),
 		Ticket: NewTicketHandler(e.Ticket, mux, decoder, encoder, errhandler, formatter),
+		Seal:   NewSealHandler(e.Seal, mux, decoder, encoder, errhandler, formatter),
 	}
 }
 
@@ -65,6 +68,7 @@
 func (s *Server) Use(m func(http.Handler) http.Handler) {
 	s.Lookup = m(s.Lookup)
 	s.Ticket = m(s.Ticket)
+	s.Seal = m(s.Seal)
 }
 
 // MethodNames returns the methods served.
@@ -74,6 +78,7 @@
 func Mount(mux goahttp.Muxer, h *Server) {
 	MountLookupHandler(mux, h.Lookup)
 	MountTicketHandler(mux, h.Ticket)
+	MountSealHandler(mux, h.Seal)
 }
 
 // Mount configures the mux to serve the caller endpoints.
@@ -186,3 +191,56 @@
 		}
 	})
 }
+
+// MountSealHandler configures the mux to serve the "caller" service "seal"
+// endpoint.
+func MountSealHandler(mux goahttp.Muxer, h http.Handler) {
+	f, ok := h.(http.HandlerFunc)
+	if !ok {
+		f = func(w http.ResponseWriter, r *http.Request) {
+			h.ServeHTTP(w, r)
+		}
+	}
+	mux.Handle("POST", "/v1/tickets/seal", f)
+}
+
+// NewSealHandler creates a HTTP handler which loads the HTTP request and calls
+// the "caller" service "seal" endpoint.
+func NewSealHandler(
+	endpoint goa.Endpoint,
+	mux goahttp.Muxer,
+	decoder func(*http.Request) goahttp.Decoder,
+	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
+	errhandler func(context.Context, http.ResponseWriter, error),
+	formatter func(ctx context.Context, err error) goahttp.Statuser,
+) http.Handler {
+	var (
+		decodeRequest  = DecodeSealRequest(mux, decoder)
+		encodeResponse = EncodeSealResponse(encoder)
+		encodeError    = EncodeSealError(encoder, formatter)
+	)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
+		ctx = context.WithValue(ctx, goa.MethodKey, "seal")
+		ctx = context.WithValue(ctx, goa.ServiceKey, "caller")
+		payload, err := decodeRequest(r)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		res, err := endpoint(ctx, payload)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		if err := encodeResponse(ctx, w, res); err != nil {
+			if errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+		}
+	})
+}
--- a/gen/http/caller/server/types.go
+++ b/gen/http/caller/server/types.go
@@ -22,6 +22,13 @@
 	Service *string `form:"service,omitempty" json:"service,omitempty" xml:"service,omitempty"`
 }
 
+// SealRequestBody is the type of the "caller" service "seal" endpoint HTTP
+// request body.
+type SealRequestBody struct {
+	// Ticket to seal.
+	Ticket *string `form:"ticket,omitempty" json:"ticket,omitempty" xml:"ticket,omitempty"`
+}
+
 // LookupResponseBody is the type of the "caller" service "lookup" endpoint
 // HTTP response body.
 type LookupResponseBody struct {
@@ -42,6 +49,15 @@
 	ExpiresInMs int64 `form:"expires_in_ms" json:"expires_in_ms" xml:"expires_in_ms"`
 }
 
+// SealResponseBody is the type of the "caller" service "seal" endpoint HTTP
+// response body.
+type SealResponseBody struct {
+	// ran, not-run or unknown; not-run is final.
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Typed reason of an unknown outcome.
+	Reason string `form:"reason" json:"reason" xml:"reason"`
+}
+
 // LookupRefusedResponseBody is the type of the "caller" service "lookup"
 // endpoint HTTP response body for the "refused" error.
 type LookupRefusedResponseBody struct {
@@ -86,6 +102,28 @@
 	Message string `form:"message" json:"message" xml:"message"`
 }
 
+// SealRefusedResponseBody is the type of the "caller" service "seal" endpoint
+// HTTP response body for the "refused" error.
+type SealRefusedResponseBody struct {
+	// Name of the error.
+	Name string `form:"name" json:"name" xml:"name"`
+	// Typed reason, equal to the Fuchsiaspar-Reason header.
+	Reason string `form:"reason" json:"reason" xml:"reason"`
+	// What was wrong and what to do next.
+	Message string `form:"message" json:"message" xml:"message"`
+}
+
+// SealUnavailableResponseBody is the type of the "caller" service "seal"
+// endpoint HTTP response body for the "unavailable" error.
+type SealUnavailableResponseBody struct {
+	// Name of the error.
+	Name string `form:"name" json:"name" xml:"name"`
+	// Typed reason, equal to the Fuchsiaspar-Reason header.
+	Reason string `form:"reason" json:"reason" xml:"reason"`
+	// What was wrong and what to do next.
+	Message string `form:"message" json:"message" xml:"message"`
+}
+
 // EntryVMResponseBody is used to define fields on response body types.
 type EntryVMResponseBody struct {
 	// Name of the entry VM.
@@ -128,6 +166,16 @@
 	return body
 }
 
+// NewSealResponseBody builds the HTTP response body from the result of the
+// "seal" endpoint of the "caller" service.
+func NewSealResponseBody(res *caller.SealResult) *SealResponseBody {
+	body := &SealResponseBody{
+		Outcome: res.Outcome,
+		Reason:  res.Reason,
+	}
+	return body
+}
+
 // NewLookupRefusedResponseBody builds the HTTP response body from the result
 // of the "lookup" endpoint of the "caller" service.
 func NewLookupRefusedResponseBody(res *caller.Refusal) *LookupRefusedResponseBody {
@@ -172,6 +220,28 @@
 	return body
 }
 
+// NewSealRefusedResponseBody builds the HTTP response body from the result of
+// the "seal" endpoint of the "caller" service.
+func NewSealRefusedResponseBody(res *caller.Refusal) *SealRefusedResponseBody {
+	body := &SealRefusedResponseBody{
+		Name:    res.Name,
+		Reason:  res.Reason,
+		Message: res.Message,
+	}
+	return body
+}
+
+// NewSealUnavailableResponseBody builds the HTTP response body from the result
+// of the "seal" endpoint of the "caller" service.
+func NewSealUnavailableResponseBody(res *caller.Refusal) *SealUnavailableResponseBody {
+	body := &SealUnavailableResponseBody{
+		Name:    res.Name,
+		Reason:  res.Reason,
+		Message: res.Message,
+	}
+	return body
+}
+
 // NewLookupPayload builds a caller service lookup endpoint payload.
 func NewLookupPayload(account string, service string, client string) *caller.LookupPayload {
 	v := &caller.LookupPayload{}
@@ -192,6 +262,15 @@
 	return v
 }
 
+// NewSealPayload builds a caller service seal endpoint payload.
+func NewSealPayload(body *SealRequestBody) *caller.SealPayload {
+	v := &caller.SealPayload{
+		Ticket: *body.Ticket,
+	}
+
+	return v
+}
+
 // ValidateTicketRequestBody runs the validations defined on TicketRequestBody
 func ValidateTicketRequestBody(body *TicketRequestBody) (err error) {
 	if body.Account == nil {
@@ -202,3 +281,11 @@
 	}
 	return
 }
+
+// ValidateSealRequestBody runs the validations defined on SealRequestBody
+func ValidateSealRequestBody(body *SealRequestBody) (err error) {
+	if body.Ticket == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ticket", "body"))
+	}
+	return
+}
--- a/gen/http/cli/fuchsiaspar/cli.go
+++ b/gen/http/cli/fuchsiaspar/cli.go
@@ -23,13 +23,13 @@
 //	command (subcommand1|subcommand2|...)
 func UsageCommands() []string {
 	return []string{
-		"caller (lookup|ticket)",
+		"caller (lookup|ticket|seal)",
 	}
 }
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "caller lookup --account \"Laudantium aspernatur qui.\" --service \"Suscipit eligendi.\" --client \"Qui aliquid.\"" + "\n" +
+	return os.Args[0] + " " + "caller lookup --account \"Molestiae qui quia.\" --service \"Nam quis dolorum aspernatur.\" --client \"Sit aut autem pariatur ut dolorem.\"" + "\n" +
 		""
 }
 
@@ -52,10 +52,14 @@
 
 		callerTicketFlags    = flag.NewFlagSet("ticket", flag.ExitOnError)
 		callerTicketBodyFlag = callerTicketFlags.String("body", "REQUIRED", "")
+
+		callerSealFlags    = flag.NewFlagSet("seal", flag.ExitOnError)
+		callerSealBodyFlag = callerSealFlags.String("body", "REQUIRED", "")
 	)
 	callerFlags.Usage = callerUsage
 	callerLookupFlags.Usage = callerLookupUsage
 	callerTicketFlags.Usage = callerTicketUsage
+	callerSealFlags.Usage = callerSealUsage
 
 	if err := flag.CommandLine.Parse(os.Args[1:]); err != nil {
 		return nil, nil, err
@@ -97,6 +101,9 @@
 			case "ticket":
 				epf = callerTicketFlags
 
+			case "seal":
+				epf = callerSealFlags
+
 			}
 
 		}
@@ -128,6 +135,9 @@
 			case "ticket":
 				endpoint = c.Ticket()
 				data, err = callerc.BuildTicketPayload(*callerTicketBodyFlag)
+			case "seal":
+				endpoint = c.Seal()
+				data, err = callerc.BuildSealPayload(*callerSealBodyFlag)
 			}
 		}
 	}
@@ -145,6 +155,7 @@
 	fmt.Fprintln(os.Stderr, "COMMAND:")
 	fmt.Fprintln(os.Stderr, `    lookup: Answer which entry VMs a client should use, best first.`)
 	fmt.Fprintln(os.Stderr, `    ticket: Issue a ticket for one non-idempotent request.`)
+	fmt.Fprintln(os.Stderr, `    seal: Make sure that the request of a ticket never begins, or tell its outcome if it has begun.`)
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Additional help:")
 	fmt.Fprintf(os.Stderr, "    %s caller COMMAND --help\n", os.Args[0])
@@ -168,7 +179,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller lookup --account \"Laudantium aspernatur qui.\" --service \"Suscipit eligendi.\" --client \"Qui aliquid.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller lookup --account \"Molestiae qui quia.\" --service \"Nam quis dolorum aspernatur.\" --client \"Sit aut autem pariatur ut dolorem.\"")
 }
 
 func callerTicketUsage() {
@@ -186,5 +197,23 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller ticket --body '{\n      \"account\": \"Dolorum sapiente aliquam nostrum iste.\",\n      \"service\": \"Ipsa consequatur perspiciatis.\"\n   }'")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller ticket --body '{\n      \"account\": \"Sunt enim.\",\n      \"service\": \"Ratione illum placeat assumenda atque velit possimus.\"\n   }'")
+}
+
+func callerSealUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] caller seal", os.Args[0])
+	fmt.Fprint(os.Stderr, " -body JSON")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Make sure that the request of a ticket never begins, or tell its outcome if it has begun.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -body JSON: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller seal --body '{\n      \"ticket\": \"Omnis minus pariatur.\"\n   }'")
 }
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -36,8 +37,13 @@
 	// IdleTimeout is how long an unused connection is kept. It must be shorter
 	// than the servers' own idle timeout.
 	IdleTimeout time.Duration
+	// Dial opens a connection; nil takes TCP with keep-alive and user timeout.
+	Dial DialFunc
 }
 
+// DialFunc opens a connection to a server.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Target is a backend server.
 type Target struct {
 	ID      model.ServerID
@@ -107,6 +113,9 @@
 	if opts.IdleTimeout == 0 {
 		opts.IdleTimeout = defaultIdleTimeout
 	}
+	if opts.Dial == nil {
+		opts.Dial = newDialer(opts.Silence).DialContext
+	}
 	c := &Client{opts: opts, metrics: newMetrics(opts.Scope), pools: make(map[model.ServerID]*pool)}
 	c.ctx, c.stop = context.WithCancel(context.Background())
 	c.work.Go(c.reportConns)
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -105,8 +105,8 @@
 }
 
 // dialTracked opens a connection and counts it until it is closed.
-func dialTracked(ctx context.Context, d *net.Dialer, address string, open *atomic.Int64) (net.Conn, error) {
-	conn, err := d.DialContext(ctx, "tcp", address)
+func dialTracked(ctx context.Context, dial DialFunc, address string, open *atomic.Int64) (net.Conn, error) {
+	conn, err := dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/backend/errors.go
+++ b/internal/backend/errors.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"syscall"
 
 	"fuchsiaspar/internal/model"
@@ -18,7 +19,10 @@
 	Reason  model.Reason
 	// Draining says that the server told that it is leaving.
 	Draining bool
-	Err      error
+	// Header holds the end-to-end headers of an answer that refused the attempt
+	// before its start, nil for other ends.
+	Header http.Header
+	Err    error
 }
 
 // Error returns the reason, the outcome and the cause as text.
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -213,7 +213,12 @@
 	io.CopyN(io.Discard, resp.Body, maxDrainBytes)
 	resp.Body.Close()
 	ex.finish()
-	return &Error{Outcome: model.OutcomeNotRun, Reason: model.ReasonShed, Draining: draining}
+	return &Error{
+		Outcome:  model.OutcomeNotRun,
+		Reason:   model.ReasonShed,
+		Draining: draining,
+		Header:   endToEnd(resp.Header),
+	}
 }
 
 // checkFraming refuses answers whose end cannot be told from a lost connection.
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -41,9 +41,8 @@
 		limit:  int64(max(target.MaxConns-controlConns, 1)),
 		active: make(map[model.AttemptID]*exchange),
 	}
-	dialer := newDialer(opts.Silence)
 	dial := func(ctx context.Context, _, address string) (net.Conn, error) {
-		return dialTracked(ctx, dialer, address, &p.open)
+		return dialTracked(ctx, opts.Dial, address, &p.open)
 	}
 	p.data = &http.Transport{
 		DialContext:            dial,
--- /dev/null
+++ b/internal/control/poller.go
@@ -0,0 +1,122 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"fuchsiaspar/internal/backend"
+	"fuchsiaspar/internal/health"
+	"fuchsiaspar/internal/model"
+	"fuchsiaspar/internal/owner"
+
+	"github.com/uber-go/tally/v4"
+)
+
+const (
+	// healthInterval is how often each owned server is asked for its health.
+	healthInterval = time.Second
+	// healthTimeout bounds one question.
+	healthTimeout = time.Second
+)
+
+// Poller asks the owned servers for their health. Their answers are hints: a
+// server that says it drains gets no new work, the rest only informs limits.
+type Poller struct {
+	pools    *owner.Pools
+	client   *backend.Client
+	failures tally.Counter
+
+	mu       sync.Mutex
+	draining map[model.ServerID]bool
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
+}
+
+// NewPoller returns a stopped poller of the servers in pools.
+func NewPoller(pools *owner.Pools, client *backend.Client, scope tally.Scope) *Poller {
+	return &Poller{
+		pools:    pools,
+		client:   client,
+		failures: scope.Counter("health_failures"),
+		draining: make(map[model.ServerID]bool),
+	}
+}
+
+// Draining reports whether the server said that it drains.
+func (p *Poller) Draining(id model.ServerID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.draining[id]
+}
+
+// Start polls until Stop.
+func (p *Poller) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	p.done.Go(func() { p.loop(ctx) })
+	return nil
+}
+
+// Stop ends the polling.
+func (p *Poller) Stop(context.Context) error {
+	p.cancel()
+	p.done.Wait()
+	return nil
+}
+
+func (p *Poller) loop(ctx context.Context) {
+	ticker := time.NewTicker(healthInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			p.pollAll(ctx)
+		}
+	}
+}
+
+func (p *Poller) pollAll(ctx context.Context) {
+	targets := p.pools.Targets()
+	p.forget(targets)
+	var asked sync.WaitGroup
+	for key, list := range targets {
+		for _, t := range list {
+			asked.Go(func() { p.poll(ctx, key, t) })
+		}
+	}
+	asked.Wait()
+}
+
+func (p *Poller) poll(ctx context.Context, key owner.Key, t backend.Target) {
+	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
+	defer cancel()
+	report, err := p.client.Health(ctx, t)
+	if err != nil {
+		p.failures.Inc(1)
+		return
+	}
+	p.mu.Lock()
+	p.draining[t.ID] = report.Draining
+	p.mu.Unlock()
+	p.pools.Report(time.Now(), key, t.ID, health.Report{Load: report.Load, Ready: report.Ready})
+}
+
+// forget drops what was said by servers that are no longer owned.
+func (p *Poller) forget(targets map[owner.Key][]backend.Target) {
+	owned := make(map[model.ServerID]bool)
+	for _, list := range targets {
+		for _, t := range list {
+			owned[t.ID] = true
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id := range p.draining {
+		if !owned[id] {
+			delete(p.draining, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/service.go
@@ -0,0 +1,178 @@
+// Package control owns the control state of one entry VM. One goroutine joins
+// the configuration, the members, the list of servers and the drains into an
+// immutable entry.State, which traffic goroutines read.
+package control
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"fuchsiaspar/internal/config"
+	"fuchsiaspar/internal/entry"
+	"fuchsiaspar/internal/explain"
+	"fuchsiaspar/internal/membership"
+	"fuchsiaspar/internal/model"
+	"fuchsiaspar/internal/owner"
+	"fuchsiaspar/internal/servers"
+	"fuchsiaspar/internal/steer"
+
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+)
+
+// tickInterval is how often queues shed, drains are compared with the clock
+// and loads are reported.
+const tickInterval = 20 * time.Millisecond
+
+// refreshInterval is how often zones and loads are refreshed without a change.
+const refreshInterval = 100 * time.Millisecond
+
+// Config is the part of the configuration service that control needs.
+type Config interface {
+	Current() *config.Snapshot
+	Subscribe(func(*config.Snapshot))
+	Confirmed(now time.Time) bool
+}
+
+// Members is the part of the membership service that control needs.
+type Members interface {
+	View() *membership.View
+	Subscribe(func(*membership.View))
+	SetLocal(revision model.Revision, load []membership.ServiceLoad)
+	Leave()
+}
+
+// Limits adopts the caps of a configuration.
+type Limits interface {
+	SetDocument(doc *config.Document)
+}
+
+// Options configures a Service.
+type Options struct {
+	Self    model.VMID
+	Zone    model.Zone
+	Region  model.Region
+	Config  Config
+	Members Members
+	Servers *servers.Service
+	Pools   *owner.Pools
+	Router  *steer.Router
+	Limits  Limits
+	// Draining reports whether a server said itself that it drains.
+	Draining func(model.ServerID) bool
+	Explain  explain.Recorder
+	Logger   *log.Logger
+	Scope    tally.Scope
+}
+
+// Service runs the control goroutine.
+type Service struct {
+	options  Options
+	state    atomic.Pointer[entry.State]
+	wake     chan struct{}
+	stopping atomic.Bool
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
+	builder  builder
+	rebuilds tally.Counter
+}
+
+// New returns a stopped service.
+func New(o Options) *Service {
+	return &Service{
+		options:  o,
+		wake:     make(chan struct{}, 1),
+		builder:  builder{options: o},
+		rebuilds: o.Scope.Counter("control_rebuilds"),
+	}
+}
+
+// State returns the newest control state, nil before the first configuration.
+func (s *Service) State() *entry.State { return s.state.Load() }
+
+// Confirmed reports whether the configuration in force is known to be newest.
+func (s *Service) Confirmed(now time.Time) bool { return s.options.Config.Confirmed(now) }
+
+// Start runs the control goroutine until Stop.
+func (s *Service) Start(context.Context) error {
+	s.options.Config.Subscribe(func(*config.Snapshot) { s.poke() })
+	s.options.Members.Subscribe(func(*membership.View) { s.poke() })
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	s.done.Add(1)
+	go func() {
+		defer s.done.Done()
+		s.loop(ctx)
+	}()
+	return nil
+}
+
+// Stop ends the control goroutine.
+func (s *Service) Stop(context.Context) error {
+	s.cancel()
+	s.done.Wait()
+	return nil
+}
+
+// Leave takes this VM out of look-up answers and hands its servers over. Work
+// in flight goes on.
+func (s *Service) Leave() {
+	s.stopping.Store(true)
+	s.options.Members.Leave()
+	s.poke()
+}
+
+func (s *Service) poke() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (s *Service) loop(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	s.rebuild(time.Now())
+	refreshed := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.wake:
+			s.rebuild(time.Now())
+		case <-s.options.Servers.Changed():
+			s.rebuild(time.Now())
+		case now := <-ticker.C:
+			s.options.Pools.Tick(now)
+			if now.Sub(refreshed) >= refreshInterval {
+				refreshed = now
+				s.rebuild(now)
+			}
+		}
+	}
+}
+
+// rebuild publishes a new state from the newest inputs.
+func (s *Service) rebuild(now time.Time) {
+	snapshot := s.options.Config.Current()
+	if snapshot == nil {
+		return
+	}
+	s.rebuilds.Inc(1)
+	in := inputs{
+		now:      now,
+		config:   snapshot,
+		view:     s.options.Members.View(),
+		list:     s.options.Servers.Current(),
+		stopping: s.stopping.Load(),
+	}
+	state, err := s.builder.build(in)
+	if err != nil {
+		s.options.Logger.Error("control state not built", "err", err)
+		return
+	}
+	s.state.Store(state)
+	s.options.Members.SetLocal(snapshot.Revision(), s.options.Pools.Loads())
+}
--- /dev/null
+++ b/internal/daemon/caps.go
@@ -0,0 +1,51 @@
+package daemon
+
+import (
+	"sync"
+	"time"
+
+	"fuchsiaspar/internal/model"
+	"fuchsiaspar/internal/pace"
+	"fuchsiaspar/internal/quota"
+)
+
+// linkCaps gives each link between regions one waiter over the ledger.
+type linkCaps struct {
+	ledger *quota.Ledger
+
+	mu      sync.Mutex
+	waiters map[quota.Key]*pace.Waiter
+}
+
+func newLinkCaps(ledger *quota.Ledger) *linkCaps {
+	return &linkCaps{ledger: ledger, waiters: make(map[quota.Key]*pace.Waiter)}
+}
+
+// Waiter returns the waiter of the link from one region to another.
+func (c *linkCaps) Waiter(from, to model.Region) *pace.Waiter {
+	key := quota.LinkKey(from, to)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w, ok := c.waiters[key]
+	if !ok {
+		w = pace.NewWaiter(&linkSource{ledger: c.ledger, key: key}, pace.DefaultFloors())
+		c.waiters[key] = w
+	}
+	return w
+}
+
+// linkSource takes the bytes of one link from the ledger.
+type linkSource struct {
+	ledger *quota.Ledger
+	key    quota.Key
+}
+
+// TakeUpTo implements pace.Source.
+func (s *linkSource) TakeUpTo(now time.Time, n int64) int64 {
+	return s.ledger.TakeUpTo(now, s.key, n)
+}
+
+// NextAvailable implements pace.Source.
+func (s *linkSource) NextAvailable(now time.Time) time.Time {
+	return s.ledger.NextAvailable(now, s.key, 1, model.PriorityUrgent)
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,351 @@
+// Package daemon assembles the services of one fuchsiaspard process.
+package daemon
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"math/rand"
+	"net"
+	"strconv"
+	"time"
+
+	"fuchsiaspar/internal/backend"
+	"fuchsiaspar/internal/config"
+	"fuchsiaspar/internal/control"
+	"fuchsiaspar/internal/entry"
+	"fuchsiaspar/internal/explain"
+	"fuchsiaspar/internal/kernel"
+	"fuchsiaspar/internal/membership"
+	"fuchsiaspar/internal/metrics"
+	"fuchsiaspar/internal/model"
+	"fuchsiaspar/internal/once"
+	"fuchsiaspar/internal/owner"
+	"fuchsiaspar/internal/peer"
+	"fuchsiaspar/internal/platform"
+	"fuchsiaspar/internal/quota"
+	"fuchsiaspar/internal/retry"
+	"fuchsiaspar/internal/servers"
+	"fuchsiaspar/internal/settings"
+	"fuchsiaspar/internal/steer"
+
+	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
+)
+
+// Names under which services are registered.
+const (
+	NameMetrics    = "core.metrics"
+	NameExplain    = "core.explain"
+	NameLinks      = "peer.links"
+	NameMembers    = "peer.members"
+	NameConfig     = "config.agreement"
+	NameServers    = "platform.servers"
+	NameLimits     = "quota.limits"
+	NamePools      = "owner.pools"
+	NameBackends   = "backend.client"
+	NamePoller     = "backend.poller"
+	NameControl    = "control.state"
+	NameEntry      = "entry.path"
+	NameHTTP       = "entry.http"
+	explainEntries = 4096
+	retryPercent   = 10
+	tokenValidity  = 15 * time.Second
+	maxAttempts    = 200_000
+	// keptAnswers is the count of whole kept answers that fit in memory.
+	keptAnswers = 256
+)
+
+// Dial opens a connection to another process.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Deps are what the process gets from outside. Zero fields take defaults.
+type Deps struct {
+	Store  platform.Store
+	VMs    platform.VMList
+	Dial   Dial
+	Logger *log.Logger
+	Quota  quota.Timing
+}
+
+// Daemon is one fuchsiaspard process.
+type Daemon struct {
+	settings settings.Settings
+	kernel   *kernel.Kernel
+	logger   *log.Logger
+
+	control *control.Service
+	entry   *entry.Server
+	tickets *once.Registry
+	server  *httpServer
+}
+
+// New assembles a daemon that has not started.
+func New(s settings.Settings, deps Deps) (*Daemon, error) {
+	d := &Daemon{settings: s, kernel: kernel.New(), logger: deps.Logger}
+	b := assembly{daemon: d, settings: s, deps: deps}
+	if err := b.assemble(); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+// Start starts every service. The daemon serves callers once it has a
+// configuration.
+func (d *Daemon) Start(ctx context.Context) error { return d.kernel.Start(ctx) }
+
+// Kernel returns the services of the process.
+func (d *Daemon) Kernel() *kernel.Kernel { return d.kernel }
+
+// assembly builds the services in the order in which they start.
+type assembly struct {
+	daemon   *Daemon
+	settings settings.Settings
+	deps     Deps
+
+	incarnation model.Incarnation
+	key         [32]byte
+	rand        *rand.Rand
+
+	metrics  *metrics.Metrics
+	ring     *explain.Ring
+	mesh     *peer.Mesh
+	members  *membership.Service
+	config   *config.Service
+	servers  *servers.Service
+	limits   *quota.Service
+	pools    *owner.Pools
+	backends *backend.Client
+	relays   *backend.Client
+	router   *steer.Router
+	poller   *control.Poller
+}
+
+func (b *assembly) assemble() error {
+	steps := []func() error{
+		b.identity, b.core, b.links, b.membership, b.configuration, b.platform,
+		b.quota, b.owners, b.controlState, b.dataPath, b.http,
+	}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return errors.Wrap(err, "assemble daemon")
+		}
+	}
+	return nil
+}
+
+func (b *assembly) add(name string, service any) error {
+	return b.daemon.kernel.Register(name, service)
+}
+
+// identity draws what tells this process from its predecessors.
+func (b *assembly) identity() error {
+	var seed [16]byte
+	if _, err := crand.Read(seed[:]); err != nil {
+		return errors.Wrap(err, "draw incarnation")
+	}
+	if _, err := crand.Read(b.key[:]); err != nil {
+		return errors.Wrap(err, "draw ticket key")
+	}
+	b.incarnation = model.Incarnation(binary.BigEndian.Uint64(seed[:8]) | 1)
+	b.rand = rand.New(rand.NewSource(int64(binary.BigEndian.Uint64(seed[8:]))))
+	return nil
+}
+
+func (b *assembly) core() error {
+	m, err := metrics.New(string(b.settings.VM.Name))
+	if err != nil {
+		return err
+	}
+	b.metrics = m
+	b.ring = explain.NewRing(explainEntries)
+	if err := b.add(NameMetrics, &metricsService{m}); err != nil {
+		return err
+	}
+	return b.add(NameExplain, b.ring)
+}
+
+type metricsService struct{ *metrics.Metrics }
+
+// Stop ends the reporting of metrics.
+func (m *metricsService) Stop(context.Context) error { return m.Close() }
+
+// newRand returns a source of randomness of its own for one service.
+func (b *assembly) newRand() *rand.Rand { return rand.New(rand.NewSource(b.rand.Int63())) }
+
+func (b *assembly) links() error {
+	b.mesh = peer.New(peer.Options{
+		Self:        b.settings.VM.Name,
+		Incarnation: b.incarnation,
+		Logger:      b.deps.Logger.WithPrefix("peer"),
+		Scope:       b.metrics.Scope,
+		Rand:        b.newRand(),
+		Dial:        b.deps.Dial,
+	})
+	return b.add(NameLinks, b.mesh)
+}
+
+func (b *assembly) membership() error {
+	vm := b.settings.VM
+	seeds := make([]membership.Seed, 0, len(b.settings.Seeds))
+	for _, s := range b.settings.Seeds {
+		seeds = append(seeds, membership.Seed{VM: s.VM, Address: s.Address})
+	}
+	b.members = membership.NewService(membership.ServiceOptions{
+		Self: membership.Member{
+			VM:          vm.Name,
+			Zone:        vm.Zone,
+			Region:      vm.Region,
+			Address:     vm.Advertise,
+			Incarnation: b.incarnation,
+			State:       membership.StateAlive,
+		},
+		Seeds:   seeds,
+		Store:   b.deps.Store,
+		VMs:     b.deps.VMs,
+		Links:   b.mesh,
+		Rand:    b.newRand(),
+		Logger:  b.deps.Logger.WithPrefix("membership"),
+		Scope:   b.metrics.Scope,
+		Explain: b.ring,
+	})
+	return b.add(NameMembers, b.members)
+}
+
+func (b *assembly) configuration() error {
+	b.config = config.NewService(config.ServiceOptions{
+		Self:    b.settings.VM.Name,
+		Zone:    b.settings.VM.Zone,
+		Store:   b.deps.Store,
+		Links:   b.mesh,
+		View:    b.members.View,
+		Rand:    b.newRand(),
+		Logger:  b.deps.Logger.WithPrefix("config"),
+		Scope:   b.metrics.Scope,
+		Explain: b.ring,
+	})
+	return b.add(NameConfig, b.config)
+}
+
+func (b *assembly) platform() error {
+	b.servers = servers.New(servers.Options{
+		Self:   b.settings.VM.Name,
+		Zone:   b.settings.VM.Zone,
+		VMs:    b.deps.VMs,
+		Links:  b.mesh,
+		View:   b.members.View,
+		Logger: b.deps.Logger.WithPrefix("servers"),
+		Scope:  b.metrics.Scope,
+	})
+	return b.add(NameServers, b.servers)
+}
+
+func (b *assembly) quota() error {
+	b.limits = quota.NewService(quota.ServiceOptions{
+		Self:   b.settings.VM.Name,
+		Region: b.settings.VM.Region,
+		Store:  b.deps.Store,
+		Links:  b.mesh,
+		Timing: b.deps.Quota,
+		Rand:   b.newRand(),
+		Logger: b.deps.Logger.WithPrefix("quota"),
+		Scope:  b.metrics.Scope,
+	})
+	return b.add(NameLimits, b.limits)
+}
+
+func (b *assembly) owners() error {
+	b.pools = owner.NewPools()
+	b.backends = b.newClient("backend")
+	b.relays = b.newClient("relay")
+	b.poller = control.NewPoller(b.pools, b.backends, b.metrics.Scope)
+	if err := b.add(NamePools, b.pools); err != nil {
+		return err
+	}
+	if err := b.add(NameBackends, &clients{backends: b.backends, relays: b.relays}); err != nil {
+		return err
+	}
+	return b.add(NamePoller, b.poller)
+}
+
+func (b *assembly) newClient(prefix string) *backend.Client {
+	return backend.New(backend.Options{
+		Logger:  b.deps.Logger.WithPrefix(prefix),
+		Scope:   b.metrics.Scope.SubScope(prefix),
+		Silence: b.settings.Limits.SilenceAfter.Std(),
+		Dial:    backend.DialFunc(b.deps.Dial),
+	})
+}
+
+type clients struct {
+	backends, relays *backend.Client
+}
+
+// Stop closes the connections to backend servers and other entry VMs.
+func (c *clients) Stop(context.Context) error {
+	c.backends.Close()
+	c.relays.Close()
+	return nil
+}
+
+func (b *assembly) controlState() error {
+	vm := b.settings.VM
+	b.router = steer.NewRouter(b.limits.Ledger(), steer.RouterOptions{})
+	b.daemon.control = control.New(control.Options{
+		Self:     vm.Name,
+		Zone:     vm.Zone,
+		Region:   vm.Region,
+		Config:   b.config,
+		Members:  b.members,
+		Servers:  b.servers,
+		Pools:    b.pools,
+		Router:   b.router,
+		Limits:   b.limits,
+		Draining: b.poller.Draining,
+		Explain:  b.ring,
+		Logger:   b.deps.Logger.WithPrefix("control"),
+		Scope:    b.metrics.Scope,
+	})
+	return b.add(NameControl, b.daemon.control)
+}
+
+func (b *assembly) dataPath() error {
+	vm, limits := b.settings.VM, b.settings.Limits
+	b.daemon.tickets = once.NewRegistry(once.Options{
+		VM:             vm.Name,
+		Incarnation:    b.incarnation,
+		Key:            b.key,
+		Validity:       limits.TicketValidity.Std(),
+		MaxRecords:     limits.MaxTickets,
+		MaxKeptBytes:   keptAnswers * limits.MaxKeptAnswerBytes,
+		MaxAnswerBytes: limits.MaxKeptAnswerBytes,
+		Rand:           crand.Reader,
+	})
+	b.daemon.entry = entry.NewServer(entry.Options{
+		Self:               vm.Name,
+		Zone:               vm.Zone,
+		Region:             vm.Region,
+		Instance:           strconv.FormatUint(uint64(b.incarnation), 16),
+		MaxReplayBytes:     limits.MaxReplayBytes,
+		MaxKeptAnswerBytes: limits.MaxKeptAnswerBytes,
+		Source:             b.daemon.control,
+		Router:             b.router,
+		Pools:              b.pools,
+		Backends:           b.backends,
+		Relays:             b.relays,
+		Tickets:            b.daemon.tickets,
+		Attempts: once.NewAttempts(once.AttemptOptions{
+			Incarnation:   b.incarnation,
+			TokenValidity: tokenValidity,
+			MaxAccepted:   maxAttempts,
+			MaxSealed:     maxAttempts,
+		}),
+		Retries: retry.NewBudget(retryPercent),
+		Links:   b.mesh,
+		Caps:    newLinkCaps(b.limits.Ledger()),
+		Explain: b.ring,
+		Scope:   b.metrics.Scope,
+		Logger:  b.deps.Logger.WithPrefix("entry"),
+	})
+	return b.add(NameEntry, b.daemon.entry)
+}
--- /dev/null
+++ b/internal/demo/scenario.go
@@ -0,0 +1,136 @@
+package demo
+
+import (
+	"time"
+
+	"fuchsiaspar/internal/model"
+)
+
+// Load is a stream of requests of one kind. Rates are shares of what the
+// service's servers can answer, spread over the zones.
+type Load struct {
+	Kind    string
+	Account model.AccountID
+	// Share is the offered rate as a share of the service's capacity.
+	Share float64
+	From  time.Duration
+	To    time.Duration
+}
+
+// Event is a fault or an operator's action at one instant.
+type Event struct {
+	At     time.Duration
+	Action Action
+	// Target names what the action is done to: a VM, zone, region or server.
+	Target string
+	// For is how long the fault lasts; zero means to the end.
+	For time.Duration
+}
+
+// Action is what an event does.
+type Action string
+
+// The actions of events.
+const (
+	ActionKillVM        Action = "kill-vm"
+	ActionKillRegion    Action = "kill-region"
+	ActionStopVM        Action = "stop-vm"
+	ActionRestartAll    Action = "rolling-restart"
+	ActionSilence       Action = "silence-server"
+	ActionMislead       Action = "mislead-reports"
+	ActionStopReports   Action = "stop-reports"
+	ActionStoreDown     Action = "store-down"
+	ActionStoreSlow     Action = "store-slow"
+	ActionAnswerLost    Action = "answer-lost"
+	ActionPauseLeases   Action = "pause-lease-holder"
+	ActionCutZone       Action = "cut-zone"
+	ActionCutRegion     Action = "cut-region"
+	ActionDrainZone     Action = "drain-zone"
+	ActionDrainServer   Action = "drain-server"
+	ActionRaceOperators Action = "race-operators"
+)
+
+// Scenario is a table of loads and events over a bounded time.
+type Scenario struct {
+	Name     string
+	Summary  string
+	Duration time.Duration
+	Events   []Event
+	// Flood adds to the quiet load of every kind.
+	Flood []Load
+}
+
+const (
+	// eventAt is when the fault of most scenarios strikes.
+	eventAt = 4 * time.Second
+	// scenarioTime is how long most scenarios offer load.
+	scenarioTime = 12 * time.Second
+	// faultTime is how long a fault that heals lasts.
+	faultTime = 4 * time.Second
+)
+
+// Targets that a deployment resolves.
+const (
+	targetFirstVM  = "first-vm"
+	targetSecondVM = "second-vm"
+	targetZone     = "last-zone"
+	targetRegion   = "last-region"
+	targetServer   = "first-server"
+	targetServers  = "third-of-servers"
+)
+
+// Scenarios returns the built-in scenarios in the order of the documentation.
+func Scenarios() []Scenario {
+	return []Scenario{
+		{Name: "tour", Summary: "a server drains, a VM dies and another stops as planned", Events: []Event{
+			{At: 3 * time.Second, Action: ActionDrainServer, Target: targetServer},
+			{At: 5 * time.Second, Action: ActionKillVM, Target: targetSecondVM},
+			{At: 8 * time.Second, Action: ActionStopVM, Target: targetFirstVM},
+		}},
+		{Name: "quiet", Summary: "the quiet load alone"},
+		{Name: "flood-low", Summary: "the least urgent work at ten times the capacity", Flood: []Load{{Kind: "bulk", Share: 10}}},
+		{Name: "flood-urgent", Summary: "urgent work at ten times the capacity", Flood: []Load{{Kind: "urgent", Share: 10}}},
+		{Name: "flood-account", Summary: "one client account at twenty times its load", Flood: []Load{{Kind: "urgent", Account: "first", Share: 4}}},
+		one("vm-loss", "an entry VM dies", Event{Action: ActionKillVM, Target: targetFirstVM}),
+		{Name: "two-vm-loss", Summary: "two entry VMs die together", Events: []Event{
+			{At: eventAt, Action: ActionKillVM, Target: targetFirstVM},
+			{At: eventAt, Action: ActionKillVM, Target: targetSecondVM},
+		}},
+		one("region-loss", "a region's entry VMs and servers die", Event{Action: ActionKillRegion, Target: targetRegion}),
+		one("silent", "open connections to a third of the servers go silent", Event{Action: ActionSilence, Target: targetServers}),
+		one("misleading-reports", "a third of the servers report no load and good health while they shed", Event{Action: ActionMislead, Target: targetServers}),
+		one("measurements-stop", "every load report stops", Event{Action: ActionStopReports}),
+		one("store-down", "the store is down for the whole run", Event{Action: ActionStoreDown}),
+		one("store-slow", "the store is slow for the whole run", Event{Action: ActionStoreSlow}),
+		one("answer-lost", "the store loses answers after writes took effect, while operators change parameters", Event{Action: ActionAnswerLost}),
+		one("paused-lease-holder", "leases lapse while their holders still run", Event{Action: ActionPauseLeases, For: faultTime}),
+		one("partition-zone", "a zone is cut off and comes back", Event{Action: ActionCutZone, Target: targetZone, For: faultTime}),
+		one("partition-region", "a region is cut off and comes back", Event{Action: ActionCutRegion, Target: targetRegion, For: faultTime}),
+		one("config-race", "two operators make 200 changes at once", Event{Action: ActionRaceOperators}),
+		one("drain-zone", "a zone drains as planned", Event{Action: ActionDrainZone, Target: targetZone}),
+		one("drain-server", "a server drains as planned", Event{Action: ActionDrainServer, Target: targetServer}),
+		{Name: "rolling-restart", Summary: "every entry VM is stopped and replaced in turn", Duration: 24 * time.Second,
+			Events: []Event{{At: 2 * time.Second, Action: ActionRestartAll}}},
+	}
+}
+
+func one(name, summary string, e Event) Scenario {
+	if e.At == 0 {
+		e.At = eventAt
+	}
+	return Scenario{Name: name, Summary: summary, Events: []Event{e}}
+}
+
+// FindScenario returns the scenario called name with its defaults filled in.
+func FindScenario(name string) (Scenario, bool) {
+	for _, s := range Scenarios() {
+		if s.Name != name {
+			continue
+		}
+		if s.Duration == 0 {
+			s.Duration = scenarioTime
+		}
+		return s, true
+	}
+	return Scenario{}, false
+}
--- /dev/null
+++ b/internal/entry/attempt.go
@@ -0,0 +1,181 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"fuchsiaspar/internal/backend"
+	"fuchsiaspar/internal/header"
+	"fuchsiaspar/internal/health"
+	"fuchsiaspar/internal/model"
+	"fuchsiaspar/internal/owner"
+
+	"github.com/pkg/errors"
+)
+
+// relayConns bounds the connections to one other entry VM.
+const relayConns = 1024
+
+// job is one attempt as the owner of the backend server runs it.
+type job struct {
+	attempt  model.AttemptID
+	key      owner.Key
+	work     owner.Work
+	method   string
+	path     string
+	header   http.Header
+	body     *replayBody
+	deadline time.Time
+	// commit is asked right before the first byte goes to a backend server. A
+	// false answer means that the origin has revoked the attempt.
+	commit func() bool
+}
+
+// attempt runs the request once, here or at another owner.
+func (s *Server) attempt(ctx context.Context, q *request, t target, id model.AttemptID, exclude model.ServerID) (*answer, *Failure) {
+	if t.owner.VM != s.options.Self {
+		return s.relay(ctx, q, t, exclude)
+	}
+	return s.run(ctx, &job{
+		attempt: id,
+		key:     owner.Key{Service: q.service, Zone: t.zone},
+		work: owner.Work{
+			Account:    q.account,
+			Priority:   q.priority,
+			Deadline:   q.deadline,
+			Idempotent: q.class.Idempotent,
+			Long:       q.class.Long,
+			Exclude:    exclude,
+		},
+		method:   q.method,
+		path:     q.path,
+		header:   q.header,
+		body:     q.body,
+		deadline: q.deadline,
+		commit:   func() bool { return true },
+	})
+}
+
+// run admits the job to a server that this VM owns and runs it there.
+func (s *Server) run(ctx context.Context, j *job) (*answer, *Failure) {
+	pool := s.options.Pools.Find(j.key)
+	if pool == nil {
+		return nil, refuse(http.StatusServiceUnavailable, model.ReasonNotOwner, "this entry VM owns no server there")
+	}
+	slot, err := pool.Acquire(ctx, j.work)
+	if err != nil {
+		return nil, admissionFailure(err)
+	}
+	if !j.commit() {
+		slot.Release(owner.Unused)
+		return nil, refuse(http.StatusServiceUnavailable, model.ReasonRevoked, "the origin revoked the attempt")
+	}
+	body, length, err := j.body.reader()
+	if err != nil {
+		slot.Release(owner.Unused)
+		return nil, refuse(http.StatusServiceUnavailable, model.ReasonMalformed, err.Error())
+	}
+	response, err := s.options.Backends.Do(slot.Context, slot.Target, &backend.Request{
+		Attempt:       j.attempt,
+		Method:        j.method,
+		Path:          j.path,
+		Header:        j.header,
+		Body:          body,
+		ContentLength: length,
+		Deadline:      j.deadline,
+		Idempotent:    j.work.Idempotent,
+	})
+	if err != nil {
+		return nil, s.serverFailure(slot, err)
+	}
+	slot.Answered()
+	return &answer{
+		status: response.Status,
+		header: response.Header,
+		length: response.ContentLength,
+		server: slot.Target.ID,
+		body:   &slotBody{ReadCloser: response.Body, slot: slot},
+	}, nil
+}
+
+func admissionFailure(err error) *Failure {
+	var r *owner.Refusal
+	if errors.As(err, &r) {
+		return refuse(http.StatusServiceUnavailable, r.Reason, "no slot became free in time; retry later")
+	}
+	return refuse(http.StatusServiceUnavailable, model.ReasonNoServer, err.Error())
+}
+
+// serverFailure releases the slot and turns the error of a backend server into
+// a Failure.
+func (s *Server) serverFailure(slot *owner.Slot, err error) *Failure {
+	f := backendFailure(err)
+	f.server = slot.Target.ID
+	if errors.Is(context.Cause(slot.Context), owner.ErrPreempted) {
+		f.Reason = model.ReasonPreempted
+		slot.Release(owner.Unused)
+		return f
+	}
+	slot.Release(ending(slot.Context, f.Reason))
+	return f
+}
+
+func ending(ctx context.Context, r model.Reason) owner.Ending {
+	switch r {
+	case model.ReasonShed:
+		return owner.Ended(health.Shed)
+	case model.ReasonSilent:
+		return owner.Ended(health.Silent)
+	}
+	if ctx.Err() != nil {
+		return owner.Unused
+	}
+	return owner.Ended(health.Failed)
+}
+
+func backendFailure(err error) *Failure {
+	var e *backend.Error
+	if !errors.As(err, &e) {
+		return &Failure{Outcome: model.OutcomeUnknown, Reason: model.ReasonReset, Status: http.StatusBadGateway, Message: err.Error()}
+	}
+	f := &Failure{Outcome: e.Outcome, Reason: e.Reason, Status: http.StatusBadGateway, Message: e.Error()}
+	if e.Outcome == model.OutcomeNotRun {
+		f.Status = http.StatusServiceUnavailable
+	}
+	if e.Reason == model.ReasonTimeout || e.Reason == model.ReasonDeadline {
+		f.Status = http.StatusGatewayTimeout
+	}
+	return f
+}
+
+// slotBody gives the slot back when the answer's body has ended.
+type slotBody struct {
+	io.ReadCloser
+	slot *owner.Slot
+}
+
+func (b *slotBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.slot.Release(owner.Ended(health.Answered))
+	return err
+}
+
+func relayHeader(q *request, o Options, t target, exclude model.ServerID) http.Header {
+	h := make(http.Header, len(q.header)+8)
+	for name, values := range q.header {
+		h[name] = values
+	}
+	h.Set(header.RelayOrigin, string(o.Self))
+	h.Set(header.RelayZone, string(t.zone))
+	h.Set(header.RelayIdempotent, strconv.FormatBool(q.class.Idempotent))
+	h.Set(header.RelayLong, strconv.FormatBool(q.class.Long))
+	h.Set(header.Account, string(q.account))
+	h.Set(header.Priority, q.priority.String())
+	if exclude != "" {
+		h.Set(header.RelayExclude, string(exclude))
+	}
+	return h
+}
--- /dev/null
+++ b/internal/entry/dispatch.go
@@ -0,0 +1,206 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"fuchsiaspar/internal/config"
+	"fuchsiaspar/internal/explain"
+	"fuchsiaspar/internal/model"
+	"fuchsiaspar/internal/owner"
+	"fuchsiaspar/internal/retry"
+	"fuchsiaspar/internal/steer"
+)
+
+// maxAttempts bounds the attempts at one request.
+const maxAttempts = 4
+
+// minAttemptTime is the least time left that is worth another attempt.
+const minAttemptTime = 2 * time.Millisecond
+
+func deadlineContext(parent context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+	return context.WithDeadline(parent, deadline)
+}
+
+// progress is what the attempts at one request have found so far.
+type progress struct {
+	tried    []model.Zone
+	excluded []model.VMID
+	server   model.ServerID
+	last     *Failure
+}
+
+// dispatch runs the request at one place after another until one answers, a
+// failure forbids another attempt, or nothing is left to try.
+func (s *Server) dispatch(ctx context.Context, q *request) (*answer, *Failure) {
+	now := time.Now()
+	s.options.Retries.FirstTry(now, q.service, q.priority)
+	p := &progress{tried: q.state.Drained[q.account]}
+	home := s.home(q)
+	for n := 1; n <= maxAttempts; n++ {
+		target, f := s.choose(q, p, home)
+		if f != nil {
+			return nil, preferFirst(p.last, f)
+		}
+		a, f := s.attempt(ctx, q, target, attemptID(q.id, n), p.server)
+		if f == nil {
+			s.options.Router.Answered(time.Now(), q.service, target.zone)
+			return a, nil
+		}
+		p.note(target, f)
+		if !s.mayRetry(ctx, q, f) {
+			return nil, f
+		}
+	}
+	return nil, p.last
+}
+
+// preferFirst returns the failure of an attempt, which tells the caller more
+// than the lack of another place to try.
+func preferFirst(attempt, choice *Failure) *Failure {
+	if attempt != nil {
+		return attempt
+	}
+	return choice
+}
+
+func attemptID(id model.AttemptID, n int) model.AttemptID {
+	return id + "." + model.AttemptID(strconv.Itoa(n))
+}
+
+// home returns the places of the client in order, own place first.
+func (s *Server) home(q *request) []config.Place {
+	a, ok := q.state.Table.Lookup(q.client, q.account, q.service)
+	if !ok || len(a.Places) == 0 {
+		return []config.Place{{Zone: s.options.Zone, Weight: 1}}
+	}
+	return a.Places
+}
+
+// target is the entry VM and availability zone of one attempt.
+type target struct {
+	zone  model.Zone
+	owner Owner
+}
+
+func (s *Server) choose(q *request, p *progress, home []config.Place) (target, *Failure) {
+	for {
+		choice := s.options.Router.Choose(time.Now(), steer.Request{
+			Account:  q.account,
+			Service:  q.service,
+			Priority: q.priority,
+			Home:     home,
+			Tried:    p.tried,
+		})
+		if !choice.OK {
+			return target{}, refuse(http.StatusServiceUnavailable, choice.Reason, "no place can take the request now; retry later")
+		}
+		if choice.Shift && !s.source.Confirmed(time.Now()) {
+			return target{}, refuse(http.StatusServiceUnavailable, model.ReasonIsolated, "this entry VM is cut off and shifts no traffic; try another")
+		}
+		o, ok := s.pickOwner(q, choice.Zone, p.excluded)
+		if ok {
+			s.noteShift(q, choice)
+			return target{zone: choice.Zone, owner: o}, nil
+		}
+		p.tried = appendZone(p.tried, choice.Zone)
+	}
+}
+
+func (s *Server) noteShift(q *request, c steer.Choice) {
+	if !c.Shift {
+		return
+	}
+	s.meter.shifted()
+	s.options.Explain.Record(explain.Decision{
+		At:       time.Now(),
+		VM:       s.options.Self,
+		Kind:     explain.KindShift,
+		Revision: q.state.Config.Revision(),
+		Request:  q.id,
+		Account:  q.account,
+		Service:  q.service,
+		Priority: q.priority,
+		Zone:     c.Zone,
+		Detail:   "served away from the client's own place",
+	})
+}
+
+// pickOwner draws an owner of the zone's servers in proportion to its slots.
+func (s *Server) pickOwner(q *request, zone model.Zone, excluded []model.VMID) (Owner, bool) {
+	owners := q.state.Owners[owner.Key{Service: q.service, Zone: zone}]
+	total := 0
+	for _, o := range owners {
+		if !contains(excluded, o.VM) {
+			total += o.Slots
+		}
+	}
+	if total == 0 {
+		return Owner{}, false
+	}
+	draw := rand.IntN(total)
+	for _, o := range owners {
+		if contains(excluded, o.VM) {
+			continue
+		}
+		if draw < o.Slots {
+			return o, true
+		}
+		draw -= o.Slots
+	}
+	return Owner{}, false
+}
+
+func contains(list []model.VMID, vm model.VMID) bool {
+	for _, v := range list {
+		if v == vm {
+			return true
+		}
+	}
+	return false
+}
+
+// appendZone returns a list of its own, since the first one is shared.
+func appendZone(list []model.Zone, z model.Zone) []model.Zone {
+	return append(list[:len(list):len(list)], z)
+}
+
+func (p *progress) note(t target, f *Failure) {
+	p.last = f
+	p.server = f.server
+	if f.server == "" {
+		p.excluded = append(p.excluded, t.owner.VM)
+	}
+}
+
+func (s *Server) mayRetry(ctx context.Context, q *request, f *Failure) bool {
+	if !retry.Retryable(q.class.Idempotent, f.Outcome, f.Reason) || !q.body.replayable() {
+		return false
+	}
+	now := time.Now()
+	if ctx.Err() != nil || !retry.Worth(now, q.deadline, minAttemptTime) {
+		return false
+	}
+	if !s.options.Retries.Take(now, q.service, q.priority) {
+		s.meter.retryRefused()
+		return false
+	}
+	s.meter.retried(f.Reason)
+	s.options.Explain.Record(explain.Decision{
+		At:       now,
+		VM:       s.options.Self,
+		Kind:     explain.KindRetry,
+		Reason:   f.Reason,
+		Revision: q.state.Config.Revision(),
+		Request:  q.id,
+		Account:  q.account,
+		Service:  q.service,
+		Priority: q.priority,
+		Server:   f.server,
+		Detail:   f.Message,
+	})
+	return true
+}
--- a/internal/header/header.go
+++ b/internal/header/header.go
@@ -55,8 +55,8 @@
 	RelayLong = "Fuchsiaspar-Relay-Long"
 	// RelayExclude names a backend server that failed an earlier attempt.
 	RelayExclude = "Fuchsiaspar-Relay-Exclude"
-	// RelayEpoch proves that the relay is recent.
-	RelayEpoch = "Fuchsiaspar-Relay-Epoch"
+	// RelayToken carries a fresh token for later relays in an answer.
+	RelayToken = "Fuchsiaspar-Relay-Token"
 	// ForwardedBy is the entry VM that passed on a request with a ticket of
 	// the receiving one.
 	ForwardedBy = "Fuchsiaspar-Forwarded-By"
--- a/internal/peer/connect.go
+++ b/internal/peer/connect.go
@@ -62,7 +62,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, m.opts.SilenceAfter)
 	defer cancel()
-	dialer := websocket.Dialer{ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes}
+	dialer := websocket.Dialer{NetDialContext: m.opts.Dial, ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes}
 	conn, _, err := dialer.DialContext(ctx, "ws://"+address+Path, nil)
 	if err != nil {
 		return nil, hello{}, errors.Wrap(err, "peer: dial")
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -1,8 +1,10 @@
 package peer
 
 import (
+	"context"
 	"io"
 	"math/rand"
+	"net"
 	"time"
 
 	"fuchsiaspar/internal/model"
@@ -47,6 +49,8 @@
 	QueueLimit int
 	// SlowHandlers bounds the handlers that run on goroutines of their own.
 	SlowHandlers int64
+	// Dial opens a connection; nil takes TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Blocked drops all traffic from and to a VM while it returns true, as a
 	// network partition would. Nil blocks nothing.
 	Blocked func(vm model.VMID) bool
