Add the membership state machine and its service

Cause: entry VMs need to agree on who runs, without a coordination service. Change: membership.Node is a pure state machine: ring heartbeats and indirect probes in a zone, leaders that watch other zones, flooded records, summaries down trees, digest exchange, zone record under a lease. membership.Service runs it with links and store.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -4,6 +4,8 @@
 package membership
 
 import (
+	"sort"
+
 	"fuchsiaspar/internal/model"
 )
 
@@ -20,8 +22,29 @@
 	StateLeaving
 	// StateDead members have been silent for the whole suspicion period.
 	StateDead
+	// stateLeft is StateDead for a member that had announced that it leaves.
+	stateLeft
 )
 
+var stateNames = map[State]string{
+	StateAlive:   "alive",
+	StateSuspect: "suspect",
+	StateLeaving: "leaving",
+	StateDead:    "dead",
+	stateLeft:    "left",
+}
+
+// String returns the name of s.
+func (s State) String() string {
+	if name, ok := stateNames[s]; ok {
+		return name
+	}
+	return "unknown"
+}
+
+// present reports whether a member in this state still runs.
+func (s State) present() bool { return s < StateDead }
+
 // Member is one entry VM as this VM knows it.
 type Member struct {
 	VM          model.VMID
@@ -34,8 +57,11 @@
 	State   State
 	// Revision is the configuration that the VM has in force.
 	Revision model.Revision
-	// Load is the VM's summary of the services that it owns servers of.
+	// Load is the VM's summary of the services that it owns servers of. It is
+	// known for members of small zones; View.Zones has the sums of every zone.
 	Load []ServiceLoad
+	// Left marks a dead member that had announced that it leaves.
+	Left bool
 }
 
 // ServiceLoad summarises the servers of one service that a VM owns.
@@ -55,8 +81,22 @@
 	Version uint64
 	Self    model.VMID
 	Members []Member
-	// Leaders names the member that holds each zone's lease, where known.
+	// Leaders names the member of each zone that relays deltas between zones
+	// and writes the zone's record while it holds the zone's lease.
 	Leaders []Leader
+	// Zones holds one entry for each known zone, sorted by name.
+	Zones []ZoneStatus
+}
+
+// ZoneStatus is one zone as this VM knows it.
+type ZoneStatus struct {
+	Zone   model.Zone
+	Region model.Region
+	// Reachable is false while no member of the zone answers this VM's zone.
+	// The members of an unreachable zone count as dead.
+	Reachable bool
+	// Load sums the load of the zone's members by service.
+	Load []ServiceLoad
 }
 
 // Leader is the holder of a zone's lease.
@@ -67,12 +107,21 @@
 
 // Find returns the member called vm.
 func (v *View) Find(vm model.VMID) (Member, bool) {
-	for _, m := range v.Members {
-		if m.VM == vm {
-			return m, true
+	i := sort.Search(len(v.Members), func(i int) bool { return v.Members[i].VM >= vm })
+	if i == len(v.Members) || v.Members[i].VM != vm {
+		return Member{}, false
+	}
+	return v.Members[i], true
+}
+
+// LeaderOf returns the leader of zone, or the empty VMID.
+func (v *View) LeaderOf(zone model.Zone) model.VMID {
+	for _, l := range v.Leaders {
+		if l.Zone == zone {
+			return l.VM
 		}
 	}
-	return Member{}, false
+	return ""
 }
 
 // CanOwn reports whether the member may own backend servers.
--- /dev/null
+++ b/internal/membership/node.go
@@ -0,0 +1,137 @@
+package membership
+
+import (
+	"math/rand"
+	"time"
+
+	"fuchsiaspar/internal/model"
+)
+
+// Self describes the process that a Node runs in.
+type Self struct {
+	VM          model.VMID
+	Zone        model.Zone
+	Region      model.Region
+	Address     string
+	Incarnation model.Incarnation
+}
+
+// Seed is an entry VM that settings name for first contact.
+type Seed struct {
+	VM      model.VMID
+	Address string
+}
+
+// NodeOptions configure a Node.
+type NodeOptions struct {
+	Self      Self
+	Seeds     []Seed
+	Rand      *rand.Rand
+	Intervals Intervals
+}
+
+// Node is the membership state of one VM as a pure state machine: it has no
+// clock, socket or goroutine. It is not safe for concurrent use.
+type Node struct {
+	pace Intervals
+	rng  *rand.Rand
+	now  time.Time
+	// source is the sender of the message being handled.
+	source  model.VMID
+	actions []Action
+	stopped bool
+	joined  bool
+
+	self  Record
+	table *table
+
+	monitor  monitor
+	zones    zoneMonitor
+	contacts contactBook
+	spread   spreader
+	local    localState
+	duty     duty
+	views    viewState
+}
+
+// NewNode returns a Node that knows only itself. Its first view is published
+// by the first Step.
+func NewNode(opts NodeOptions, now time.Time) *Node {
+	n := &Node{
+		pace: opts.Intervals.withDefaults(),
+		rng:  opts.Rand,
+		now:  now,
+		self: Record{
+			VM:          opts.Self.VM,
+			Zone:        opts.Self.Zone,
+			Region:      opts.Self.Region,
+			Address:     opts.Self.Address,
+			Epoch:       1,
+			Incarnation: opts.Self.Incarnation,
+			Seq:         1,
+			State:       StateAlive,
+		},
+		table: newTable(),
+	}
+	n.table.put(n.self)
+	n.monitor = newMonitor(now, n.jitter(n.pace.Heartbeat))
+	n.zones = newZoneMonitor()
+	n.contacts = newContactBook(opts.Seeds)
+	n.spread = newSpreader()
+	n.local = newLocalState()
+	n.duty = newDuty(now)
+	n.views.dirty = true
+	return n
+}
+
+// Step applies one event at time now and returns what is to be done, in order.
+func (n *Node) Step(now time.Time, event Event) []Action {
+	if n.stopped {
+		return nil
+	}
+	n.now = now
+	n.actions = nil
+	n.source = ""
+	event.apply(n)
+	n.flood()
+	n.publishIfDue()
+	return n.actions
+}
+
+func (n *Node) do(a Action) { n.actions = append(n.actions, a) }
+
+// jitter returns a random duration below limit.
+func (n *Node) jitter(limit time.Duration) time.Duration {
+	return time.Duration(n.rng.Int63n(int64(limit)))
+}
+
+// leads reports whether this VM leads its zone.
+func (n *Node) leads() bool { return n.table.leader(n.self.Zone) == n.self.VM }
+
+func (Tick) apply(n *Node) {
+	n.tickMonitor()
+	n.tickZones()
+	n.tickHeartbeats()
+	n.tickContacts()
+	n.tickSummary()
+	n.tickDuty()
+	n.spread.flushSummaries(n)
+}
+
+func (e LocalUpdated) apply(n *Node) { n.local.update(e.Revision, e.Load) }
+
+func (LeaveRequested) apply(n *Node) {
+	if n.self.State == StateLeaving {
+		return
+	}
+	n.self.State = StateLeaving
+	n.self.Seq++
+	n.announceSelf()
+}
+
+// announceSelf stores this VM's changed record and tells the others.
+func (n *Node) announceSelf() {
+	n.table.put(n.self)
+	n.spread.queue(n.self.VM)
+	n.views.dirty = true
+}
--- /dev/null
+++ b/internal/membership/service.go
@@ -0,0 +1,258 @@
+package membership
+
+import (
+	"context"
+	"io"
+	"math/rand"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"fuchsiaspar/internal/explain"
+	"fuchsiaspar/internal/model"
+	"fuchsiaspar/internal/peer"
+	"fuchsiaspar/internal/platform"
+
+	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+)
+
+// eventQueue bounds the events that wait for the control goroutine.
+const eventQueue = 4096
+
+// ServiceOptions configure a Service.
+type ServiceOptions struct {
+	Self      Self
+	Seeds     []Seed
+	Store     platform.Store
+	VMs       platform.VMList
+	Links     peer.Links
+	Rand      *rand.Rand
+	Logger    *log.Logger
+	Scope     tally.Scope
+	Explain   explain.Recorder
+	Intervals Intervals
+	// OnSuperseded is called once when another process has taken over this
+	// VM's slot. The Service does nothing more then.
+	OnSuperseded func(by model.Incarnation)
+}
+
+// Service runs a Node in a daemon. One control goroutine owns the Node; store
+// and list calls run on goroutines of their own and come back as events.
+type Service struct {
+	opts    ServiceOptions
+	pace    Intervals
+	metrics *metrics
+	events  chan Event
+	view    atomic.Pointer[View]
+	clock   func() time.Time
+
+	// requests wakes the control goroutine for local and leave.
+	requests chan struct{}
+	local    atomic.Pointer[LocalUpdated]
+	leave    atomic.Bool
+
+	mu          sync.Mutex
+	subscribers []func(*View)
+	ctx         context.Context
+	cancel      context.CancelFunc
+	wg          sync.WaitGroup
+}
+
+// NewService returns a Service and registers its handlers with the links.
+func NewService(opts ServiceOptions) *Service {
+	if opts.Logger == nil {
+		opts.Logger = log.New(io.Discard)
+	}
+	if opts.Scope == nil {
+		opts.Scope = tally.NoopScope
+	}
+	if opts.Rand == nil {
+		opts.Rand = rand.New(rand.NewSource(int64(opts.Self.Incarnation)))
+	}
+	s := &Service{
+		opts:    opts,
+		pace:    opts.Intervals.withDefaults(),
+		metrics: newMetrics(opts.Scope),
+		events:  make(chan Event, eventQueue),
+		clock:   time.Now,
+
+		requests: make(chan struct{}, 1),
+	}
+	s.view.Store(&View{Self: opts.Self.VM})
+	s.handle()
+	return s
+}
+
+func (s *Service) handle() {
+	s.opts.Links.Handle(peer.KindHeartbeat, func(_ context.Context, from model.VMID, body []byte) (any, error) {
+		e := HeartbeatReceived{From: from}
+		return nil, s.receive(&e.Heartbeat, body, func() Event { return e })
+	})
+	s.opts.Links.Handle(peer.KindZoneDelta, func(_ context.Context, from model.VMID, body []byte) (any, error) {
+		e := DeltaReceived{From: from}
+		return nil, s.receive(&e.Delta, body, func() Event { return e })
+	})
+	s.opts.Links.Handle(peer.KindProbe, func(_ context.Context, from model.VMID, body []byte) (any, error) {
+		e := ProbeReceived{From: from}
+		return nil, s.receive(&e.Probe, body, func() Event { return e })
+	})
+}
+
+// receive decodes a message and queues it as an event.
+func (s *Service) receive(into any, body []byte, event func() Event) error {
+	if err := peer.Unmarshal(body, into); err != nil {
+		s.metrics.malformed.Inc(1)
+		return errors.Wrap(err, "membership: decode message")
+	}
+	select {
+	case s.events <- event():
+	default:
+		s.metrics.dropped.Inc(1)
+	}
+	return nil
+}
+
+// Start publishes the first view and starts the control goroutine.
+func (s *Service) Start(ctx context.Context) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ctx != nil {
+		return errors.New("membership: service was already started")
+	}
+	s.ctx, s.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	node := NewNode(NodeOptions{
+		Self:      s.opts.Self,
+		Seeds:     s.opts.Seeds,
+		Rand:      s.opts.Rand,
+		Intervals: s.pace,
+	}, s.clock())
+	s.step(node, Tick{})
+	s.wg.Add(1)
+	go s.run(node)
+	return nil
+}
+
+// Stop ends the control goroutine and the calls under way, or gives up with
+// ctx. It does not announce that the VM leaves; see Leave.
+func (s *Service) Stop(ctx context.Context) error {
+	s.mu.Lock()
+	cancel := s.cancel
+	s.mu.Unlock()
+	if cancel == nil {
+		return nil
+	}
+	cancel()
+	done := make(chan struct{})
+	go func() {
+		s.wg.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "membership: stop")
+	}
+}
+
+// View returns the current view. It is never nil.
+func (s *Service) View() *View { return s.view.Load() }
+
+// Subscribe calls f with each new view, on the control goroutine. f must not
+// block. Views published before are not repeated.
+func (s *Service) Subscribe(f func(*View)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.subscribers = append(s.subscribers, f)
+}
+
+// Leave announces at once that this VM leaves.
+func (s *Service) Leave() {
+	s.leave.Store(true)
+	s.wake()
+}
+
+// SetLocal sets the revision in force at this VM and its load. The newest
+// values replace earlier ones that were not yet taken in.
+func (s *Service) SetLocal(revision model.Revision, load []ServiceLoad) {
+	s.local.Store(&LocalUpdated{Revision: revision, Load: load})
+	s.wake()
+}
+
+// wake makes the control goroutine look at requests. It never blocks.
+func (s *Service) wake() {
+	select {
+	case s.requests <- struct{}{}:
+	default:
+	}
+}
+
+func (s *Service) takeRequests(node *Node) {
+	if local := s.local.Swap(nil); local != nil {
+		s.step(node, *local)
+	}
+	if s.leave.Swap(false) {
+		s.step(node, LeaveRequested{})
+	}
+}
+
+func (s *Service) run(node *Node) {
+	defer s.wg.Done()
+	ticker := time.NewTicker(s.pace.Tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case e := <-s.events:
+			s.step(node, e)
+		case <-s.requests:
+			s.takeRequests(node)
+		case <-ticker.C:
+			s.step(node, Tick{})
+		}
+	}
+}
+
+// step applies one event and carries out what follows from it.
+func (s *Service) step(node *Node, e Event) {
+	for _, action := range node.Step(s.clock(), e) {
+		s.carryOut(action)
+	}
+}
+
+func (s *Service) carryOut(action Action) {
+	switch a := action.(type) {
+	case SendHeartbeat:
+		s.send(a.To, peer.KindHeartbeat, a.Heartbeat)
+	case SendDelta:
+		s.send(a.To, peer.KindZoneDelta, a.Delta)
+	case SendProbe:
+		s.send(a.To, peer.KindProbe, a.Probe)
+	case SetAddress:
+		s.opts.Links.SetAddress(a.VM, a.Address)
+	case DropLink:
+		s.opts.Links.Drop(a.VM)
+	case Publish:
+		s.publish(a.View)
+	case Superseded:
+		s.superseded(a.By)
+	default:
+		s.callPlatform(action)
+	}
+}
+
+func (s *Service) send(to model.VMID, kind peer.Kind, body any) {
+	if err := s.opts.Links.Send(to, kind, body); err != nil {
+		s.metrics.unsent.Inc(1)
+	}
+}
+
+func (s *Service) superseded(by model.Incarnation) {
+	s.opts.Logger.Error("slot taken over by another process", "vm", s.opts.Self.VM, "incarnation", by)
+	if s.opts.OnSuperseded != nil {
+		s.opts.OnSuperseded(by)
+	}
+}
--- /dev/null
+++ b/internal/membership/table.go
@@ -0,0 +1,176 @@
+package membership
+
+import (
+	"slices"
+
+	"fuchsiaspar/internal/model"
+)
+
+// table holds the newest record of every known slot, by zone.
+type table struct {
+	records map[model.VMID]Record
+	zones   map[model.Zone]*zoneTable
+	names   []model.Zone
+	digest  uint32
+}
+
+// zoneTable indexes the records of one zone.
+type zoneTable struct {
+	all    []model.VMID
+	digest uint32
+	// present and eligible are rebuilt when stale: the members that run, and
+	// those of them that may lead.
+	present  []model.VMID
+	eligible []model.VMID
+	stale    bool
+}
+
+func newTable() *table {
+	return &table{records: map[model.VMID]Record{}, zones: map[model.Zone]*zoneTable{}}
+}
+
+func (t *table) get(vm model.VMID) (Record, bool) {
+	r, ok := t.records[vm]
+	return r, ok
+}
+
+// put stores r in place of any older record of the slot.
+func (t *table) put(r Record) {
+	old, known := t.records[r.VM]
+	if known && old.Zone != r.Zone {
+		t.remove(old)
+		known = false
+	}
+	z := t.zone(r.Zone)
+	if known {
+		t.fold(z, old.hash())
+	} else {
+		at, _ := slices.BinarySearch(z.all, r.VM)
+		z.all = slices.Insert(z.all, at, r.VM)
+	}
+	t.fold(z, r.hash())
+	z.stale = true
+	t.records[r.VM] = r
+}
+
+func (t *table) remove(r Record) {
+	z := t.zones[r.Zone]
+	if at, ok := slices.BinarySearch(z.all, r.VM); ok {
+		z.all = slices.Delete(z.all, at, at+1)
+	}
+	t.fold(z, r.hash())
+	z.stale = true
+	delete(t.records, r.VM)
+}
+
+// fold adds a hash to, or takes it from, the digests.
+func (t *table) fold(z *zoneTable, hash uint32) {
+	z.digest ^= hash
+	t.digest ^= hash
+}
+
+func (t *table) zone(name model.Zone) *zoneTable {
+	z, ok := t.zones[name]
+	if !ok {
+		z = &zoneTable{}
+		t.zones[name] = z
+		at, _ := slices.BinarySearch(t.names, name)
+		t.names = slices.Insert(t.names, at, name)
+	}
+	return z
+}
+
+// present returns the members of a zone that run, sorted.
+func (t *table) present(name model.Zone) []model.VMID { return t.fresh(name).present }
+
+// leader returns the lowest member of a zone that may lead it.
+func (t *table) leader(name model.Zone) model.VMID {
+	if eligible := t.fresh(name).eligible; len(eligible) > 0 {
+		return eligible[0]
+	}
+	return ""
+}
+
+func (t *table) fresh(name model.Zone) *zoneTable {
+	z, ok := t.zones[name]
+	if !ok {
+		return &zoneTable{}
+	}
+	if z.stale {
+		t.rebuild(z)
+	}
+	return z
+}
+
+func (t *table) rebuild(z *zoneTable) {
+	z.present, z.eligible, z.stale = nil, nil, false
+	for _, vm := range z.all {
+		state := t.records[vm].State
+		if state.present() {
+			z.present = append(z.present, vm)
+		}
+		if state == StateAlive || state == StateSuspect {
+			z.eligible = append(z.eligible, vm)
+		}
+	}
+	if len(z.eligible) == 0 {
+		z.eligible = z.present
+	}
+}
+
+// ringNeighbours returns up to width items on each side of self in a sorted
+// ring, without self.
+func ringNeighbours[T ~string](ring []T, self T, width int) []T {
+	if len(ring)-1 <= 2*width {
+		return without(ring, self)
+	}
+	at, ok := slices.BinarySearch(ring, self)
+	if !ok {
+		return nil
+	}
+	var found []T
+	for d := 1; d <= width; d++ {
+		found = append(found, ring[(at+d)%len(ring)], ring[(at-d+len(ring))%len(ring)])
+	}
+	return found
+}
+
+// ringFingers returns the items at distances 1, 2, 4 and so on after self, so
+// that a flood along them reaches a ring of n in log2(n) steps.
+func ringFingers[T ~string](ring []T, self T) []T {
+	at, ok := slices.BinarySearch(ring, self)
+	if !ok {
+		return nil
+	}
+	var found []T
+	for d := 1; d < len(ring); d *= 2 {
+		found = append(found, ring[(at+d)%len(ring)])
+	}
+	return found
+}
+
+// treeChildren returns the children of self in the binary tree over a sorted
+// ring whose root is root. Every item but the root has exactly one parent.
+func treeChildren[T ~string](ring []T, root, self T) []T {
+	rootAt, rootKnown := slices.BinarySearch(ring, root)
+	selfAt, selfKnown := slices.BinarySearch(ring, self)
+	if !rootKnown || !selfKnown {
+		return nil
+	}
+	position := (selfAt - rootAt + len(ring)) % len(ring)
+	var found []T
+	for child := 2*position + 1; child <= 2*position+2 && child < len(ring); child++ {
+		found = append(found, ring[(rootAt+child)%len(ring)])
+	}
+	return found
+}
+
+func without[T comparable](items []T, unwanted T) []T {
+	var kept []T
+	for _, item := range items {
+		if item != unwanted {
+			kept = append(kept, item)
+		}
+	}
+	return kept
+}
