Tell loads apart by availability zone

Cause: an entry VM may own servers in zones other than its own after a loss, so a load without its zone would be counted at the wrong place. Change: loads carry the zone of their servers through reports and summaries. Before and after: one sum per service before, one per service and zone after. Conclusion: the router sees each place's own slots.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,6 +6,7 @@
 	crand "crypto/rand"
 	"encoding/binary"
 	"math/rand"
+	randv2 "math/rand/v2"
 	"net"
 	"strconv"
 	"time"
@@ -123,8 +124,8 @@
 
 func (b *assembly) assemble() error {
 	steps := []func() error{
-		b.identity, b.core, b.links, b.membership, b.configuration, b.platform,
-		b.quota, b.owners, b.controlState, b.dataPath, b.http,
+		b.identity, b.core, b.listener, b.links, b.membership, b.configuration, b.platform,
+		b.quota, b.owners, b.controlState, b.dataPath, b.routes,
 	}
 	for _, step := range steps {
 		if err := step(); err != nil {
@@ -192,13 +193,12 @@
 		seeds = append(seeds, membership.Seed{VM: s.VM, Address: s.Address})
 	}
 	b.members = membership.NewService(membership.ServiceOptions{
-		Self: membership.Member{
+		Self: membership.Self{
 			VM:          vm.Name,
 			Zone:        vm.Zone,
 			Region:      vm.Region,
 			Address:     vm.Advertise,
 			Incarnation: b.incarnation,
-			State:       membership.StateAlive,
 		},
 		Seeds:   seeds,
 		Store:   b.deps.Store,
@@ -247,7 +247,7 @@
 		Store:  b.deps.Store,
 		Links:  b.mesh,
 		Timing: b.deps.Quota,
-		Rand:   b.newRand(),
+		Rand:   randv2.New(randv2.NewPCG(b.rand.Uint64(), b.rand.Uint64())),
 		Logger: b.deps.Logger.WithPrefix("quota"),
 		Scope:  b.metrics.Scope,
 	})
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -36,22 +36,13 @@
 	bound   net.Listener
 }
 
-func (b *assembly) http() error {
-	mux := goahttp.NewMuxer()
-	mountCaller(mux, b.daemon.entry)
-	root := http.NewServeMux()
-	root.Handle("/", mux)
-	root.HandleFunc(entry.RequestPath, b.daemon.entry.ServeRequest)
-	root.HandleFunc(entry.RelayPath, b.daemon.entry.ServeRelay)
-	root.HandleFunc(backend.HealthPath, b.daemon.entry.ServeHealth)
-	root.HandleFunc(backend.AttemptsPath, b.daemon.entry.ServeAttempt)
-	root.Handle(peer.Path, b.mesh)
-	root.Handle(MetricsPath, b.metrics)
+// listener registers the HTTP server first, so that it starts before the
+// services that talk to peers and stops after them.
+func (b *assembly) listener() error {
 	b.daemon.server = &httpServer{
 		address: b.settings.VM.Listen,
 		logger:  b.deps.Logger.WithPrefix("http"),
 		server: &http.Server{
-			Handler:           root,
 			MaxHeaderBytes:    b.settings.Limits.MaxHeaderBytes,
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       idleTimeout,
@@ -61,6 +52,22 @@
 	return b.add(NameHTTP, b.daemon.server)
 }
 
+// routes gives the HTTP server its handlers.
+func (b *assembly) routes() error {
+	mux := goahttp.NewMuxer()
+	mountCaller(mux, b.daemon.entry)
+	root := http.NewServeMux()
+	root.Handle("/", mux)
+	root.HandleFunc(entry.RequestPath, b.daemon.entry.ServeRequest)
+	root.HandleFunc(entry.RelayPath, b.daemon.entry.ServeRelay)
+	root.HandleFunc(backend.HealthPath, b.daemon.entry.ServeHealth)
+	root.HandleFunc(backend.AttemptsPath, b.daemon.entry.ServeAttempt)
+	root.Handle(peer.Path, b.mesh)
+	root.Handle(MetricsPath, b.metrics)
+	b.daemon.server.server.Handler = root
+	return nil
+}
+
 func mountCaller(mux goahttp.Muxer, s *entry.Server) {
 	endpoints := callersvc.NewEndpoints(s.CallerAPI())
 	server := callerhttp.New(endpoints, mux, goahttp.RequestDecoder, goahttp.ResponseEncoder, nil, nil)
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -101,9 +101,11 @@
 type LoadSum struct {
 	_       struct{} `cbor:",toarray"`
 	Service model.ServiceName
-	Slots   int
-	Busy    int
-	Queued  int
+	// Zone is where the servers are.
+	Zone   model.Zone
+	Slots  int
+	Busy   int
+	Queued int
 }
 
 // MemberLoad is the load of one member of a small zone.
@@ -124,7 +126,7 @@
 func toSums(load []ServiceLoad) []LoadSum {
 	var sums []LoadSum
 	for _, l := range load {
-		sums = append(sums, LoadSum{Service: l.Service, Slots: l.Slots, Busy: l.Busy, Queued: l.Queued})
+		sums = append(sums, LoadSum{Service: l.Service, Zone: l.Zone, Slots: l.Slots, Busy: l.Busy, Queued: l.Queued})
 	}
 	return sums
 }
@@ -132,7 +134,7 @@
 func fromSums(sums []LoadSum) []ServiceLoad {
 	var load []ServiceLoad
 	for _, s := range sums {
-		load = append(load, ServiceLoad{Service: s.Service, Slots: s.Slots, Busy: s.Busy, Queued: s.Queued})
+		load = append(load, ServiceLoad{Service: s.Service, Zone: s.Zone, Slots: s.Slots, Busy: s.Busy, Queued: s.Queued})
 	}
 	return load
 }
--- a/internal/membership/summary.go
+++ b/internal/membership/summary.go
@@ -1,6 +1,8 @@
 package membership
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -45,18 +47,15 @@
 func (l *localState) update(revision model.Revision, load []ServiceLoad) {
 	l.revision = max(l.revision, revision)
 	l.load = toSums(load)
-	slices.SortFunc(l.load, compareService)
+	slices.SortFunc(l.load, compareLoad)
 }
 
-func compareService(a, b LoadSum) int {
-	switch {
-	case a.Service < b.Service:
-		return -1
-	case a.Service > b.Service:
-		return 1
-	default:
-		return 0
+// compareLoad orders loads by service and then by zone.
+func compareLoad(a, b LoadSum) int {
+	if c := cmp.Compare(a.Service, b.Service); c != 0 {
+		return c
 	}
+	return cmp.Compare(a.Zone, b.Zone)
 }
 
 // takeReport keeps what a member of the zone reported.
@@ -138,13 +137,11 @@
 		Unreachable: sortedKeys(n.zones.unreachable),
 	}
 	s.Revision, s.Exceptions = n.zoneRevisions(members, old)
-	sums := map[model.ServiceName]LoadSum{}
+	sums := map[servicePlace]LoadSum{}
 	for _, vm := range members {
 		addLoad(sums, n.local.reports[vm].Load)
 	}
-	for _, service := range sortedKeys(sums) {
-		s.Load = append(s.Load, sums[service])
-	}
+	s.Load = slices.SortedFunc(maps.Values(sums), compareLoad)
 	if len(members) > 1 && len(members) <= smallZone {
 		for _, vm := range members {
 			s.Members = append(s.Members, MemberLoad{VM: vm, Load: n.local.reports[vm].Load})
@@ -153,14 +150,21 @@
 	return s
 }
 
-func addLoad(sums map[model.ServiceName]LoadSum, load []LoadSum) {
+// servicePlace is a service in one availability zone.
+type servicePlace struct {
+	service model.ServiceName
+	zone    model.Zone
+}
+
+func addLoad(sums map[servicePlace]LoadSum, load []LoadSum) {
 	for _, l := range load {
-		sum := sums[l.Service]
-		sum.Service = l.Service
+		key := servicePlace{service: l.Service, zone: l.Zone}
+		sum := sums[key]
+		sum.Service, sum.Zone = l.Service, l.Zone
 		sum.Slots += l.Slots
 		sum.Busy += l.Busy
 		sum.Queued += l.Queued
-		sums[l.Service] = sum
+		sums[key] = sum
 	}
 }
 
@@ -225,7 +229,7 @@
 		return true
 	}
 	for i := range a {
-		if a[i].Service != b[i].Service || a[i].Slots != b[i].Slots {
+		if compareLoad(a[i], b[i]) != 0 || a[i].Slots != b[i].Slots {
 			return true
 		}
 		if differs(a[i].Busy, b[i].Busy, a[i].Slots) || differs(a[i].Queued, b[i].Queued, a[i].Slots) {
