--- /dev/null
+++ b/internal/demo/fleet.go
@@ -0,0 +1,283 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"fuchsiaspar/internal/backend/standin"
+	"fuchsiaspar/internal/config"
+	"fuchsiaspar/internal/daemon"
+	"fuchsiaspar/internal/model"
+	"fuchsiaspar/internal/platform"
+	platformstandin "fuchsiaspar/internal/platform/standin"
+	"fuchsiaspar/internal/quota"
+	"fuchsiaspar/internal/settings"
+
+	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
+)
+
+const (
+	// entryPort is the port of every entry VM; their IP numbers differ.
+	entryPort = 7400
+	// listLag is how far the platform's VM list lags.
+	listLag = 500 * time.Millisecond
+	// ticketValidity is how long a ticket may be used in the demo.
+	ticketValidity = 4 * time.Second
+	// startTimeout bounds the start of the whole fleet.
+	startTimeout = 10 * time.Second
+	// coldFactor and coldWork describe a server that was just started.
+	coldFactor = 2
+	coldWork   = 10
+)
+
+// demoQuota shortens the changeover of caps to the demo's time scale.
+var demoQuota = quota.Timing{GrantTTL: 500 * time.Millisecond, Spread: time.Second}
+
+// fleet is a whole deployment in one process: the platform's stand-in, backend
+// servers and entry VMs on sockets of the loopback range.
+type fleet struct {
+	deployment Deployment
+	net        *network
+	store      *platformstandin.Store
+	logger     *log.Logger
+
+	mu      sync.Mutex
+	entries map[model.VMID]*entryVM
+	order   []model.VMID
+	servers []*backendServer
+}
+
+// entryVM is one entry VM slot with the process that runs there now.
+type entryVM struct {
+	slot    config.Slot
+	region  model.Region
+	host    string
+	daemon  *daemon.Daemon
+	running bool
+}
+
+// backendServer is one backend server.
+type backendServer struct {
+	id      model.ServerID
+	service Service
+	zone    model.Zone
+	server  *standin.Server
+	dead    bool
+}
+
+// address is where the slot's process listens.
+func (e *entryVM) address() string { return net.JoinHostPort(e.host, strconv.Itoa(entryPort)) }
+
+// hostOf returns the IP number of the n-th host of a kind.
+func hostOf(kind, n int) string { return fmt.Sprintf("127.%d.%d.%d", kind, n/200, n%200+1) }
+
+// Kinds of hosts in the loopback range.
+const (
+	hostEntry  = 10
+	hostServer = 20
+)
+
+func newFleet(d Deployment, logger *log.Logger) *fleet {
+	regions := make(map[model.Zone]model.Region)
+	for _, z := range d.zones() {
+		regions[z.Name] = z.Region
+	}
+	return &fleet{
+		deployment: d,
+		net:        newNetwork(d.Delays, regions),
+		store:      platformstandin.New(platformstandin.Options{ListLag: listLag}),
+		logger:     logger,
+		entries:    make(map[model.VMID]*entryVM),
+	}
+}
+
+// start starts servers and entry VMs and puts the first configuration in
+// force.
+func (f *fleet) start(ctx context.Context) error {
+	if err := f.startServers(); err != nil {
+		return err
+	}
+	for i, slot := range f.deployment.slots() {
+		e := &entryVM{slot: slot, region: f.net.regions[slot.Zone], host: hostOf(hostEntry, i)}
+		f.net.place(e.host, slot.Zone)
+		f.entries[slot.VM] = e
+		f.order = append(f.order, slot.VM)
+		f.store.SetVM(platform.VM{ID: string(slot.VM), Role: platform.RoleEntry, Zone: slot.Zone, Address: e.address(), State: platform.VMLive})
+	}
+	for _, vm := range f.order {
+		if err := f.startEntry(ctx, f.entries[vm]); err != nil {
+			return err
+		}
+	}
+	return f.configure(ctx)
+}
+
+func (f *fleet) startServers() error {
+	zones := f.deployment.zones()
+	n := 0
+	for _, service := range f.deployment.Services {
+		for i := range service.Servers {
+			zone := zones[i%len(zones)].Name
+			s, err := f.startServer(service, zone, i, hostOf(hostServer, n))
+			if err != nil {
+				return errors.Wrap(err, "start backend server")
+			}
+			f.servers = append(f.servers, s)
+			n++
+		}
+	}
+	return nil
+}
+
+func (f *fleet) startServer(service Service, zone model.Zone, i int, host string) (*backendServer, error) {
+	id := model.ServerID(fmt.Sprintf("%s-%02d", service.Name, i))
+	server, err := standin.Start(standin.Options{
+		ID:          id,
+		Address:     net.JoinHostPort(host, "0"),
+		Slots:       slotsPerServer,
+		MaxConns:    service.MaxConns,
+		ConnSetup:   connSetup,
+		ServiceTime: service.timeOf,
+		ColdFactor:  coldFactor,
+		ColdWork:    coldWork,
+		ReportLag:   time.Second,
+	})
+	if err != nil {
+		return nil, err
+	}
+	f.net.place(host, zone)
+	f.store.SetVM(platform.VM{
+		ID: string(id), Role: platform.RoleBackend, Zone: zone,
+		Address: server.Address(), Service: service.Name, State: platform.VMLive,
+	})
+	return &backendServer{id: id, service: service, zone: zone, server: server}, nil
+}
+
+// timeOf returns how long a server of the service works on a path.
+func (s Service) timeOf(path string) time.Duration {
+	for _, k := range s.Kinds {
+		if k.Path == path {
+			return k.Time
+		}
+	}
+	return 0
+}
+
+func (f *fleet) startEntry(ctx context.Context, e *entryVM) error {
+	client := f.store.Client(string(e.slot.VM))
+	d, err := daemon.New(f.settings(e), daemon.Deps{
+		Store:  client,
+		VMs:    client,
+		Dial:   f.net.dialer(e.slot.Zone),
+		Logger: f.logger.With("vm", string(e.slot.VM)),
+		Quota:  demoQuota,
+	})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if err := d.Start(ctx); err != nil {
+		return errors.Wrapf(err, "start %s", e.slot.VM)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e.daemon, e.running = d, true
+	return nil
+}
+
+func (f *fleet) settings(e *entryVM) settings.Settings {
+	s := settings.Defaults()
+	s.VM = settings.VM{
+		Name:      e.slot.VM,
+		Zone:      e.slot.Zone,
+		Region:    e.region,
+		Listen:    e.address(),
+		Advertise: e.address(),
+	}
+	s.Limits.TicketValidity = model.Duration(ticketValidity)
+	s.Limits.SilenceAfter = model.Duration(silenceAfter)
+	for _, vm := range f.order {
+		if vm != e.slot.VM {
+			s.Seeds = append(s.Seeds, settings.Seed{VM: vm, Address: f.entries[vm].address()})
+		}
+	}
+	return s
+}
+
+// silenceAfter is how long a connection of the demo may make no progress.
+const silenceAfter = 300 * time.Millisecond
+
+// live returns the running entry VMs in order.
+func (f *fleet) live() []*entryVM {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var live []*entryVM
+	for _, vm := range f.order {
+		if f.entries[vm].running {
+			live = append(live, f.entries[vm])
+		}
+	}
+	return live
+}
+
+// take marks the slot's process as gone and returns it, or nil.
+func (f *fleet) take(vm model.VMID) *daemon.Daemon {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e, ok := f.entries[vm]
+	if !ok || !e.running {
+		return nil
+	}
+	e.running = false
+	return e.daemon
+}
+
+// kill ends an entry VM as a crash would.
+func (f *fleet) kill(vm model.VMID) {
+	if d := f.take(vm); d != nil {
+		d.Kill()
+	}
+}
+
+// stop ends an entry VM as planned.
+func (f *fleet) stop(ctx context.Context, vm model.VMID) error {
+	if d := f.take(vm); d != nil {
+		return d.Stop(ctx)
+	}
+	return nil
+}
+
+// killServer ends a backend server as a crash would.
+func (f *fleet) killServer(s *backendServer) {
+	f.mu.Lock()
+	dead := s.dead
+	s.dead = true
+	f.mu.Unlock()
+	if !dead {
+		s.server.Kill()
+	}
+}
+
+// close ends everything that still runs.
+func (f *fleet) close() {
+	var ending sync.WaitGroup
+	for _, e := range f.live() {
+		ending.Go(func() { f.kill(e.slot.VM) })
+	}
+	ending.Wait()
+	for _, s := range f.servers {
+		f.killServer(s)
+	}
+}
+
+// capacity is the rate that a service's servers answer a kind of requests at,
+// in requests a second.
+func (s Service) capacity(k Kind) float64 {
+	return float64(s.Servers*slotsPerServer) / k.Time.Seconds()
+}
--- a/internal/demo/tally.go
+++ b/internal/demo/tally.go
@@ -25,7 +25,10 @@
 	outcome  model.Outcome
 	reason   model.Reason
 	// whole is set for an answer whose content was proved complete.
-	whole   bool
+	whole bool
+	// crossed is set for an answer that was not the whole answer to this
+	// request although it looked complete.
+	crossed bool
 	latency time.Duration
 	// late is set when the answer came after the deadline.
 	late bool
