--- a/internal/quota/agent.go
+++ b/internal/quota/agent.go
@@ -54,15 +54,15 @@
 	// recheck wakes the run goroutine to read the lease's record.
 	recheck chan struct{}
 
-	mu       sync.Mutex
-	lender   *Lender
-	holder   record
-	rank     time.Duration
-	asking   bool
+	mu     sync.Mutex
+	lender *Lender
+	holder record
+	rank   time.Duration
+	asking bool
 	// unanswered counts the requests in a row that no lender served.
 	unanswered int
-	askedAt  time.Time
-	wantedAt time.Time
+	askedAt    time.Time
+	wantedAt   time.Time
 }
 
 func newAgent(s *Service, region model.Region) *agent {
