Agree on configuration across the entry VMs

Cause: a change must be in force everywhere within seconds or be refused, and must never revert. Change: typed changes with rebase and exact conflicts, content-addressed objects under one head, proposals acknowledged zone by zone, commit by compare-and-swap with lost answers resolved by reading, adoption of higher revisions from the store or peers, and freshness that decides whether a VM is confirmed.

--- /dev/null
+++ b/internal/config/collect.go
@@ -0,0 +1,204 @@
+package config
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"fuchsiaspar/internal/model"
+	"fuchsiaspar/internal/platform"
+
+	"github.com/pkg/errors"
+)
+
+// Timings and bounds of the collector of unused objects.
+const (
+	// collectEvery is the mean time between two runs.
+	collectEvery = 10 * time.Minute
+	// collectGrace is the time between finding an object unused and deleting
+	// it. It exceeds proposalLife, so that an attempt that wrote the object
+	// again before it was found has been committed or given up by then.
+	collectGrace = time.Minute
+	// collectBatch bounds the revisions forgotten in one run.
+	collectBatch = 32
+)
+
+// collectLoop deletes revisions that are no longer kept, with their objects,
+// while this entry VM is the one that collects. Two collectors at once do no
+// harm.
+func (s *Service) collectLoop(ctx context.Context) {
+	for s.jitter.pause(ctx, collectEvery) {
+		if !s.collects() {
+			continue
+		}
+		if err := s.collect(ctx); err != nil {
+			s.log.Warn("unused configuration not collected", "err", err)
+		}
+	}
+}
+
+// collects reports whether this entry VM is the one that collects: the watcher
+// of the first member's zone.
+func (s *Service) collects() bool {
+	view := s.view()
+	if view == nil {
+		return false
+	}
+	for _, m := range view.Members {
+		if watcher, ok := watcherOf(view, m.Zone); ok {
+			return watcher == s.self
+		}
+	}
+	return false
+}
+
+// collect forgets the oldest revisions that are over the count kept.
+func (s *Service) collect(ctx context.Context) error {
+	newest := s.installed().revision()
+	if newest <= keptRevisions {
+		return nil
+	}
+	limit := newest - keptRevisions
+	expired, err := s.expiredHeads(ctx, limit)
+	if err != nil || len(expired) == 0 {
+		return err
+	}
+	versions, err := s.objectVersions(ctx, expired)
+	if err != nil {
+		return err
+	}
+	if !s.jitter.pause(ctx, 2*collectGrace) {
+		return ctx.Err()
+	}
+	used, err := s.usedHashes(ctx, limit)
+	if err != nil {
+		return err
+	}
+	return s.deleteUnused(ctx, expired, versions, used)
+}
+
+// expiredHeads returns the oldest stored heads up to the revision limit,
+// oldest first. Heads are deleted from the oldest on, so that those stored are
+// consecutive.
+func (s *Service) expiredHeads(ctx context.Context, limit model.Revision) ([]*Head, error) {
+	var heads []*Head
+	for r := limit; r > 0; r-- {
+		head, err := s.repo.readHistory(ctx, r)
+		if errors.Is(err, ErrNoRevision) {
+			break
+		}
+		if err != nil {
+			return nil, err
+		}
+		heads = append(heads, head)
+	}
+	slices.Reverse(heads)
+	return heads[:min(len(heads), collectBatch)], nil
+}
+
+// objectVersions reads the store's versions of the heads' objects.
+func (s *Service) objectVersions(ctx context.Context, heads []*Head) (map[Hash]uint64, error) {
+	versions := make(map[Hash]uint64)
+	for _, head := range heads {
+		for _, entry := range head.Manifest {
+			if _, known := versions[entry.Hash]; known {
+				continue
+			}
+			version, err := s.repo.objectVersion(ctx, entry.Hash)
+			if err != nil {
+				return nil, err
+			}
+			versions[entry.Hash] = version
+		}
+	}
+	return versions, nil
+}
+
+// usedHashes returns the objects of every revision after limit, the newest
+// included.
+func (s *Service) usedHashes(ctx context.Context, limit model.Revision) (map[Hash]bool, error) {
+	head, err := s.repo.readHead(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if head.Head == nil {
+		return nil, ErrStoreBehind
+	}
+	used := make(map[Hash]bool)
+	mark(used, head.Head)
+	for r := limit + 1; r < head.Revision; r++ {
+		kept, err := s.repo.readHistory(ctx, r)
+		if err != nil {
+			return nil, err
+		}
+		mark(used, kept)
+	}
+	return used, nil
+}
+
+func mark(used map[Hash]bool, head *Head) {
+	for _, entry := range head.Manifest {
+		used[entry.Hash] = true
+	}
+}
+
+// deleteUnused deletes the objects that are not used, unless they were written
+// again, and then the heads.
+func (s *Service) deleteUnused(ctx context.Context, heads []*Head, versions map[Hash]uint64, used map[Hash]bool) error {
+	for hash, version := range versions {
+		if used[hash] || version == 0 {
+			continue
+		}
+		if err := s.repo.remove(ctx, objectKey(hash), version); err != nil {
+			return err
+		}
+	}
+	for _, head := range heads {
+		if err := s.repo.removeHistory(ctx, head.Revision); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// objectVersion returns the store's version of an object, zero when absent.
+func (r *repository) objectVersion(ctx context.Context, hash Hash) (uint64, error) {
+	var version uint64
+	err := r.repeat(ctx, func(ctx context.Context) error {
+		entry, err := r.store.Get(ctx, objectKey(hash))
+		version = entry.Version
+		return err
+	})
+	if errors.Is(err, platform.ErrNotFound) {
+		return 0, nil
+	}
+	return version, err
+}
+
+// remove deletes a key unless it was written since version.
+func (r *repository) remove(ctx context.Context, key string, version uint64) error {
+	return r.repeat(ctx, func(ctx context.Context) error {
+		err := r.store.Delete(ctx, key, version)
+		if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrNotFound) {
+			return nil
+		}
+		return err
+	})
+}
+
+func (r *repository) removeHistory(ctx context.Context, revision model.Revision) error {
+	key := historyKey(revision)
+	var version uint64
+	err := r.repeat(ctx, func(ctx context.Context) error {
+		entry, err := r.store.Get(ctx, key)
+		version = entry.Version
+		return err
+	})
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	return r.remove(ctx, key, version)
+}
--- /dev/null
+++ b/internal/config/diff.go
@@ -0,0 +1,203 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+)
+
+// DifferenceKind says how a value differs.
+type DifferenceKind string
+
+// The kinds of differences.
+const (
+	Added   DifferenceKind = "added"
+	Removed DifferenceKind = "removed"
+	Changed DifferenceKind = "changed"
+)
+
+// Difference is one value that differs between two documents.
+type Difference struct {
+	Path string         `json:"path"`
+	Kind DifferenceKind `json:"kind"`
+	Old  string         `json:"old,omitempty"`
+	New  string         `json:"new,omitempty"`
+}
+
+// String returns the difference on one line.
+func (d Difference) String() string {
+	switch d.Kind {
+	case Added:
+		return fmt.Sprintf("+ %s = %s", d.Path, d.New)
+	case Removed:
+		return fmt.Sprintf("- %s = %s", d.Path, d.Old)
+	default:
+		return fmt.Sprintf("~ %s: %s -> %s", d.Path, d.Old, d.New)
+	}
+}
+
+// Diff returns what differs between two documents other than the revision, in
+// the order of paths.
+func Diff(old, next *Document) []Difference {
+	d := new(differ)
+	d.compare("lookup", tree(old.Lookup), tree(next.Lookup))
+	d.compare("zones", tree(old.Zones), tree(next.Zones))
+	d.compare("slots", tree(old.Slots), tree(next.Slots))
+	d.compare("links", tree(old.Links), tree(next.Links))
+	items(d, "templates", old.Templates, next.Templates, templateName)
+	items(d, "accounts", old.Accounts, next.Accounts, accountID)
+	items(d, "drains", old.Drains, next.Drains, drainID)
+	slices.SortStableFunc(d.found, func(a, b Difference) int { return strings.Compare(a.Path, b.Path) })
+	return d.found
+}
+
+type differ struct {
+	found []Difference
+}
+
+// items compares two lists item by item and descends only into items that
+// differ, so that a large document costs little.
+func items[T any, K ~string](d *differ, section string, old, next []T, name func(*T) K) {
+	before := make(map[K]*T, len(old))
+	for i := range old {
+		before[name(&old[i])] = &old[i]
+	}
+	for i := range next {
+		key := name(&next[i])
+		path := fmt.Sprintf("%s[%s]", section, key)
+		was, known := before[key]
+		delete(before, key)
+		if !known {
+			d.compare(path, nil, tree(next[i]))
+			continue
+		}
+		if !reflect.DeepEqual(*was, next[i]) {
+			d.compare(path, tree(*was), tree(next[i]))
+		}
+	}
+	for key, was := range before {
+		d.compare(fmt.Sprintf("%s[%s]", section, key), tree(*was), nil)
+	}
+}
+
+// tree returns value as JSON's generic types, in which lists of objects become
+// objects keyed by what identifies each.
+func tree(value any) any {
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		return err.Error()
+	}
+	decoder := json.NewDecoder(bytes.NewReader(encoded))
+	decoder.UseNumber()
+	var generic any
+	if err := decoder.Decode(&generic); err != nil {
+		return err.Error()
+	}
+	return keyed(generic)
+}
+
+// list is a list of objects by what identifies each.
+type list map[string]any
+
+func keyed(value any) any {
+	switch v := value.(type) {
+	case map[string]any:
+		for k, field := range v {
+			v[k] = keyed(field)
+		}
+		return v
+	case []any:
+		return keyedList(v)
+	default:
+		return v
+	}
+}
+
+func keyedList(values []any) any {
+	byKey := make(list, len(values))
+	for _, v := range values {
+		object, ok := v.(map[string]any)
+		if !ok {
+			return fmt.Sprint(values...)
+		}
+		byKey[identity(object)] = keyed(object)
+	}
+	return byKey
+}
+
+// identity returns what identifies an object in a list of the document.
+func identity(object map[string]any) string {
+	if from, ok := object["from"]; ok {
+		return fmt.Sprintf("%v>%v", from, object["to"])
+	}
+	for _, field := range []string{"vm", "prefix", "template", "class", "name", "id", "zone"} {
+		if v, ok := object[field]; ok {
+			return fmt.Sprint(v)
+		}
+	}
+	return fmt.Sprint(object)
+}
+
+// compare records what differs between two trees. A nil tree is absent.
+func (d *differ) compare(path string, old, next any) {
+	if reflect.DeepEqual(old, next) {
+		return
+	}
+	oldFields, oldPath, oldOK := children(old)
+	nextFields, nextPath, nextOK := children(next)
+	if (old != nil && !oldOK) || (next != nil && !nextOK) {
+		d.leaf(path, old, next)
+		return
+	}
+	childPath := oldPath
+	if childPath == nil {
+		childPath = nextPath
+	}
+	for _, name := range union(oldFields, nextFields) {
+		d.compare(childPath(path, name), oldFields[name], nextFields[name])
+	}
+}
+
+func (d *differ) leaf(path string, old, next any) {
+	switch {
+	case old == nil:
+		d.found = append(d.found, Difference{Path: path, Kind: Added, New: fmt.Sprint(next)})
+	case next == nil:
+		d.found = append(d.found, Difference{Path: path, Kind: Removed, Old: fmt.Sprint(old)})
+	default:
+		d.found = append(d.found, Difference{Path: path, Kind: Changed, Old: fmt.Sprint(old), New: fmt.Sprint(next)})
+	}
+}
+
+// children returns the fields of an object or list, and how a child's path is
+// built. It returns false for a plain value.
+func children(value any) (map[string]any, func(path, name string) string, bool) {
+	switch v := value.(type) {
+	case map[string]any:
+		return v, fieldPath, true
+	case list:
+		return v, elementPath, true
+	default:
+		return nil, nil, false
+	}
+}
+
+func fieldPath(path, name string) string   { return path + "." + name }
+func elementPath(path, name string) string { return path + "[" + name + "]" }
+
+func union(a, b map[string]any) []string {
+	names := make([]string, 0, len(a)+len(b))
+	for name := range a {
+		names = append(names, name)
+	}
+	for name := range b {
+		if _, both := a[name]; !both {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/internal/config/freshness.go
@@ -0,0 +1,84 @@
+package config
+
+import (
+	"slices"
+	"time"
+
+	"fuchsiaspar/internal/model"
+)
+
+// confirmFor is how long after an instant at which its revision was known to
+// be the newest an entry VM counts as confirmed.
+const confirmFor = 6 * time.Second
+
+// freshness tracks until when this entry VM's revision is confirmed. All
+// instants are of this process's own clock.
+type freshness struct {
+	inForce model.Revision
+	// currentAt is the latest instant before which no revision above inForce
+	// was committed, as far as this entry VM knows.
+	currentAt time.Time
+}
+
+// adopt moves to a higher revision. What was known of the lower one holds for
+// the higher one too. It returns false for a revision that is not higher.
+func (f *freshness) adopt(r model.Revision) bool {
+	if r <= f.inForce {
+		return false
+	}
+	f.inForce = r
+	return true
+}
+
+// observe notes that no revision above r was committed before the instant at.
+// It tells nothing of the revision in force when that is below r.
+func (f *freshness) observe(r model.Revision, at time.Time) {
+	if r <= f.inForce && at.After(f.currentAt) {
+		f.currentAt = at
+	}
+}
+
+// age returns how long ago the revision in force was known to be the newest,
+// and false when it never was.
+func (f *freshness) age(now time.Time) (time.Duration, bool) {
+	if f.inForce == 0 || f.currentAt.IsZero() {
+		return 0, false
+	}
+	return max(now.Sub(f.currentAt), 0), true
+}
+
+// confirmed reports whether the revision in force counts as the newest at now.
+func (f *freshness) confirmed(now time.Time) bool {
+	age, known := f.age(now)
+	return known && age <= confirmFor
+}
+
+// evidence is what is known of another entry VM: at the instant at it had
+// revision in force and no open acknowledgement of a later one.
+type evidence struct {
+	revision model.Revision
+	at       time.Time
+}
+
+// majorityInstant returns the latest instant at which more than half of the
+// slots had nothing newer than r in force or acknowledged. Since a commit
+// needs the acknowledgement of more than half of the slots, none that follows
+// r was made before that instant.
+func majorityInstant(slots []Slot, known map[model.VMID]evidence, r model.Revision) (time.Time, bool) {
+	var instants []time.Time
+	for _, s := range slots {
+		e, ok := known[s.VM]
+		if ok && e.revision <= r {
+			instants = append(instants, e.at)
+		}
+	}
+	needed := majority(len(slots))
+	if len(slots) == 0 || len(instants) < needed {
+		return time.Time{}, false
+	}
+	slices.SortFunc(instants, func(a, b time.Time) int { return b.Compare(a) })
+	return instants[needed-1], true
+}
+
+// majority returns the least count that is more than half of n.
+func majority(n int) int { return n/2 + 1 }
--- /dev/null
+++ b/internal/config/head.go
@@ -0,0 +1,145 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"fuchsiaspar/internal/model"
+
+	"github.com/pkg/errors"
+)
+
+// Keys of the store.
+const (
+	headKey       = "config/head"
+	objectPrefix  = "config/obj/"
+	historyPrefix = "config/rev/"
+)
+
+const (
+	// recentCommits is the count of commits listed in the head, among which
+	// conflicts and lost answers are resolved.
+	recentCommits = 64
+	// keptRevisions is the count of revisions whose heads the store keeps.
+	keptRevisions = 256
+	// maxCommitKeys bounds the keys listed for one commit. A commit with more
+	// is listed with allKeys.
+	maxCommitKeys = 64
+)
+
+// allKeys stands for every key in a commit's list.
+const allKeys Key = "*"
+
+// Commit describes one committed change.
+type Commit struct {
+	Revision model.Revision `json:"revision"`
+	ChangeID ChangeID       `json:"change_id"`
+	Operator string         `json:"operator"`
+	// Time is the committer's wall clock, for people to read.
+	Time time.Time `json:"time"`
+	Keys []Key     `json:"keys"`
+	// Excluded lists the entry VMs that did not acknowledge the change, since
+	// its operator excluded them or they were dead.
+	Excluded []model.VMID `json:"excluded,omitempty"`
+}
+
+// edits reports whether the commit edited key.
+func (c Commit) edits(key Key) bool {
+	return slices.Contains(c.Keys, key) || slices.Contains(c.Keys, allKeys)
+}
+
+// Head is the store's record of the newest revision.
+type Head struct {
+	Commit
+	Manifest []ManifestEntry `json:"manifest"`
+	// Recent lists the newest commits, newest first, this one included.
+	Recent []Commit `json:"recent"`
+}
+
+// find returns the commit of a change, if it is among the recent ones.
+func (h *Head) find(id ChangeID) (Commit, bool) {
+	for _, c := range h.Recent {
+		if c.ChangeID == id {
+			return c, true
+		}
+	}
+	return Commit{}, false
+}
+
+// next returns the head that follows h when commit is made. A nil h is the
+// head of an empty store.
+func (h *Head) next(commit Commit, manifest []ManifestEntry) *Head {
+	if len(commit.Keys) > maxCommitKeys {
+		commit.Keys = []Key{allKeys}
+	}
+	recent := []Commit{commit}
+	if h != nil {
+		recent = append(recent, h.Recent...)
+	}
+	recent = recent[:min(len(recent), recentCommits)]
+	return &Head{Commit: commit, Manifest: manifest, Recent: recent}
+}
+
+// conflict returns the newest commit after base that edits one of keys.
+func (h *Head) conflict(base model.Revision, keys []Key) *ConflictError {
+	if h == nil || base == 0 || base >= h.Revision {
+		return nil
+	}
+	for _, c := range h.Recent {
+		if c.Revision <= base {
+			return nil
+		}
+		for _, key := range keys {
+			if c.edits(key) {
+				return &ConflictError{Key: key, Base: base, Other: c}
+			}
+		}
+	}
+	oldest := h.Recent[len(h.Recent)-1]
+	if oldest.Revision > base+1 {
+		return &ConflictError{Key: allKeys, Base: base, Other: oldest}
+	}
+	return nil
+}
+
+// ConflictError reports that another change edited the same part after the
+// revision that a change was based on.
+type ConflictError struct {
+	// Key is the part that both edited; "*" when the base is too old to tell.
+	Key   Key
+	Base  model.Revision
+	Other Commit
+}
+
+// Error names the other change and what to do next.
+func (e *ConflictError) Error() string {
+	if e.Key == allKeys {
+		return fmt.Sprintf("base revision %d is too old to tell conflicts from: show the configuration in force, make the change again on it", e.Base)
+	}
+	return fmt.Sprintf("%s was edited after revision %d by change %s of %s in revision %d: show the configuration in force, make the change again on it",
+		e.Key, e.Base, e.Other.ChangeID, e.Other.Operator, e.Other.Revision)
+}
+
+func encodeHead(h *Head) ([]byte, error) {
+	data, err := json.Marshal(h)
+	return data, errors.Wrap(err, "encode head")
+}
+
+func decodeHead(data []byte) (*Head, error) {
+	h := new(Head)
+	if err := json.Unmarshal(data, h); err != nil {
+		return nil, errors.Wrap(ErrBadObject, err.Error())
+	}
+	if h.Revision == 0 {
+		return nil, errors.Wrap(ErrBadObject, "head without revision")
+	}
+	return h, nil
+}
+
+func historyKey(r model.Revision) string {
+	return fmt.Sprintf("%s%020d", historyPrefix, r)
+}
+
+func objectKey(h Hash) string { return objectPrefix + string(h) }
--- /dev/null
+++ b/internal/config/history.go
@@ -0,0 +1,101 @@
+package config
+
+import (
+	"context"
+
+	"fuchsiaspar/internal/model"
+
+	"github.com/pkg/errors"
+)
+
+// Report says what a change would do and who would have to acknowledge it.
+type Report struct {
+	// Base is the revision that the change would follow.
+	Base        model.Revision `json:"base"`
+	Differences []Difference   `json:"differences"`
+	Problems    Problems       `json:"problems,omitempty"`
+	Conflict    *ConflictError `json:"conflict,omitempty"`
+	Required    []model.VMID   `json:"required"`
+	Skipped     []model.VMID   `json:"skipped,omitempty"`
+	Refused     []Refusal      `json:"refused,omitempty"`
+}
+
+// OK reports whether the change could be proposed now.
+func (r Report) OK() bool {
+	return len(r.Problems) == 0 && r.Conflict == nil && len(r.Refused) == 0
+}
+
+// DryRun checks a change against the newest revision without proposing it.
+func (s *Service) DryRun(ctx context.Context, change Change) (Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, proposalLife)
+	defer cancel()
+	head, err := s.newest(ctx)
+	if err != nil {
+		return Report{}, err
+	}
+	base := s.installed()
+	p := s.plan(ctx, base, &change)
+	report := Report{
+		Base:     base.revision(),
+		Conflict: head.conflict(change.Base, change.Keys()),
+		Required: p.all(),
+		Skipped:  p.skipped,
+		Refused:  p.refusals,
+	}
+	next, err := Apply(base.document(), change)
+	if problems, invalid := AsProblems(err); invalid {
+		report.Problems = problems
+		return report, nil
+	}
+	if err != nil {
+		return Report{}, err
+	}
+	report.Differences = Diff(base.document(), next)
+	return report, nil
+}
+
+// History returns the newest n commits, newest first. Those in force here are
+// told without the store; older ones are read from it.
+func (s *Service) History(ctx context.Context, n int) ([]Commit, error) {
+	head := s.installed().headOrNil()
+	if head == nil {
+		return nil, nil
+	}
+	commits := append([]Commit(nil), head.Recent[:min(n, len(head.Recent))]...)
+	for len(commits) < n {
+		oldest := commits[len(commits)-1].Revision
+		if oldest <= 1 {
+			break
+		}
+		older, err := s.repo.readHistory(ctx, oldest-1)
+		if errors.Is(err, ErrNoRevision) {
+			break
+		}
+		if err != nil {
+			return commits, err
+		}
+		missing := min(n-len(commits), len(older.Recent))
+		commits = append(commits, older.Recent[:missing]...)
+	}
+	return commits, nil
+}
+
+// DocumentAt returns the document of a revision: the one in force, or an older
+// one that the store keeps.
+func (s *Service) DocumentAt(ctx context.Context, revision model.Revision) (*Document, error) {
+	v := s.installed()
+	if v != nil && v.revision() == revision {
+		return v.doc, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	head, err := s.repo.readHistory(ctx, revision)
+	if err != nil {
+		return nil, err
+	}
+	loaded, err := s.repo.load(ctx, head.Manifest, s.atHand())
+	if err != nil {
+		return nil, err
+	}
+	return decodeObjects(revision, loaded)
+}
--- /dev/null
+++ b/internal/config/objects.go
@@ -0,0 +1,225 @@
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"hash/fnv"
+	"slices"
+	"strings"
+
+	"fuchsiaspar/internal/model"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+// Sizes of stored objects.
+const (
+	// objectBytes is the size at which a section is continued in another
+	// object. It stays well below platform.MaxValueBytes.
+	objectBytes = 256 << 10
+	// blocksPerRun is the count of blocks kept in one record.
+	blocksPerRun = 256
+	// accountBuckets is the count of sections over which accounts are spread,
+	// so that a change rewrites few objects and the manifest stays small.
+	accountBuckets = 64
+)
+
+// Sections of a document. Accounts and their blocks are spread over buckets.
+const (
+	sectionDeployment = "deployment"
+	sectionTemplates  = "templates"
+	sectionDrains     = "drains"
+	sectionAccounts   = "accounts"
+	sectionBlocks     = "blocks"
+)
+
+// ErrBadObject reports objects that make no document.
+var ErrBadObject = errors.New("config: objects don't make a document")
+
+// Hash is the content hash of an object, in hexadecimal.
+type Hash string
+
+func hashOf(data []byte) Hash {
+	sum := sha256.Sum256(data)
+	return Hash(hex.EncodeToString(sum[:]))
+}
+
+// ManifestEntry names one object of a document.
+type ManifestEntry struct {
+	Name string `json:"name"`
+	Hash Hash   `json:"hash"`
+}
+
+// section returns the name of the section that the object belongs to.
+func (e ManifestEntry) section() string {
+	at := strings.LastIndexByte(e.Name, '/')
+	return e.Name[:max(at, 0)]
+}
+
+// objects is an encoded document: a manifest and the bytes by hash.
+type objects struct {
+	manifest []ManifestEntry
+	data     map[Hash][]byte
+}
+
+// deployment is the record of the parts that are edited whole.
+type deployment struct {
+	Lookup Lookup
+	Zones  []Zone
+	Slots  []Slot
+	Links  []Link
+}
+
+// blockRun is a record of consecutive blocks of one account.
+type blockRun struct {
+	Account model.AccountID
+	Blocks  []Block
+}
+
+// encodeObjects encodes doc. Sections that keys don't touch are taken from
+// prev, the encoding of the document before; without prev all are encoded.
+func encodeObjects(doc *Document, prev *objects, keys []Key) (*objects, error) {
+	e := &objectEncoder{out: &objects{data: make(map[Hash][]byte)}, prev: prev, dirty: dirtySections(keys)}
+	e.section(sectionDeployment, func() {
+		e.record(deployment{doc.Lookup, doc.Zones, doc.Slots, doc.Links})
+	})
+	e.section(sectionTemplates, func() {
+		for i := range doc.Templates {
+			e.record(&doc.Templates[i])
+		}
+	})
+	e.section(sectionDrains, func() {
+		for i := range doc.Drains {
+			e.record(&doc.Drains[i])
+		}
+	})
+	buckets := bucketsOf(doc.Accounts)
+	for b, accounts := range buckets {
+		e.section(bucketSection(sectionAccounts, b), func() { e.accounts(accounts) })
+		e.section(bucketSection(sectionBlocks, b), func() { e.blocks(accounts) })
+	}
+	slices.SortFunc(e.out.manifest, func(a, b ManifestEntry) int { return strings.Compare(a.Name, b.Name) })
+	return e.out, e.err
+}
+
+// objectEncoder gathers records into objects of bounded size.
+type objectEncoder struct {
+	out     *objects
+	prev    *objects
+	dirty   map[string]bool
+	name    string
+	parts   int
+	pending []cbor.RawMessage
+	size    int
+	err     error
+}
+
+// section encodes one section by fill, or takes it from prev when it is clean.
+func (e *objectEncoder) section(name string, fill func()) {
+	if e.prev != nil && !e.dirty[name] {
+		e.reuse(name)
+		return
+	}
+	e.name = name
+	e.parts = 0
+	fill()
+	e.flush()
+}
+
+func (e *objectEncoder) reuse(name string) {
+	for _, entry := range e.prev.manifest {
+		if entry.section() == name {
+			e.out.manifest = append(e.out.manifest, entry)
+			e.out.data[entry.Hash] = e.prev.data[entry.Hash]
+		}
+	}
+}
+
+func (e *objectEncoder) record(v any) {
+	data, err := encoding.Marshal(v)
+	if err != nil {
+		e.err = errors.Wrap(err, "encode record")
+		return
+	}
+	if e.size+len(data) > objectBytes {
+		e.flush()
+	}
+	e.pending = append(e.pending, data)
+	e.size += len(data)
+}
+
+// flush ends the current object.
+func (e *objectEncoder) flush() {
+	if len(e.pending) == 0 {
+		return
+	}
+	data, err := encoding.Marshal(e.pending)
+	if err != nil {
+		e.err = errors.Wrap(err, "encode object")
+		return
+	}
+	hash := hashOf(data)
+	e.out.manifest = append(e.out.manifest, ManifestEntry{Name: fmt.Sprintf("%s/%04d", e.name, e.parts), Hash: hash})
+	e.out.data[hash] = data
+	e.parts++
+	e.pending = nil
+	e.size = 0
+}
+
+func (e *objectEncoder) accounts(accounts []*Account) {
+	for _, a := range accounts {
+		bare := *a
+		bare.Blocks = nil
+		e.record(&bare)
+	}
+}
+
+func (e *objectEncoder) blocks(accounts []*Account) {
+	for _, a := range accounts {
+		for run := range slices.Chunk(a.Blocks, blocksPerRun) {
+			e.record(blockRun{Account: a.ID, Blocks: run})
+		}
+	}
+}
+
+func bucketOf(id model.AccountID) int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id))
+	return int(h.Sum32() % accountBuckets)
+}
+
+func bucketSection(section string, bucket int) string {
+	return fmt.Sprintf("%s/%02d", section, bucket)
+}
+
+func bucketsOf(accounts []Account) [accountBuckets][]*Account {
+	var buckets [accountBuckets][]*Account
+	for i := range accounts {
+		b := bucketOf(accounts[i].ID)
+		buckets[b] = append(buckets[b], &accounts[i])
+	}
+	return buckets
+}
+
+// dirtySections returns the sections that edits of keys may change.
+func dirtySections(keys []Key) map[string]bool {
+	dirty := make(map[string]bool)
+	for _, key := range keys {
+		id, isAccount := strings.CutPrefix(string(key), prefixAccount)
+		switch {
+		case isAccount:
+			b := bucketOf(model.AccountID(id))
+			dirty[bucketSection(sectionAccounts, b)] = true
+			dirty[bucketSection(sectionBlocks, b)] = true
+		case strings.HasPrefix(string(key), prefixTemplate):
+			dirty[sectionTemplates] = true
+		case strings.HasPrefix(string(key), prefixDrain):
+			dirty[sectionDrains] = true
+		default:
+			dirty[sectionDeployment] = true
+		}
+	}
+	return dirty
+}
--- /dev/null
+++ b/internal/config/propose.go
@@ -0,0 +1,476 @@
+package config
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"fuchsiaspar/internal/membership"
+	"fuchsiaspar/internal/model"
+	"fuchsiaspar/internal/peer"
+	"fuchsiaspar/internal/platform"
+
+	"github.com/pkg/errors"
+)
+
+// Timings and bounds of proposals.
+const (
+	// proposeTimeout bounds a proposal with all its attempts.
+	proposeTimeout = 20 * time.Second
+	// gatherTimeout bounds one question to the entry VM that gathers a zone.
+	gatherTimeout = 2 * time.Second
+	// forwardTimeout bounds its questions to the others of the zone.
+	forwardTimeout = 1500 * time.Millisecond
+	// refusalPatience is how long refusals that may pass are tried again.
+	refusalPatience = 4 * time.Second
+	// attemptPause is the mean wait between two attempts.
+	attemptPause = 100 * time.Millisecond
+	// pieceBytes is the size of the pieces of a large change.
+	pieceBytes = 192 << 10
+)
+
+// Result describes a committed change.
+type Result struct {
+	Revision model.Revision `json:"revision"`
+	ChangeID ChangeID       `json:"change_id"`
+	// Rebased says that other changes were committed after the change's base.
+	Rebased bool `json:"rebased"`
+	// Pending lists the entry VMs that acknowledged the change but were not
+	// yet seen to have it in force.
+	Pending []model.VMID `json:"pending,omitempty"`
+	// Skipped lists the entry VMs that need not acknowledge it: excluded, or
+	// known to be dead.
+	Skipped []model.VMID `json:"skipped,omitempty"`
+}
+
+// UnresolvedError reports a change that may or may not have been committed:
+// the store stopped answering in between.
+type UnresolvedError struct {
+	ChangeID ChangeID
+}
+
+// Error says how to find the outcome out.
+func (e *UnresolvedError) Error() string {
+	return fmt.Sprintf("outcome of change %s is not known, since the store stopped answering: look for it in the history, or send it again under the same ID", e.ChangeID)
+}
+
+// ErrContended reports that other changes kept being committed first.
+var ErrContended = errors.New("config: other changes kept being committed first: nothing was changed, try again")
+
+// Propose has a change acknowledged by every live entry VM and commits it.
+// Sending a change again under the same ID commits it once. It returns
+// Problems, *ConflictError, *RefusedError, *UnresolvedError, ErrContended,
+// ErrStoreBehind or ErrStoreUnavailable when the change is not, or may not be,
+// in force.
+func (s *Service) Propose(ctx context.Context, change Change) (Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	if change.ID == "" {
+		change.ID = s.jitter.changeID()
+	}
+	patience := s.now().Add(refusalPatience)
+	for {
+		result, err := s.try(ctx, &change)
+		if !s.triesAgain(err, patience) || !s.jitter.pause(ctx, attemptPause) {
+			s.scope.Tagged(map[string]string{"outcome": outcomeTag(err)}).Counter("config_proposals").Inc(1)
+			return result, visible(err)
+		}
+	}
+}
+
+// transientError marks refusals that may pass by themselves.
+type transientError struct{ *RefusedError }
+
+func (s *Service) triesAgain(err error, patience time.Time) bool {
+	var transient transientError
+	if errors.As(err, &transient) {
+		return s.now().Before(patience)
+	}
+	return errors.Is(err, errHeadMoved)
+}
+
+// visible turns the errors that steer attempts into those of the package.
+func visible(err error) error {
+	var transient transientError
+	if errors.As(err, &transient) {
+		return transient.RefusedError
+	}
+	if errors.Is(err, errHeadMoved) {
+		return ErrContended
+	}
+	return err
+}
+
+func outcomeTag(err error) string {
+	var (
+		refused    *RefusedError
+		transient  transientError
+		conflict   *ConflictError
+		unresolved *UnresolvedError
+		problems   Problems
+	)
+	switch {
+	case err == nil:
+		return "committed"
+	case errors.As(err, &problems):
+		return "invalid"
+	case errors.As(err, &conflict):
+		return "conflict"
+	case errors.As(err, &refused), errors.As(err, &transient):
+		return "refused"
+	case errors.As(err, &unresolved):
+		return "unresolved"
+	default:
+		return "unavailable"
+	}
+}
+
+// try makes one attempt to commit a change on the newest revision.
+func (s *Service) try(ctx context.Context, change *Change) (Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, proposalLife)
+	defer cancel()
+	head, err := s.newest(ctx)
+	if err != nil {
+		return Result{}, err
+	}
+	if done, ok := committedBefore(head, change); ok {
+		return done, nil
+	}
+	if conflict := head.conflict(change.Base, change.Keys()); conflict != nil {
+		return Result{}, conflict
+	}
+	base := s.installed()
+	if base.revision() != head.headRevision() {
+		return Result{}, errHeadMoved
+	}
+	next, err := s.rules.prepare(base, *change)
+	if err != nil {
+		return Result{}, err
+	}
+	p := s.plan(ctx, base, change)
+	if len(p.refusals) > 0 {
+		return Result{}, transientError{&RefusedError{By: p.refusals}}
+	}
+	return s.agree(ctx, &proposal{change: change, base: base, next: next, head: head, plan: p})
+}
+
+// newest reads the head and puts it in force here.
+func (s *Service) newest(ctx context.Context) (storedHead, error) {
+	at := s.now()
+	var head storedHead
+	err := s.repo.repeat(ctx, func(ctx context.Context) error {
+		at = s.now()
+		var err error
+		head, err = s.repo.readHead(ctx)
+		if errors.Is(err, ErrStoreUnavailable) {
+			return platform.ErrUnavailable
+		}
+		return err
+	})
+	if err != nil {
+		return head, err
+	}
+	return head, s.catchUp(ctx, head, at)
+}
+
+// committedBefore returns the result of a change that the head lists.
+func committedBefore(head storedHead, change *Change) (Result, bool) {
+	if head.Head == nil {
+		return Result{}, false
+	}
+	c, ok := head.find(change.ID)
+	if !ok {
+		return Result{}, false
+	}
+	return Result{Revision: c.Revision, ChangeID: c.ChangeID, Rebased: rebased(change, c.Revision), Skipped: c.Excluded}, true
+}
+
+func rebased(change *Change, committed model.Revision) bool {
+	return change.Base != 0 && committed != change.Base+1
+}
+
+func (s *Service) plan(ctx context.Context, base *version, change *Change) plan {
+	return newPlan(planInput{
+		self:    s.self,
+		zone:    s.zone,
+		view:    s.view(),
+		slots:   base.document().Slots,
+		exclude: change.Exclude,
+		gone:    s.goneVMs(ctx),
+	})
+}
+
+// goneVMs returns a look-up of entry VMs that the platform does not run, nil
+// when its list is not to be had.
+func (s *Service) goneVMs(ctx context.Context) func(model.VMID) bool {
+	if s.vms == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	list, err := s.vms.VMs(ctx)
+	if err != nil {
+		return nil
+	}
+	return func(vm model.VMID) bool {
+		return !slices.ContainsFunc(list, func(row platform.VM) bool {
+			return row.ID == string(vm) && row.State == platform.VMLive
+		})
+	}
+}
+
+// proposal is one attempt with what it needs.
+type proposal struct {
+	change *Change
+	base   *version
+	next   *version
+	head   storedHead
+	plan   plan
+}
+
+func (p *proposal) attempt() attempt {
+	return attempt{change: p.change.ID, base: p.base.revision()}
+}
+
+// agree gathers acknowledgements and commits, or withdraws the attempt.
+func (s *Service) agree(ctx context.Context, p *proposal) (Result, error) {
+	answers, err := s.gather(ctx, p)
+	if err == nil && !s.rules.unanimous(answers) {
+		err = s.refusal(p, answers)
+	}
+	if err == nil {
+		err = s.commit(ctx, p)
+	}
+	if errors.Is(err, errUnresolved) {
+		return Result{}, &UnresolvedError{ChangeID: p.change.ID}
+	}
+	if err != nil {
+		s.withdraw(p)
+		return Result{}, err
+	}
+	return s.finish(ctx, p), nil
+}
+
+func allAcknowledge(answers []proposeAnswer) bool {
+	return !slices.ContainsFunc(answers, func(a proposeAnswer) bool { return a.Verdict != verdictAck })
+}
+
+// refusal lists the answers that refuse. It is final if any of them is.
+func (s *Service) refusal(p *proposal, answers []proposeAnswer) error {
+	refused := new(RefusedError)
+	final := false
+	for _, a := range answers {
+		if a.Verdict == verdictAck {
+			continue
+		}
+		final = final || a.Verdict == verdictInvalid
+		refused.By = append(refused.By, Refusal{VM: a.VM, Zone: p.plan.zoneOf(a.VM), Reason: a.Reason})
+	}
+	if final {
+		return refused
+	}
+	return transientError{refused}
+}
+
+func (p *plan) zoneOf(vm model.VMID) model.Zone {
+	for _, g := range p.required {
+		if slices.Contains(g.vms, vm) {
+			return g.zone
+		}
+	}
+	return ""
+}
+
+// gather asks everyone who must acknowledge, one entry VM a zone, this one
+// included.
+func (s *Service) gather(ctx context.Context, p *proposal) ([]proposeAnswer, error) {
+	req, err := s.proposeRequest(p)
+	if err != nil {
+		return nil, err
+	}
+	defer s.dropBody(req.Pieces)
+	if !s.acknowledge(p.attempt(), p.next) {
+		return nil, errHeadMoved
+	}
+	view := s.view()
+	answers := make([][]proposeAnswer, len(p.plan.required))
+	var group sync.WaitGroup
+	for i, zone := range p.plan.required {
+		group.Go(func() { answers[i] = s.gatherZone(ctx, view, zone, req) })
+	}
+	group.Wait()
+	return slices.Concat(answers...), nil
+}
+
+func (s *Service) proposeRequest(p *proposal) (*proposeRequest, error) {
+	encoded, err := encoding.Marshal(p.change)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode change")
+	}
+	req := &proposeRequest{
+		Change:   p.change.ID,
+		Base:     p.base.revision(),
+		Digest:   p.next.objects.digest(),
+		Proposer: s.self,
+		Timeout:  gatherTimeout,
+	}
+	if len(encoded) <= pieceBytes {
+		req.Body = encoded
+		return req, nil
+	}
+	pieces := make(map[Hash][]byte)
+	for piece := range slices.Chunk(encoded, pieceBytes) {
+		h := hashOf(piece)
+		pieces[h] = piece
+		req.Pieces = append(req.Pieces, h)
+	}
+	s.keepBody(pieces)
+	return req, nil
+}
+
+// gatherZone asks one entry VM of a zone to gather the zone's answers. One
+// that does not reply is noted and the next is asked.
+func (s *Service) gatherZone(ctx context.Context, view *membership.View, zone zoneGroup, req *proposeRequest) []proposeAnswer {
+	if zone.zone == s.zone {
+		return s.gatherOwnZone(ctx, zone, req)
+	}
+	var answers []proposeAnswer
+	left := watcherFirst(view, zone)
+	for len(left) > 0 {
+		onward := *req
+		onward.Forward = left[1:]
+		got, err := s.askGatherer(ctx, left[0], &onward)
+		if err == nil {
+			return append(answers, complete(left, got)...)
+		}
+		answers = append(answers, proposeAnswer{VM: left[0], Verdict: verdictRetry, Reason: reasonUnreachable})
+		left = left[1:]
+	}
+	return answers
+}
+
+func (s *Service) askGatherer(ctx context.Context, vm model.VMID, req *proposeRequest) ([]proposeAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, gatherTimeout)
+	defer cancel()
+	var reply proposeReply
+	err := s.links.Call(ctx, vm, peer.KindConfigPropose, req, &reply)
+	return reply.Answers, err
+}
+
+// gatherOwnZone asks the others of this entry VM's zone; its own
+// acknowledgement is already open.
+func (s *Service) gatherOwnZone(ctx context.Context, zone zoneGroup, req *proposeRequest) []proposeAnswer {
+	onward := *req
+	onward.Forward = without(zone.vms, s.self)
+	own := func() proposeAnswer { return proposeAnswer{VM: s.self, Verdict: verdictAck} }
+	return s.forwardProposal(ctx, &onward, own)
+}
+
+func watcherFirst(view *membership.View, zone zoneGroup) []model.VMID {
+	watcher, ok := watcherOf(view, zone.zone)
+	if !ok || !slices.Contains(zone.vms, watcher) {
+		return zone.vms
+	}
+	return append([]model.VMID{watcher}, without(zone.vms, watcher)...)
+}
+
+func without(vms []model.VMID, gone model.VMID) []model.VMID {
+	return slices.DeleteFunc(slices.Clone(vms), func(vm model.VMID) bool { return vm == gone })
+}
+
+// complete returns one answer for each entry VM that was to answer.
+func complete(asked []model.VMID, got []proposeAnswer) []proposeAnswer {
+	out := make([]proposeAnswer, 0, len(asked))
+	for _, vm := range asked {
+		i := slices.IndexFunc(got, func(a proposeAnswer) bool { return a.VM == vm })
+		if i < 0 {
+			out = append(out, proposeAnswer{VM: vm, Verdict: verdictRetry, Reason: "gave no answer"})
+			continue
+		}
+		out = append(out, got[i])
+	}
+	return out
+}
+
+// commit writes the objects and then the head.
+func (s *Service) commit(ctx context.Context, p *proposal) error {
+	if err := s.repo.save(ctx, p.next.objects, p.base.objectsOrNil()); err != nil {
+		return err
+	}
+	if p.head.Head != nil {
+		if err := s.repo.saveHistory(ctx, p.head.Head); err != nil {
+			return err
+		}
+	}
+	commit := Commit{
+		Revision: p.next.revision(),
+		ChangeID: p.change.ID,
+		Operator: p.change.Operator,
+		Time:     s.now().UTC(),
+		Keys:     p.change.Keys(),
+		Excluded: p.plan.skipped[:min(len(p.plan.skipped), maxCommitKeys)],
+	}
+	p.next = p.next.committed(p.base, commit)
+	return s.repo.commit(ctx, p.next.head, p.head)
+}
+
+// withdraw tells everyone asked that the attempt will not be committed.
+func (s *Service) withdraw(p *proposal) {
+	req := &proposeRequest{Change: p.change.ID, Base: p.base.revision(), Proposer: s.self, Withdraw: true}
+	s.withdrawn(req)
+	for _, zone := range p.plan.required {
+		targets := without(zone.vms, s.self)
+		if len(targets) == 0 {
+			continue
+		}
+		onward := *req
+		onward.Forward = targets[1:]
+		_ = s.links.Send(targets[0], peer.KindConfigPropose, &onward)
+	}
+}
+
+// finish puts a committed change in force here and announces it.
+func (s *Service) finish(ctx context.Context, p *proposal) Result {
+	s.adopt(p.next, "own commit")
+	ctx = context.WithoutCancel(ctx)
+	adopted := s.announce(ctx, p)
+	result := Result{
+		Revision: p.next.revision(),
+		ChangeID: p.change.ID,
+		Rebased:  rebased(p.change, p.next.revision()),
+		Skipped:  p.plan.skipped,
+	}
+	for _, vm := range p.plan.all() {
+		if vm != s.self && !slices.Contains(adopted, vm) {
+			result.Pending = append(result.Pending, vm)
+		}
+	}
+	return result
+}
+
+// announce tells one entry VM of each zone that a change is committed, and
+// returns all that have it in force.
+func (s *Service) announce(ctx context.Context, p *proposal) []model.VMID {
+	commit, err := json.Marshal(p.next.head.Commit)
+	if err != nil {
+		s.log.Error("commit not announced", "err", err)
+		return nil
+	}
+	news := announcement{Change: p.change.ID, Revision: p.next.revision(), Commit: commit, Timeout: gatherTimeout}
+	adopted := make([][]model.VMID, len(p.plan.required))
+	var group sync.WaitGroup
+	for i, zone := range p.plan.required {
+		targets := without(zone.vms, s.self)
+		if len(targets) == 0 {
+			continue
+		}
+		onward := news
+		onward.Forward = targets[1:]
+		group.Go(func() { adopted[i] = s.announceOne(ctx, targets[0], &onward) })
+	}
+	group.Wait()
+	return slices.Concat(adopted...)
+}
--- /dev/null
+++ b/internal/config/repository.go
@@ -0,0 +1,327 @@
+package config
+
+import (
+	"context"
+	"math/rand"
+	"sync"
+	"time"
+
+	"fuchsiaspar/internal/model"
+	"fuchsiaspar/internal/platform"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+// Timings and bounds of store calls.
+const (
+	// storeTimeout bounds one call to the store.
+	storeTimeout = time.Second
+	// backOffBase is the mean wait before the first repeat of a failed call;
+	// it doubles with each further one up to backOffMax.
+	backOffBase = 50 * time.Millisecond
+	backOffMax  = time.Second
+	// parallelObjects bounds the object reads or writes under way.
+	parallelObjects = 4
+)
+
+var (
+	// ErrStoreUnavailable reports that the store does not answer, so that
+	// nothing can be changed now.
+	ErrStoreUnavailable = errors.New("config: the store does not answer: nothing was changed, try again when it is back")
+	// ErrNoRevision reports a revision that the store does not keep.
+	ErrNoRevision = errors.New("config: the store keeps no such revision")
+	// errHeadMoved reports that another change was committed first.
+	errHeadMoved = errors.New("config: the head moved")
+	// errUnresolved reports a write of the head whose outcome is not known.
+	errUnresolved = errors.New("config: outcome of the commit is not known")
+)
+
+// jitter draws waits. It is safe for concurrent use.
+type jitter struct {
+	mu   sync.Mutex
+	rand *rand.Rand
+}
+
+// around returns a duration between half and one and a half of mean.
+func (j *jitter) around(mean time.Duration) time.Duration {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return mean/2 + time.Duration(j.rand.Int63n(int64(mean)))
+}
+
+func (j *jitter) uint64() uint64 {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.rand.Uint64()
+}
+
+func (j *jitter) changeID() ChangeID {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return NewChangeID(j.rand)
+}
+
+// pause waits around mean. It returns false when ctx ended first.
+func (j *jitter) pause(ctx context.Context, mean time.Duration) bool {
+	timer := time.NewTimer(j.around(mean))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// repository keeps revisions in the store.
+type repository struct {
+	store  platform.Store
+	jitter *jitter
+}
+
+// storedHead is a head with its version in the store. An empty store has a nil
+// head with version zero.
+type storedHead struct {
+	*Head
+	version uint64
+}
+
+// headRevision returns the revision of the head, zero for an empty store.
+func (h storedHead) headRevision() model.Revision {
+	if h.Head == nil {
+		return 0
+	}
+	return h.Revision
+}
+
+// readHead reads the head once.
+func (r *repository) readHead(ctx context.Context) (storedHead, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	entry, err := r.store.Get(ctx, headKey)
+	if errors.Is(err, platform.ErrNotFound) {
+		return storedHead{}, nil
+	}
+	if err != nil {
+		return storedHead{}, storeError(err)
+	}
+	head, err := decodeHead(entry.Value)
+	if err != nil {
+		return storedHead{}, err
+	}
+	return storedHead{head, entry.Version}, nil
+}
+
+// load returns the objects of a manifest, reading those that are not at hand.
+func (r *repository) load(ctx context.Context, manifest []ManifestEntry, atHand func(Hash) []byte) (*objects, error) {
+	out := &objects{manifest: manifest, data: make(map[Hash][]byte, len(manifest))}
+	var mu sync.Mutex
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(parallelObjects)
+	for _, entry := range manifest {
+		if data := atHand(entry.Hash); data != nil {
+			mu.Lock()
+			out.data[entry.Hash] = data
+			mu.Unlock()
+			continue
+		}
+		group.Go(func() error {
+			data, err := r.readObject(ctx, entry.Hash)
+			mu.Lock()
+			defer mu.Unlock()
+			out.data[entry.Hash] = data
+			return err
+		})
+	}
+	return out, group.Wait()
+}
+
+func (r *repository) readObject(ctx context.Context, hash Hash) ([]byte, error) {
+	var data []byte
+	err := r.repeat(ctx, func(ctx context.Context) error {
+		entry, err := r.store.Get(ctx, objectKey(hash))
+		data = entry.Value
+		return err
+	})
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, errors.Wrapf(ErrBadObject, "object %s is missing", hash)
+	}
+	return data, err
+}
+
+// save writes the objects that base does not hold. An object that the store
+// holds already is written again, so that its version tells the collector of
+// unused objects that it is in use.
+func (r *repository) save(ctx context.Context, o, base *objects) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(parallelObjects)
+	for hash, data := range o.data {
+		if base != nil && base.data[hash] != nil {
+			continue
+		}
+		group.Go(func() error { return r.saveObject(ctx, hash, data) })
+	}
+	return group.Wait()
+}
+
+func (r *repository) saveObject(ctx context.Context, hash Hash, data []byte) error {
+	version := uint64(0)
+	return r.repeat(ctx, func(ctx context.Context) error {
+		_, err := r.store.Put(ctx, objectKey(hash), data, version, 0)
+		if !errors.Is(err, platform.ErrConflict) {
+			return err
+		}
+		entry, err := r.store.Get(ctx, objectKey(hash))
+		if errors.Is(err, platform.ErrNotFound) {
+			version = 0
+			return platform.ErrUnavailable
+		}
+		if err != nil {
+			return err
+		}
+		version = entry.Version
+		_, err = r.store.Put(ctx, objectKey(hash), data, version, 0)
+		if errors.Is(err, platform.ErrConflict) {
+			return nil // another proposer wrote the same content just now
+		}
+		return err
+	})
+}
+
+// saveHistory writes a head under its revision's key, once.
+func (r *repository) saveHistory(ctx context.Context, h *Head) error {
+	data, err := encodeHead(h)
+	if err != nil {
+		return err
+	}
+	return r.repeat(ctx, func(ctx context.Context) error {
+		_, err := r.store.Put(ctx, historyKey(h.Revision), data, 0, 0)
+		if errors.Is(err, platform.ErrConflict) {
+			return nil
+		}
+		return err
+	})
+}
+
+// commit replaces the head that expect describes by next. It resolves a lost
+// answer by reading: nil means committed, errHeadMoved that it never will be,
+// errUnresolved that ctx ended before either was known.
+func (r *repository) commit(ctx context.Context, next *Head, expect storedHead) error {
+	data, err := encodeHead(next)
+	if err != nil {
+		return err
+	}
+	sent := false
+	wait := backOffBase
+	for {
+		err := r.putHead(ctx, data, expect.version)
+		if err == nil {
+			return nil
+		}
+		sent = sent || errors.Is(err, platform.ErrUnavailable)
+		if errors.Is(err, platform.ErrConflict) || sent {
+			if known, err := r.outcome(ctx, next, expect); known {
+				return err
+			}
+		}
+		if !r.jitter.pause(ctx, wait) {
+			return unlessSent(sent)
+		}
+		wait = min(2*wait, backOffMax)
+	}
+}
+
+// unlessSent returns the error of a commit that was given up.
+func unlessSent(sent bool) error {
+	if sent {
+		return errUnresolved
+	}
+	return ErrStoreUnavailable
+}
+
+func (r *repository) putHead(ctx context.Context, data []byte, expect uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	_, err := r.store.Put(ctx, headKey, data, expect, 0)
+	return err
+}
+
+// outcome reads whether next was committed. It returns false while that is
+// open: the store does not answer, or the head is still the expected one.
+func (r *repository) outcome(ctx context.Context, next *Head, expect storedHead) (bool, error) {
+	head, err := r.readHead(ctx)
+	if err != nil || head.version == expect.version {
+		return false, nil
+	}
+	if c, ok := head.find(next.ChangeID); ok {
+		return true, committedAs(c, next)
+	}
+	if head.Revision < next.Revision+recentCommits {
+		return true, errHeadMoved
+	}
+	old, err := r.readHistory(ctx, next.Revision)
+	if err != nil {
+		return false, nil
+	}
+	return true, committedAs(old.Commit, next)
+}
+
+// committedAs returns nil if the commit c is that of next.
+func committedAs(c Commit, next *Head) error {
+	if c.ChangeID == next.ChangeID && c.Revision == next.Revision {
+		return nil
+	}
+	return errHeadMoved
+}
+
+// readHistory reads the head of an older revision.
+func (r *repository) readHistory(ctx context.Context, revision model.Revision) (*Head, error) {
+	var head *Head
+	err := r.repeat(ctx, func(ctx context.Context) error {
+		entry, err := r.store.Get(ctx, historyKey(revision))
+		if err != nil {
+			return err
+		}
+		head, err = decodeHead(entry.Value)
+		return err
+	})
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, errors.Wrapf(ErrNoRevision, "revision %d", revision)
+	}
+	return head, err
+}
+
+// repeat makes an idempotent call until it is answered or ctx ends, with
+// growing jittered waits.
+func (r *repository) repeat(ctx context.Context, call func(context.Context) error) error {
+	wait := backOffBase
+	for {
+		err := r.once(ctx, call)
+		if !retryable(err) {
+			return err
+		}
+		if !r.jitter.pause(ctx, wait) {
+			return ErrStoreUnavailable
+		}
+		wait = min(2*wait, backOffMax)
+	}
+}
+
+func (r *repository) once(ctx context.Context, call func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return call(ctx)
+}
+
+func retryable(err error) bool {
+	return errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrRateLimited)
+}
+
+// storeError translates an error of the store.
+func storeError(err error) error {
+	if retryable(err) {
+		return errors.WithStack(ErrStoreUnavailable)
+	}
+	return errors.Wrap(err, "store")
+}
