--- /dev/null
+++ b/internal/membership/capacity_test.go
@@ -0,0 +1,120 @@
+package membership
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"fuchsiaspar/internal/model"
+)
+
+const (
+	capacityZones   = 23
+	capacityRegions = 8
+	measuredFor     = 20 * time.Second
+	// changeEvery is the time between two changes of configuration at 2,100 a
+	// day.
+	changeEvery = 41 * time.Second
+)
+
+// BenchmarkFleet reports what membership costs one VM, against the count of
+// VMs, in virtual time: the load of every VM changes each second, and one
+// configuration is adopted by all.
+func BenchmarkFleet(b *testing.B) {
+	for _, count := range []int{50, 200, 700, 1400} {
+		b.Run(fmt.Sprintf("vms=%d/zones=%d", count, capacityZones), func(b *testing.B) {
+			for range b.N {
+				measureFleet(b, count, capacityZones)
+			}
+		})
+	}
+	for _, zones := range []int{6, 12, 46} {
+		b.Run(fmt.Sprintf("vms=700/zones=%d", zones), func(b *testing.B) {
+			for range b.N {
+				measureFleet(b, 700, zones)
+			}
+		})
+	}
+}
+
+func measureFleet(b *testing.B, count, zones int) {
+	before := heapBytes()
+	s := newSim(1, simSlots(count, zones, capacityRegions))
+	s.bootAll()
+	booted := s.waitAgreed(b, time.Minute)
+	s.changeLoads(0)
+	s.run(15 * time.Second)
+	b.ReportMetric(booted.Seconds(), "boot-s")
+	b.ReportMetric(float64(heapBytes()-before)/float64(count), "heap-B/vm")
+
+	s.measure = true
+	calls, writes := s.store.calls, s.store.writes
+	started := time.Now()
+	s.changeLoads(1)
+	s.run(measuredFor)
+	wall := time.Since(started)
+	s.measure = false
+	s.reportTraffic(b)
+	seconds := measuredFor.Seconds()
+	b.ReportMetric(float64(s.store.calls-calls)/seconds/float64(zones), "storecalls/zone/s")
+	b.ReportMetric(float64(s.store.writes-writes), "storewrites")
+	b.ReportMetric(100*wall.Seconds()/seconds/float64(count), "sim-cpu-%/vm")
+
+	b.ReportMetric(s.timeDeath(b, zones).Seconds(), "death-s")
+}
+
+// changeLoads gives every VM another load each second, and a new revision once.
+func (s *sim) changeLoads(revision model.Revision) {
+	for second := range int(measuredFor / time.Second) {
+		s.at(s.now.Add(time.Duration(second)*time.Second), func() {
+			for _, slot := range s.slots {
+				s.deliver(s.procs[slot.VM], LocalUpdated{Revision: revision, Load: s.randomLoad()})
+			}
+		})
+	}
+}
+
+func (s *sim) randomLoad() []ServiceLoad {
+	var load []ServiceLoad
+	for _, service := range []model.ServiceName{"lease-desk", "plan-vault"} {
+		load = append(load, ServiceLoad{Service: service, Slots: 60, Busy: s.rng.Intn(60), Queued: s.rng.Intn(40)})
+	}
+	return load
+}
+
+// reportTraffic reports bytes a second, for the mean VM, for the busiest
+// member and for the busiest leader.
+func (s *sim) reportTraffic(b *testing.B) {
+	var total, messages, member, leader uint64
+	for _, slot := range s.slots {
+		p := s.procs[slot.VM]
+		total += p.sent
+		messages += p.messages
+		if p.node.leads() {
+			leader = max(leader, p.sent+p.received)
+		} else {
+			member = max(member, p.sent+p.received)
+		}
+	}
+	seconds := measuredFor.Seconds()
+	vms := float64(len(s.slots))
+	b.ReportMetric(float64(total)/seconds/vms, "sent-B/s")
+	b.ReportMetric(float64(messages)/seconds/vms, "sent-msg/s")
+	b.ReportMetric(float64(member)/seconds, "member-max-inout-B/s")
+	b.ReportMetric(float64(leader)/seconds, "leader-max-inout-B/s")
+}
+
+// timeDeath kills one VM that leads nothing and waits until all have noticed.
+func (s *sim) timeDeath(b *testing.B, zones int) time.Duration {
+	s.run(5 * time.Second)
+	s.procs[s.slots[len(s.slots)-1].VM].running = false
+	return s.waitAgreed(b, time.Minute)
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
