--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -26,9 +26,12 @@
 	req    *Request
 	ctx    context.Context
 	cancel context.CancelCauseFunc
-	upload *uploadBody
-	watch  silenceWatch
-	end    sync.Once
+	// dropDeadline and unlink release what ctx holds.
+	dropDeadline context.CancelFunc
+	unlink       func() bool
+	upload       *uploadBody
+	watch        silenceWatch
+	end          sync.Once
 
 	mu   sync.Mutex
 	conn *trackedConn
@@ -42,9 +45,16 @@
 }
 
 func newExchange(ctx context.Context, c *Client, p *pool, req *Request) *exchange {
-	ex := &exchange{client: c, pool: p, req: req}
+	ex := &exchange{client: c, pool: p, req: req, dropDeadline: func() {}}
 	ctx, ex.cancel = context.WithCancelCause(ctx)
+	if !req.Deadline.IsZero() {
+		ctx, ex.dropDeadline = context.WithDeadline(ctx, req.Deadline)
+	}
 	ex.ctx = ctx
+	ex.unlink = context.AfterFunc(c.ctx, func() { ex.cancel(ErrClosed) })
+	if req.Body != nil && req.ContentLength != 0 {
+		ex.upload = &uploadBody{source: req.Body}
+	}
 	p.add(ex)
 	return ex
 }
@@ -78,25 +88,15 @@
 
 // do sends the attempt and waits for the head of its answer.
 func (ex *exchange) do(out *http.Request) (*Response, *Error) {
-	ctx := ex.ctx
-	if !ex.req.Deadline.IsZero() {
-		var stop context.CancelFunc
-		ctx, stop = context.WithDeadline(ctx, ex.req.Deadline)
-		context.AfterFunc(ctx, stop)
-	}
-	ex.ctx = ctx
-	stopWithClient := context.AfterFunc(ex.client.ctx, func() { ex.cancel(ErrClosed) })
-	context.AfterFunc(ctx, func() { stopWithClient() })
-	if ex.req.Body != nil && ex.req.ContentLength != 0 {
-		ex.upload = &uploadBody{source: ex.req.Body}
+	if ex.upload != nil {
 		out.Body = ex.upload
 		out.ContentLength = ex.req.ContentLength
 	}
 	ex.watch.start(ex)
 	trace := &httptrace.ClientTrace{GotConn: ex.gotConn}
-	resp, err := ex.pool.data.RoundTrip(out.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	resp, err := ex.pool.data.RoundTrip(out.WithContext(httptrace.WithClientTrace(ex.ctx, trace)))
 	if err != nil {
-		return nil, ex.fail(reasonOf(err, context.Cause(ctx)), err)
+		return nil, ex.fail(reasonOf(err, context.Cause(ex.ctx)), err)
 	}
 	return ex.receive(resp)
 }
@@ -158,26 +158,38 @@
 // resolve cancels an attempt that was written. For a non-idempotent attempt it
 // waits for the answer, which can prove that the attempt did not run.
 func (ex *exchange) resolve() model.Outcome {
-	c, p, attempt, sentTo := ex.client, ex.pool, ex.req.Attempt, ex.sentTo()
-	if sentTo == "" {
+	if ex.req.Idempotent {
+		ex.cancelInBackground()
 		return model.OutcomeUnknown
 	}
-	cancel := func() model.Outcome {
-		ctx, stop := context.WithTimeout(c.ctx, c.opts.Silence)
-		defer stop()
-		outcome, err := c.cancel(ctx, p, attempt, sentTo)
-		if err != nil || outcome != model.OutcomeNotRun {
-			return model.OutcomeUnknown
-		}
-		return outcome
-	}
-	if !ex.req.Idempotent {
-		return cancel()
+	if ex.cancelAtServer() == model.OutcomeNotRun {
+		return model.OutcomeNotRun
 	}
-	c.background(func() { cancel() })
 	return model.OutcomeUnknown
 }
 
+// cancelInBackground tells the server that nobody waits for the answer.
+func (ex *exchange) cancelInBackground() {
+	ex.client.background(func() { ex.cancelAtServer() })
+}
+
+// cancelAtServer cancels the attempt on a new connection. A server that has
+// never named its process cannot prove anything and is not asked.
+func (ex *exchange) cancelAtServer() model.Outcome {
+	sentTo := ex.sentTo()
+	if sentTo == "" {
+		return model.OutcomeUnknown
+	}
+	ctx, stop := context.WithTimeout(ex.client.ctx, ex.client.opts.Silence)
+	defer stop()
+	outcome, err := ex.client.cancel(ctx, ex.pool, ex.req.Attempt, sentTo)
+	if err != nil {
+		ex.client.opts.Logger.Warn("cancellation failed", "server", ex.pool.target.ID,
+			"attempt", ex.req.Attempt, "error", err)
+	}
+	return outcome
+}
+
 // receive checks the head of an answer.
 func (ex *exchange) receive(resp *http.Response) (*Response, *Error) {
 	ex.pool.sawInstance(resp.Header)
@@ -192,18 +204,29 @@
 	if err := checkFraming(resp, ex.req.Method); err != nil {
 		return nil, ex.fail(model.ReasonBadAnswer, err)
 	}
-	body := &answerBody{ex: ex, inner: resp.Body}
-	ex.watch.answering(body)
 	return &Response{
 		Status:        resp.StatusCode,
 		Header:        endToEnd(resp.Header),
 		ContentLength: resp.ContentLength,
-		Body:          body,
+		Body:          ex.answer(resp),
 		Trailer:       resp.Trailer,
 		Draining:      draining,
 	}, nil
 }
 
+// answer returns the body of an answer. Without a body the attempt is at its
+// end already.
+func (ex *exchange) answer(resp *http.Response) io.ReadCloser {
+	body := &answerBody{ex: ex, inner: resp.Body}
+	if resp.Body == http.NoBody {
+		body.err = io.EOF
+		ex.finish()
+		return body
+	}
+	ex.watch.answering(body)
+	return body
+}
+
 func notStarted(resp *http.Response) bool {
 	return resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderNotStarted) == headerTrue
 }
@@ -236,6 +259,8 @@
 		if ex.upload != nil {
 			ex.upload.stop()
 		}
+		ex.unlink()
+		ex.dropDeadline()
 		ex.cancel(nil)
 		ex.pool.remove(ex)
 		ex.pool.release()
--- a/internal/backend/silence.go
+++ b/internal/backend/silence.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"fuchsiaspar/internal/model"
-
 	"github.com/pkg/errors"
 )
 
@@ -159,23 +157,3 @@
 	ex.leave()
 	ex.pool.data.CloseIdleConnections()
 }
-
-// cancelInBackground tells the server that nobody waits for the answer.
-func (ex *exchange) cancelInBackground() {
-	if ex.sentTo() == "" {
-		return
-	}
-	c, p, attempt, sentTo := ex.client, ex.pool, ex.req.Attempt, ex.sentTo()
-	c.background(func() {
-		ctx, stop := context.WithTimeout(c.ctx, c.opts.Silence)
-		defer stop()
-		outcome, err := c.cancel(ctx, p, attempt, sentTo)
-		if err != nil {
-			c.opts.Logger.Debug("cancel", "attempt", attempt, "error", err)
-			return
-		}
-		if outcome == model.OutcomeNotRun {
-			c.opts.Logger.Debug("cancelled before start", "attempt", attempt)
-		}
-	})
-}
--- a/internal/backend/standin/attempts.go
+++ b/internal/backend/standin/attempts.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"fuchsiaspar/internal/backend"
+	"fuchsiaspar/internal/model"
 )
 
 // attempt is what the server knows of one attempt. It is kept for the life of
@@ -19,6 +20,7 @@
 func (s *Server) state(id string) backend.AttemptState {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.counts.Asked++
 	if a, ok := s.attempts[id]; ok {
 		return a.state
 	}
@@ -102,3 +104,11 @@
 	}
 	s.counts.Finished++
 }
+
+// Arrived reports whether an attempt has reached the server.
+func (s *Server) Arrived(id model.AttemptID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.attempts[string(id)]
+	return ok
+}
--- a/internal/backend/standin/server.go
+++ b/internal/backend/standin/server.go
@@ -5,8 +5,8 @@
 
 import (
 	"context"
-	"encoding/hex"
 	"encoding/json"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -26,8 +26,8 @@
 	defaultMaxConns = 360
 	// queuePerSlot is the count of waiting requests per slot.
 	queuePerSlot = 1
-	// DrainGrace is how long a draining server takes new work.
-	DrainGrace = 3 * time.Second
+	// defaultDrainGrace is how long a draining server takes new work.
+	defaultDrainGrace = 3 * time.Second
 )
 
 // Options configures a Server. Zero fields take defaults.
@@ -49,7 +49,9 @@
 	ColdWork   int
 	// ReportLag is the age that load reports may have.
 	ReportLag time.Duration
-	// Seed makes the server's instance name.
+	// DrainGrace is how long a draining server takes new work.
+	DrainGrace time.Duration
+	// Seed is part of the server's instance name; zero draws one at random.
 	Seed uint64
 }
 
@@ -82,6 +84,8 @@
 	Shed int
 	// Late counts requests that arrived more than DrainGrace after Drain.
 	Late int
+	// Asked counts questions about the state of an attempt.
+	Asked int
 }
 
 // Start returns a listening server.
@@ -93,7 +97,7 @@
 	}
 	s := &Server{
 		opts:     opts,
-		instance: newInstance(opts),
+		instance: fmt.Sprintf("%s-%s-%x", opts.ID, inner.Addr(), opts.Seed),
 		listener: newListener(inner, opts),
 		slots:    make(chan struct{}, opts.Slots),
 		attempts: make(map[string]*attempt),
@@ -114,27 +118,16 @@
 	if o.MaxConns == 0 {
 		o.MaxConns = defaultMaxConns
 	}
-	if o.ServiceTime == nil {
-		o.ServiceTime = func(string) time.Duration { return 0 }
+	if o.DrainGrace == 0 {
+		o.DrainGrace = defaultDrainGrace
 	}
-	return o
-}
-
-// newInstance names the process. The port is part of the name because one seed
-// may start several servers.
-func newInstance(o Options) string {
 	if o.Seed == 0 {
 		o.Seed = rand.Uint64()
 	}
-	var seed [32]byte
-	copy(seed[:], string(o.ID)+o.Address)
-	var raw [8]byte
-	source := rand.NewChaCha8(seed)
-	for range o.Seed % 16 {
-		source.Uint64()
+	if o.ServiceTime == nil {
+		o.ServiceTime = func(string) time.Duration { return 0 }
 	}
-	_, _ = source.Read(raw[:])
-	return hex.EncodeToString(raw[:])
+	return o
 }
 
 // Address returns the host:port that the server listens on.
@@ -148,7 +141,7 @@
 // Close stops the server after the requests in flight.
 func (s *Server) Close() {
 	s.listener.resume()
-	ctx, stop := context.WithTimeout(context.Background(), DrainGrace)
+	ctx, stop := context.WithTimeout(context.Background(), defaultDrainGrace)
 	defer stop()
 	_ = s.http.Shutdown(ctx)
 	s.Kill()
@@ -171,8 +164,8 @@
 // Resume ends Pause.
 func (s *Server) Resume() { s.listener.resume() }
 
-// Drain makes the server leave: it says so in its answers, and after DrainGrace
-// it refuses new work.
+// Drain makes the server leave: it says so in its answers, and after
+// Options.DrainGrace it refuses new work.
 func (s *Server) Drain() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/backend/standin/work.go
+++ b/internal/backend/standin/work.go
@@ -106,7 +106,7 @@
 func (s *Server) tooLate() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.drainAt.IsZero() || time.Since(s.drainAt) < DrainGrace {
+	if s.drainAt.IsZero() || time.Since(s.drainAt) < s.opts.DrainGrace {
 		return false
 	}
 	s.counts.Late++
