Run a whole deployment end to end in the demo

Cause: the path existed but nothing showed it whole. A failed attempt that may have run now makes the whole request one that may have run. Starting membership no longer publishes while it holds the lock that publishing takes.

--- a/internal/backend/standin/attempts.go
+++ b/internal/backend/standin/attempts.go
@@ -86,6 +86,9 @@
 	s.runs[order]++
 	run = s.counts.Started
 	s.counts.Started++
+	if s.opts.OnStart != nil {
+		s.opts.OnStart(order)
+	}
 	return run, true
 }
 
--- a/internal/backend/standin/server.go
+++ b/internal/backend/standin/server.go
@@ -51,6 +51,8 @@
 	ReportLag time.Duration
 	// DrainGrace is how long a draining server takes new work.
 	DrainGrace time.Duration
+	// OnStart is told of each run that begins; nil tells nobody.
+	OnStart func(order string)
 	// Seed is part of the server's instance name; zero draws one at random.
 	Seed uint64
 }
@@ -71,6 +73,7 @@
 	waiting  int
 	drainAt  time.Time
 	mislead  func(load float64) float64
+	mute     bool
 	load     float64
 	loadAt   time.Time
 }
@@ -181,6 +184,19 @@
 	s.mislead = report
 }
 
+// StopReports makes the server answer no more questions about its health.
+func (s *Server) StopReports() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mute = true
+}
+
+func (s *Server) muted() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mute
+}
+
 // Runs returns how often the request with an order identifier was started.
 func (s *Server) Runs(orderID string) int {
 	s.mu.Lock()
@@ -224,6 +240,8 @@
 	}
 	id, isAttempt := strings.CutPrefix(r.URL.Path, backend.AttemptsPath)
 	switch {
+	case r.URL.Path == backend.HealthPath && s.muted():
+		w.WriteHeader(http.StatusInternalServerError)
 	case r.URL.Path == backend.HealthPath:
 		writeJSON(w, s.health())
 	case isAttempt && r.Method == http.MethodGet:
--- a/internal/control/builder.go
+++ b/internal/control/builder.go
@@ -54,12 +54,12 @@
 	}
 	b.assign(in, drains)
 	state := &entry.State{
-		Config:    in.config,
-		Table:     table,
-		Owners:    b.owners(in),
-		Members:   members(in.view),
-		Drained:   drains.accounts,
-		Stopping:  in.stopping,
+		Config:   in.config,
+		Table:    table,
+		Owners:   b.owners(in),
+		Members:  members(in.view),
+		Drained:  drains.accounts,
+		Stopping: in.stopping,
 	}
 	b.zones(in, drains, state)
 	return state, nil
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -217,6 +217,7 @@
 		Self:    b.settings.VM.Name,
 		Zone:    b.settings.VM.Zone,
 		Store:   b.deps.Store,
+		VMs:     b.deps.VMs,
 		Links:   b.mesh,
 		View:    b.members.View,
 		Rand:    b.newRand(),
@@ -349,3 +350,19 @@
 	})
 	return b.add(NameEntry, b.daemon.entry)
 }
+
+// LiveMembers lists the entry VMs that this one holds for alive, itself
+// included.
+func (d *Daemon) LiveMembers() []model.VMID {
+	members, err := kernel.Find[*membership.Service](d.kernel, NameMembers)
+	if err != nil {
+		return nil
+	}
+	var live []model.VMID
+	for _, m := range members.View().Members {
+		if m.State == membership.StateAlive {
+			live = append(live, m.VM)
+		}
+	}
+	return live
+}
--- a/internal/demo/caller.go
+++ b/internal/demo/caller.go
@@ -183,8 +183,13 @@
 			return
 		}
 	}
+	mayHaveRun := false
 	for n := 0; n < maxEntryTries; n++ {
 		again := c.ask(ctx, o, addresses[n%len(addresses)], r)
+		mayHaveRun = mayHaveRun || r.outcome == model.OutcomeUnknown
+		if mayHaveRun && o.kind.Idempotent && r.outcome == model.OutcomeNotRun {
+			r.outcome = model.OutcomeUnknown
+		}
 		if !again || time.Now().After(o.deadline) {
 			return
 		}
--- /dev/null
+++ b/internal/demo/events.go
@@ -0,0 +1,286 @@
+package demo
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"fuchsiaspar/internal/config"
+	"fuchsiaspar/internal/model"
+	platformstandin "fuchsiaspar/internal/platform/standin"
+)
+
+const (
+	// slowStore delays each call of a slow store.
+	slowStore = 800 * time.Millisecond
+	// lostAnswers is the count of writes whose answers get lost.
+	lostAnswers = 20
+	// lapsePeriod is how often leases lapse under their holders.
+	lapsePeriod = 500 * time.Millisecond
+	// serverDrainAfter is when a drain takes effect after it was proposed.
+	serverDrainAfter = 200 * time.Millisecond
+	// drainLimit is how long a drain may take to leave its target without new
+	// work.
+	drainLimit = 3 * time.Second
+)
+
+// eventLog holds what happened, for the report and its checks.
+type eventLog struct {
+	mu      sync.Mutex
+	lines   []EventReport
+	changes []changeResult
+	drains  []drainWatch
+}
+
+// changeResult is the outcome of one change of configuration.
+type changeResult struct {
+	revision model.Revision
+	took     time.Duration
+	err      error
+}
+
+// drainWatch holds the orders that a drained server had started when the drain
+// had to be in force.
+type drainWatch struct {
+	server  *backendServer
+	started int
+}
+
+func (l *eventLog) add(at time.Duration, text string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lines = append(l.lines, EventReport{AtMS: at.Milliseconds(), What: text})
+}
+
+// at waits for an event's time and carries it out.
+func (r *run) at(ctx context.Context, e Event) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(time.Until(r.started.Add(e.At))):
+	}
+	r.events.add(time.Since(r.started), string(e.Action)+" "+e.Target)
+	r.act(ctx, e)
+}
+
+func (r *run) act(ctx context.Context, e Event) {
+	switch e.Action {
+	case ActionKillVM:
+		r.fleet.kill(r.vm(e.Target))
+	case ActionStopVM:
+		r.stopVM(ctx, r.vm(e.Target))
+	case ActionKillRegion:
+		r.killRegion()
+	case ActionRestartAll:
+		r.restartAll(ctx)
+	case ActionSilence:
+		r.eachThird(func(s *backendServer) { s.server.Silence() })
+	case ActionMislead:
+		r.eachThird(func(s *backendServer) { s.server.Mislead(func(float64) float64 { return 0 }) })
+	case ActionStopReports:
+		r.stopReports()
+	case ActionStoreDown:
+		r.fleet.store.Down(platformstandin.AllClients, true)
+	case ActionStoreSlow:
+		r.fleet.store.Slow(platformstandin.AllClients, slowStore)
+	case ActionAnswerLost:
+		r.fleet.store.LoseAnswers(platformstandin.AllClients, lostAnswers)
+		r.race(ctx, 20)
+	case ActionPauseLeases:
+		r.lapseLeases(ctx, e.For)
+	case ActionCutZone:
+		r.cut(ctx, e.For, r.zones[len(r.zones)-1:])
+	case ActionCutRegion:
+		r.cut(ctx, e.For, r.zones[len(r.zones)-zonesPerRegion:])
+	case ActionDrainZone:
+		r.drain(ctx, config.DrainZone, string(r.zones[len(r.zones)-1]), r.serversIn(r.zones[len(r.zones)-1]))
+	case ActionDrainServer:
+		s := r.fleet.servers[0]
+		r.drain(ctx, config.DrainServer, string(s.id), []*backendServer{s})
+	case ActionRaceOperators:
+		r.race(ctx, 100)
+	}
+}
+
+// vm resolves the target of an event.
+func (r *run) vm(target string) model.VMID {
+	if target == targetSecondVM {
+		return r.fleet.order[3]
+	}
+	return r.fleet.order[0]
+}
+
+func (r *run) stopVM(ctx context.Context, vm model.VMID) {
+	started := time.Now()
+	err := r.fleet.stop(context.WithoutCancel(ctx), vm)
+	what := "stopped " + string(vm) + " after " + time.Since(started).Round(time.Millisecond).String()
+	if err != nil {
+		what += ": " + err.Error()
+	}
+	r.events.add(time.Since(r.started), what)
+}
+
+// killRegion kills every entry VM and server of the last region.
+func (r *run) killRegion() {
+	region := r.options.Deployment.Regions[len(r.options.Deployment.Regions)-1]
+	for _, e := range r.fleet.live() {
+		if e.region == region {
+			r.fleet.kill(e.slot.VM)
+		}
+	}
+	for _, s := range r.fleet.servers {
+		if r.fleet.net.regions[s.zone] == region {
+			r.fleet.killServer(s)
+		}
+	}
+}
+
+// restartAll stops each entry VM in turn and starts a replacement.
+func (r *run) restartAll(ctx context.Context) {
+	for _, vm := range r.fleet.order {
+		if ctx.Err() != nil {
+			return
+		}
+		r.stopVM(ctx, vm)
+		if err := r.fleet.startEntry(ctx, r.fleet.entries[vm]); err != nil {
+			r.events.add(time.Since(r.started), "not restarted: "+err.Error())
+			return
+		}
+		r.events.add(time.Since(r.started), "replaced "+string(vm))
+	}
+}
+
+func (r *run) eachThird(f func(*backendServer)) {
+	for i, s := range r.fleet.servers {
+		if i%3 == 0 {
+			f(s)
+		}
+	}
+}
+
+func (r *run) stopReports() {
+	for _, s := range r.fleet.servers {
+		s.server.StopReports()
+	}
+}
+
+func (r *run) serversIn(zone model.Zone) []*backendServer {
+	var list []*backendServer
+	for _, s := range r.fleet.servers {
+		if s.zone == zone {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+// lapseLeases makes every lease lapse under its holder, again and again.
+func (r *run) lapseLeases(ctx context.Context, period time.Duration) {
+	end := time.Now().Add(period)
+	for time.Now().Before(end) && ctx.Err() == nil {
+		r.fleet.store.Lapse(platformstandin.AllClients)
+		time.Sleep(lapsePeriod)
+	}
+}
+
+// cut separates zones from all others and from the store for a while.
+func (r *run) cut(ctx context.Context, period time.Duration, inside []model.Zone) {
+	r.setCut(inside, true)
+	select {
+	case <-ctx.Done():
+	case <-time.After(period):
+	}
+	r.setCut(inside, false)
+	r.events.add(time.Since(r.started), "healed")
+}
+
+func (r *run) setCut(inside []model.Zone, cut bool) {
+	isInside := make(map[model.Zone]bool)
+	for _, z := range inside {
+		isInside[z] = true
+	}
+	for _, a := range inside {
+		for _, b := range r.zones {
+			if !isInside[b] {
+				r.fleet.net.set(a, b, cut)
+			}
+		}
+	}
+	for _, vm := range r.fleet.order {
+		if isInside[r.fleet.entries[vm].slot.Zone] {
+			r.fleet.store.Cut(string(vm), cut)
+		}
+	}
+}
+
+// drain plans a drain that starts at once, and notes how much work its servers
+// had started when it had to be in force.
+func (r *run) drain(ctx context.Context, kind config.DrainKind, target string, servers []*backendServer) {
+	start := time.Now().Add(serverDrainAfter)
+	change := config.Change{
+		ID:       r.fleet.changeID(),
+		Operator: "demo",
+		Drains:   []config.Drain{{ID: "demo-drain", Kind: kind, Target: target, Start: start, End: start.Add(time.Hour)}},
+	}
+	r.change(ctx, r.fleet.live()[0], change)
+	time.Sleep(time.Until(start.Add(drainLimit)))
+	r.events.mu.Lock()
+	defer r.events.mu.Unlock()
+	for _, s := range servers {
+		r.events.drains = append(r.events.drains, drainWatch{server: s, started: s.server.Counts().Started})
+	}
+}
+
+// change proposes a change and notes what became of it.
+func (r *run) change(ctx context.Context, e *entryVM, c config.Change) {
+	started := time.Now()
+	result, err := r.fleet.propose(ctx, e, c)
+	r.events.mu.Lock()
+	defer r.events.mu.Unlock()
+	r.events.changes = append(r.events.changes, changeResult{revision: result.Revision, took: time.Since(started), err: err})
+}
+
+// race makes two operators change accounts at once, count changes each. Every
+// fifth change of each is to the same account.
+func (r *run) race(ctx context.Context, count int) {
+	var operators sync.WaitGroup
+	for n := range 2 {
+		operators.Go(func() { r.operate(ctx, n, count) })
+	}
+	operators.Wait()
+}
+
+func (r *run) operate(ctx context.Context, operator, count int) {
+	d := r.options.Deployment
+	for i := range count {
+		live := r.fleet.live()
+		e := live[(operator*3+i)%len(live)]
+		service, err := configOf(e)
+		if err != nil || service.Current() == nil || ctx.Err() != nil {
+			return
+		}
+		at := operator
+		if i%5 == 0 {
+			at = len(d.Accounts) - 1
+		}
+		account, ok := service.Current().Account(d.Accounts[at])
+		if !ok {
+			return
+		}
+		edited := withShiftCap(*account, int64(shiftCap+i))
+		r.change(ctx, e, config.Change{
+			ID:       r.fleet.changeID(),
+			Operator: []string{"anna", "bert"}[operator],
+			Base:     service.Current().Revision(),
+			Accounts: []config.Account{edited},
+		})
+	}
+}
+
+// withShiftCap returns a copy of the account with another cap for its first
+// service.
+func withShiftCap(a config.Account, limit int64) config.Account {
+	a.Services = append([]config.AccountService(nil), a.Services...)
+	a.Services[0].ShiftCap = &limit
+	return a
+}
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -50,6 +50,8 @@
 	entries map[model.VMID]*entryVM
 	order   []model.VMID
 	servers []*backendServer
+	// onStart is told of each run that begins at a server in a zone.
+	onStart func(zone model.Zone, order string)
 }
 
 // entryVM is one entry VM slot with the process that runs there now.
@@ -57,10 +59,18 @@
 	slot    config.Slot
 	region  model.Region
 	host    string
+	process process
+	// daemon is nil when the baseline runs.
 	daemon  *daemon.Daemon
 	running bool
 }
 
+// process is what runs on an entry VM.
+type process interface {
+	Stop(ctx context.Context) error
+	Kill()
+}
+
 // backendServer is one backend server.
 type backendServer struct {
 	id      model.ServerID
@@ -82,7 +92,7 @@
 	hostServer = 20
 )
 
-func newFleet(d Deployment, logger *log.Logger) *fleet {
+func newFleet(d Deployment, logger *log.Logger, onStart func(model.Zone, string)) *fleet {
 	regions := make(map[model.Zone]model.Region)
 	for _, z := range d.zones() {
 		regions[z.Name] = z.Region
@@ -92,13 +102,13 @@
 		net:        newNetwork(d.Delays, regions),
 		store:      platformstandin.New(platformstandin.Options{ListLag: listLag}),
 		logger:     logger,
+		onStart:    onStart,
 		entries:    make(map[model.VMID]*entryVM),
 	}
 }
 
-// start starts servers and entry VMs and puts the first configuration in
-// force.
-func (f *fleet) start(ctx context.Context) error {
+// start starts the backend servers and lays out the entry VMs.
+func (f *fleet) start() error {
 	if err := f.startServers(); err != nil {
 		return err
 	}
@@ -109,6 +119,12 @@
 		f.order = append(f.order, slot.VM)
 		f.store.SetVM(platform.VM{ID: string(slot.VM), Role: platform.RoleEntry, Zone: slot.Zone, Address: e.address(), State: platform.VMLive})
 	}
+	return nil
+}
+
+// startEntries starts a daemon on every entry VM and puts the deployment's
+// configuration in force.
+func (f *fleet) startEntries(ctx context.Context) error {
 	for _, vm := range f.order {
 		if err := f.startEntry(ctx, f.entries[vm]); err != nil {
 			return err
@@ -146,6 +162,7 @@
 		ColdFactor:  coldFactor,
 		ColdWork:    coldWork,
 		ReportLag:   time.Second,
+		OnStart:     func(order string) { f.onStart(zone, order) },
 	})
 	if err != nil {
 		return nil, err
@@ -187,7 +204,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	e.daemon, e.running = d, true
+	e.process, e.daemon, e.running = d, d, true
 	return nil
 }
 
@@ -227,7 +244,7 @@
 }
 
 // take marks the slot's process as gone and returns it, or nil.
-func (f *fleet) take(vm model.VMID) *daemon.Daemon {
+func (f *fleet) take(vm model.VMID) process {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	e, ok := f.entries[vm]
@@ -235,7 +252,7 @@
 		return nil
 	}
 	e.running = false
-	return e.daemon
+	return e.process
 }
 
 // kill ends an entry VM as a crash would.
--- a/internal/demo/tally.go
+++ b/internal/demo/tally.go
@@ -41,6 +41,7 @@
 	mu      sync.Mutex
 	byRank  [model.NumPriorities]*rankTally
 	results []result
+	unsent  int
 }
 
 type rankTally struct {
@@ -89,3 +90,11 @@
 		t.unknowns[r.reason]++
 	}
 }
+
+// overflow counts a request that was not sent because the callers had too many
+// in flight.
+func (t *tallies) overflow() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.unsent++
+}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -31,6 +31,9 @@
 	excluded []model.VMID
 	server   model.ServerID
 	last     *Failure
+	// mayHaveRun is set once an attempt has ended without proof that it did
+	// not run.
+	mayHaveRun bool
 }
 
 // dispatch runs the request at one place after another until one answers, a
@@ -43,7 +46,7 @@
 	for n := 1; n <= maxAttempts; n++ {
 		target, f := s.choose(q, p, home)
 		if f != nil {
-			return nil, preferFirst(p.last, f)
+			return nil, p.final(f)
 		}
 		a, f := s.attempt(ctx, q, target, attemptID(q.id, n), p.server)
 		if f == nil {
@@ -52,19 +55,26 @@
 		}
 		p.note(target, f)
 		if !s.mayRetry(ctx, q, f) {
-			return nil, f
+			return nil, p.final(f)
 		}
 	}
-	return nil, p.last
+	return nil, p.final(p.last)
 }
 
-// preferFirst returns the failure of an attempt, which tells the caller more
-// than the lack of another place to try.
-func preferFirst(attempt, choice *Failure) *Failure {
-	if attempt != nil {
-		return attempt
+// final returns the failure to tell the caller. The failure of an attempt says
+// more than the lack of another place to try, and an attempt that may have run
+// makes the whole request one that may have run.
+func (p *progress) final(f *Failure) *Failure {
+	if p.last != nil {
+		f = p.last
 	}
-	return choice
+	if !p.mayHaveRun || f.Outcome != model.OutcomeNotRun {
+		return f
+	}
+	told := *f
+	told.Outcome = model.OutcomeUnknown
+	told.Status = http.StatusBadGateway
+	return &told
 }
 
 func attemptID(id model.AttemptID, n int) model.AttemptID {
@@ -170,6 +180,7 @@
 
 func (p *progress) note(t target, f *Failure) {
 	p.last = f
+	p.mayHaveRun = p.mayHaveRun || f.Outcome != model.OutcomeNotRun
 	p.server = f.server
 	if f.server == "" {
 		p.excluded = append(p.excluded, t.owner.VM)
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -116,12 +116,9 @@
 
 // Start publishes the first view and starts the control goroutine.
 func (s *Service) Start(ctx context.Context) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.ctx != nil {
+	if !s.begin(ctx) {
 		return errors.New("membership: service was already started")
 	}
-	s.ctx, s.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	node := NewNode(NodeOptions{
 		Self:      s.opts.Self,
 		Seeds:     s.opts.Seeds,
@@ -134,6 +131,18 @@
 	return nil
 }
 
+// begin sets the lifetime of the goroutines. It reports false when that was
+// done before.
+func (s *Service) begin(ctx context.Context) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ctx != nil {
+		return false
+	}
+	s.ctx, s.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	return true
+}
+
 // Stop ends the control goroutine and the calls under way, or gives up with
 // ctx. It does not announce that the VM leaves; see Leave.
 func (s *Service) Stop(ctx context.Context) error {
