quota: test caps under pauses, losses, lease changes and new configurations

Cause: the safety of floors and grants was argued but not tested. Change: a request names its process, and a lender counts the grants of two processes of one VM side by side.

--- a/internal/quota/borrow.go
+++ b/internal/quota/borrow.go
@@ -73,7 +73,12 @@
 func (a *agent) ask(ctx context.Context, demands []Demand) {
 	holder := a.currentHolder()
 	sent := a.service.opts.Now()
-	req := GrantRequest{Region: a.region, Epoch: holder.Epoch, Demands: demands}
+	req := GrantRequest{
+		Region:  a.region,
+		Epoch:   holder.Epoch,
+		Process: a.service.process,
+		Demands: demands,
+	}
 	reply, err := a.call(ctx, holder.VM, req)
 	a.asked(err == nil && reply.Status != GrantNotHolder)
 	if err != nil {
--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -20,8 +20,11 @@
 	Region model.Region `cbor:"1,keyasint"`
 	// Epoch is the term of the lender that the borrower knows of.
 	Epoch uint64 `cbor:"2,keyasint"`
+	// Process tells two processes of one VM apart. What was lent to a process
+	// that has ended counts beside what its successor borrows.
+	Process uint64 `cbor:"3,keyasint"`
 	// Demands may be empty, which only tests whether the lender answers.
-	Demands []Demand `cbor:"3,keyasint,omitempty"`
+	Demands []Demand `cbor:"4,keyasint,omitempty"`
 }
 
 // GrantStatus says how a lender took a request.
@@ -84,7 +87,7 @@
 			continue
 		}
 		p.lendable.set(now, 0, l.timing.Changeover())
-		if p.lendable.idle(now, l.timing.Changeover()) && p.lent(now, "") == 0 {
+		if p.lendable.idle(now, l.timing.Changeover()) && p.lent(now, borrowerID{}) == 0 {
 			delete(l.pools, key)
 		}
 	}
@@ -93,7 +96,7 @@
 func (l *Lender) pool(key Key) *pool {
 	p, ok := l.pools[key]
 	if !ok {
-		p = &pool{borrowers: make(map[model.VMID]*borrower)}
+		p = &pool{borrowers: make(map[borrowerID]*borrower)}
 		l.pools[key] = p
 	}
 	return p
@@ -134,12 +137,13 @@
 		return reply
 	}
 	reply.Status = GrantServed
+	id := borrowerID{vm: from, process: req.Process}
 	for _, d := range req.Demands[:min(len(req.Demands), maxDemands)] {
 		p, ok := l.pools[d.Key]
 		if !ok {
 			continue
 		}
-		value := p.lend(now, from, d.Want, l.timing)
+		value := p.lend(now, id, d.Want, l.timing)
 		if value > 0 {
 			reply.Loans = append(reply.Loans, Loan{Key: d.Key, Value: value, Remaining: l.timing.GrantTTL})
 		}
--- a/internal/quota/pool.go
+++ b/internal/quota/pool.go
@@ -9,10 +9,16 @@
 // pool is the lendable part of one cap with its borrowers.
 type pool struct {
 	lendable  history
-	borrowers map[model.VMID]*borrower
+	borrowers map[borrowerID]*borrower
 }
 
-// borrower is one VM with its unexpired grants of one pool.
+// borrowerID names one process of one VM.
+type borrowerID struct {
+	vm      model.VMID
+	process uint64
+}
+
+// borrower is one process with its unexpired grants of one pool.
 type borrower struct {
 	want     int64
 	lastSeen time.Time
@@ -22,17 +28,17 @@
 
 // lend grants a part of the pool for the timing's grant duration from now and
 // returns its value.
-func (p *pool) lend(now time.Time, vm model.VMID, want int64, timing Timing) int64 {
+func (p *pool) lend(now time.Time, id borrowerID, want int64, timing Timing) int64 {
 	p.prune(now, timing)
-	b, ok := p.borrowers[vm]
+	b, ok := p.borrowers[id]
 	if !ok {
 		b = &borrower{}
-		p.borrowers[vm] = b
+		p.borrowers[id] = b
 	}
 	b.want = max(want, 0)
 	b.lastSeen = now
 	lendable := p.lendable.lowest(now, timing.Changeover())
-	value := min(b.want, p.fairShare(lendable), lendable-p.lent(now, vm))
+	value := min(b.want, p.fairShare(lendable), lendable-p.lent(now, id))
 	if value <= 0 {
 		return 0
 	}
@@ -41,10 +47,10 @@
 }
 
 // lent returns the sum of what counts as lent to others than except.
-func (p *pool) lent(now time.Time, except model.VMID) int64 {
+func (p *pool) lent(now time.Time, except borrowerID) int64 {
 	var sum int64
-	for vm, b := range p.borrowers {
-		if vm != except {
+	for id, b := range p.borrowers {
+		if id != except {
 			sum += b.counted(now)
 		}
 	}
@@ -77,12 +83,12 @@
 
 // prune forgets borrowers that stopped asking and whose grants have ended.
 func (p *pool) prune(now time.Time, timing Timing) {
-	for vm, b := range p.borrowers {
+	for id, b := range p.borrowers {
 		if now.Sub(b.lastSeen) > timing.GrantTTL {
 			b.want = 0
 		}
 		if b.want == 0 && b.counted(now) == 0 {
-			delete(p.borrowers, vm)
+			delete(p.borrowers, id)
 		}
 	}
 }
--- /dev/null
+++ b/internal/quota/quota_test.go
@@ -0,0 +1,310 @@
+package quota
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"fuchsiaspar/internal/model"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/commands"
+	"github.com/leanovate/gopter/gen"
+)
+
+var (
+	histories = flag.Int("histories", 100, "count of random histories per oracle")
+	seed      = flag.Int64("seed", 1, "seed of the random histories")
+)
+
+// maxCommands bounds the commands of one history.
+const maxCommands = 24
+
+// event makes a command that runs f on the world and fails on a violation.
+func event(name string, f func(*world) error) commands.Command {
+	return &commands.ProtoCommand{
+		Name: name,
+		RunFunc: func(sut commands.SystemUnderTest) commands.Result {
+			return f(sut.(*world))
+		},
+		PostConditionFunc: func(_ commands.State, result commands.Result) *gopter.PropResult {
+			if err, ok := result.(error); ok && err != nil {
+				return &gopter.PropResult{Status: gopter.PropFalse, Labels: []string{err.Error()}}
+			}
+			return &gopter.PropResult{Status: gopter.PropTrue}
+		},
+	}
+}
+
+// makeEvent turns random numbers into a command.
+func makeEvent(kind, vm, amount int) commands.Command {
+	ms := time.Duration(amount) * time.Millisecond
+	name := fmt.Sprintf("%s(vm-%d, %d)", eventNames[kind], vm, amount)
+	return event(name, func(w *world) error {
+		target := w.vms[vm]
+		switch eventNames[kind] {
+		case "pause":
+			target.paused = w.now + 2*ms
+		case "pause holder":
+			w.vms[w.leaseHolder].paused = w.now + 2*ms
+		case "cut":
+			target.cut = w.now + 2*ms
+		case "restart":
+			w.restart(target)
+		case "store down":
+			w.storeDown = w.now + 2*ms
+		case "set cap":
+			w.commit(int64(amount/10), w.slots())
+		case "set slots":
+			w.commitSlots(3 + amount%4)
+		case "appetite":
+			target.hungry = !target.hungry
+		}
+		return w.run(ms)
+	})
+}
+
+var eventNames = []string{
+	"run", "run", "run", "pause", "pause holder", "cut", "restart",
+	"store down", "set cap", "set slots", "appetite",
+}
+
+func (w *world) slots() int { return w.configs[len(w.configs)-1].slots }
+
+func (w *world) commit(perSecond int64, slots int) {
+	w.configs = append(w.configs, simConfig{at: w.now, perSecond: perSecond, slots: slots})
+}
+
+// commitSlots changes the count of slots, at most once in a changeover.
+func (w *world) commitSlots(slots int) {
+	if w.now-w.slotsSetAt < simTiming.Changeover() {
+		return
+	}
+	w.slotsSetAt = w.now
+	w.commit(w.configs[len(w.configs)-1].perSecond, slots)
+}
+
+// quotaCommands returns the commands for a world with a flaw.
+func quotaCommands(f flaw) commands.Commands {
+	return &commands.ProtoCommands{
+		NewSystemUnderTestFunc: func(state commands.State) commands.SystemUnderTest {
+			w := newWorld(state.(uint64), f)
+			w.run(4 * time.Second)
+			return w
+		},
+		InitialStateGen: gen.UInt64(),
+		GenCommandFunc: func(commands.State) gopter.Gen {
+			return gopter.CombineGens(
+				gen.IntRange(0, len(eventNames)-1),
+				gen.IntRange(0, simVMs-1),
+				gen.IntRange(20, 2500),
+			).Map(func(v []any) commands.Command {
+				return makeEvent(v[0].(int), v[1].(int), v[2].(int))
+			})
+		},
+	}
+}
+
+// capsHold runs histories and stops at the first violation.
+func capsHold(f flaw, count int) *gopter.TestResult {
+	params := gopter.DefaultTestParametersWithSeed(*seed)
+	params.MinSuccessfulTests = count
+	params.MaxSize = maxCommands
+	params.MaxShrinkCount = 0
+	return commands.Prop(quotaCommands(f)).Check(params)
+}
+
+func TestCapsHold(t *testing.T) {
+	result := capsHold(flawNone, *histories)
+	if !result.Passed() {
+		t.Fatalf("seed %d: %v %v\n%v", *seed, result.Status, result.Labels, result.Args)
+	}
+}
+
+// TestOracleCatchesFlaws proves that the oracle can fail.
+func TestOracleCatchesFlaws(t *testing.T) {
+	for _, f := range allFlaws {
+		t.Run(string(f), func(t *testing.T) {
+			result := capsHold(f, 300)
+			if result.Passed() {
+				t.Fatal("the oracle accepts a flawed system")
+			}
+			t.Logf("caught after %d histories: %v", result.Succeeded, result.Labels)
+		})
+	}
+}
+
+// TestDemandIsServed checks that a cap is used, not only kept.
+func TestDemandIsServed(t *testing.T) {
+	w := newWorld(1, flawNone)
+	for _, vm := range w.vms[1:] {
+		vm.hungry = false
+	}
+	if err := w.run(8 * time.Second); err != nil {
+		t.Fatal(err)
+	}
+	for _, key := range simKeys {
+		before := w.logs[key].total
+		if err := w.run(10 * time.Second); err != nil {
+			t.Fatal(err)
+		}
+		perSecond := (w.logs[key].total - before) / 10
+		floors := floorShare(120, 4) * 3
+		if want := (120 - floors) * 85 / 100; perSecond < want {
+			t.Errorf("%v: one VM spends %d a second, want at least %d", key, perSecond, want)
+		}
+	}
+}
+
+func TestFloorsNeverPassTheCap(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	for range 10000 {
+		c := Cap{PerSecond: rng.Int64N(1000), Slots: 1 + rng.IntN(2000)}
+		floors := c.floor(7) * int64(c.Slots)
+		if floors+c.lendable(7) != c.PerSecond || c.lendable(7) < 0 {
+			t.Fatalf("%+v: floors %d, lendable %d", c, floors, c.lendable(7))
+		}
+	}
+}
+
+// settledLedger returns a ledger whose floor is in force, and the time then.
+func settledLedger(key Key, perSecond int64, slots int) (*Ledger, time.Time) {
+	l := NewLedger("vm-0", LedgerOptions{Timing: simTiming})
+	l.SetCaps(simEpoch, slots, []Cap{{Key: key, PerSecond: perSecond}})
+	return l, simEpoch.Add(simTiming.Changeover())
+}
+
+func TestInForceFollowsTheChangeover(t *testing.T) {
+	key := simKeys[0]
+	l, now := settledLedger(key, 100, 1)
+	expect := func(at time.Time, value int64, pending time.Duration, allowance int64) {
+		t.Helper()
+		v, p := l.InForce(at, key)
+		if v != value || p != pending {
+			t.Errorf("in force %d for %v, want %d for %v", v, p, value, pending)
+		}
+		if a := l.Allowance(at, key); a != allowance {
+			t.Errorf("allowance %d, want %d", a, allowance)
+		}
+	}
+	expect(now, 100, 0, 50)
+	l.SetCaps(now, 1, []Cap{{Key: key, PerSecond: 20}})
+	expect(now, 100, simTiming.Changeover(), 10)
+	now = now.Add(simTiming.Changeover())
+	expect(now, 20, 0, 10)
+	l.SetCaps(now, 1, []Cap{{Key: key, PerSecond: 200}})
+	expect(now, 20, simTiming.Changeover(), 10)
+	expect(now.Add(simTiming.Changeover()), 200, 0, 100)
+}
+
+func TestUrgentDemandIsKeptFree(t *testing.T) {
+	l, now := settledLedger(simKeys[0], 100, 1)
+	for range 10 {
+		l.Take(now, simKeys[0], 1)
+	}
+	for range 30 {
+		l.Take(now, simKeys[0], 1)
+	}
+	if got := l.TakeUpToPriority(now, simKeys[0], 100, model.PriorityBulk); got != 10 {
+		t.Errorf("bulk work took %d beside 40 urgent units of 50", got)
+	}
+	later := now.Add(Window + subWindow)
+	for range 60 {
+		l.Take(later, simKeys[0], 1)
+	}
+	if l.TakePriority(later, simKeys[0], 1, model.PriorityBulk) {
+		t.Error("bulk work took a unit beyond the allowance")
+	}
+}
+
+func TestNextAvailableIsWhenUnitsReturn(t *testing.T) {
+	l, now := settledLedger(simKeys[0], 100, 1)
+	if got := l.TakeUpTo(now, simKeys[0], 100); got != 50 {
+		t.Fatalf("took %d of a floor of 50", got)
+	}
+	next := l.NextAvailable(now, simKeys[0], 1, model.PriorityUrgent)
+	if l.Take(next.Add(-time.Nanosecond), simKeys[0], 1) {
+		t.Error("units were free before NextAvailable")
+	}
+	if !l.Take(next, simKeys[0], 1) {
+		t.Error("no unit was free at NextAvailable")
+	}
+}
+
+func BenchmarkTake(b *testing.B) {
+	for _, keys := range []int{10, 1000, 46_000} {
+		b.Run(fmt.Sprintf("keys=%d", keys), func(b *testing.B) {
+			l, list := benchLedger(keys)
+			now := simEpoch.Add(simTiming.Changeover())
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				l.Take(now.Add(time.Duration(i)*time.Microsecond), list[i%len(list)], 1)
+			}
+		})
+	}
+}
+
+func BenchmarkTakeParallel(b *testing.B) {
+	l, list := benchLedger(100)
+	now := simEpoch.Add(simTiming.Changeover())
+	b.RunParallel(func(pb *testing.PB) {
+		for i := 0; pb.Next(); i++ {
+			l.Take(now, list[i%len(list)], 1)
+		}
+	})
+}
+
+func benchLedger(keys int) (*Ledger, []Key) {
+	l := NewLedger("vm-0", LedgerOptions{Timing: simTiming})
+	list := make([]Key, keys)
+	caps := make([]Cap, keys)
+	for i := range list {
+		list[i] = ShiftKey(model.AccountID(fmt.Sprint("account-", i/23)), "plan-vault", model.Zone(fmt.Sprint("zone-", i%23)))
+		caps[i] = Cap{Key: list[i], PerSecond: 1000}
+	}
+	l.SetCaps(simEpoch, 7, caps)
+	return l, list
+}
+
+func BenchmarkLend(b *testing.B) {
+	for _, borrowers := range []int{7, 175, 1400} {
+		b.Run(fmt.Sprintf("borrowers=%d", borrowers), func(b *testing.B) {
+			lender := NewLender(LenderOptions{Timing: simTiming})
+			lender.SetCaps(simEpoch, borrowers, []Cap{{Key: simKeys[0], PerSecond: 100_000}})
+			now := simEpoch.Add(simTiming.Changeover())
+			lender.Acquired(now, now.Add(1000*time.Hour), 1)
+			now = now.Add(simTiming.Settling())
+			vms := make([]model.VMID, borrowers)
+			for i := range vms {
+				vms[i] = vmID(i)
+			}
+			req := GrantRequest{Epoch: 1, Demands: []Demand{{Key: simKeys[0], Want: 50}}}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				at := now.Add(time.Duration(i) * (200 * time.Millisecond / time.Duration(borrowers)))
+				lender.Lend(at, vms[i%borrowers], req)
+			}
+		})
+	}
+}
+
+func BenchmarkSetCaps(b *testing.B) {
+	for _, keys := range []int{1000, 46_000} {
+		b.Run(fmt.Sprintf("keys=%d", keys), func(b *testing.B) {
+			l, list := benchLedger(keys)
+			caps := make([]Cap, len(list))
+			for i := range list {
+				caps[i] = Cap{Key: list[i], PerSecond: 1000}
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				l.SetCaps(simEpoch.Add(time.Duration(i)*time.Second), 7, caps)
+			}
+		})
+	}
+}
--- a/internal/quota/service.go
+++ b/internal/quota/service.go
@@ -77,6 +77,8 @@
 	ledger  *Ledger
 	metrics *metrics
 	jitter  *jitter
+	// process tells this process from its predecessors at the lenders.
+	process uint64
 
 	mu      sync.Mutex
 	doc     *deployment
@@ -97,6 +99,7 @@
 		jitter:  &jitter{rand: opts.Rand},
 		agents:  make(map[model.Region]*agent),
 	}
+	s.process = s.jitter.uint64()
 	opts.Links.Handle(peer.KindGrantRequest, s.handle)
 	return s
 }
