--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -87,7 +87,7 @@
 			continue
 		}
 		p.lendable.set(now, 0, l.timing.Changeover())
-		if p.lendable.idle(now, l.timing.Changeover()) && p.lent(now, borrowerID{}) == 0 {
+		if p.lendable.idle(now, l.timing.Changeover()) {
 			delete(l.pools, key)
 		}
 	}
--- a/internal/quota/pool.go
+++ b/internal/quota/pool.go
@@ -6,10 +6,19 @@
 	"fuchsiaspar/internal/model"
 )
 
+// sweepInterval is how often a pool looks over all its borrowers. In between
+// ended grants still count as lent, which is safe.
+const sweepInterval = subWindow
+
 // pool is the lendable part of one cap with its borrowers.
 type pool struct {
 	lendable  history
 	borrowers map[borrowerID]*borrower
+	// lent is the sum of what counts as lent.
+	lent int64
+	// share is the most that one borrower gets.
+	share int64
+	swept time.Time
 }
 
 // borrowerID names one process of one VM.
@@ -22,6 +31,8 @@
 type borrower struct {
 	want     int64
 	lastSeen time.Time
+	// counted is the largest grant that ended less than a Window ago.
+	counted int64
 	// grants are in order of falling value and rising expiry.
 	grants []held
 }
@@ -29,7 +40,8 @@
 // lend grants a part of the pool for the timing's grant duration from now and
 // returns its value.
 func (p *pool) lend(now time.Time, id borrowerID, want int64, timing Timing) int64 {
-	p.prune(now, timing)
+	lendable := p.lendable.lowest(now, timing.Changeover())
+	p.sweep(now, lendable, timing)
 	b, ok := p.borrowers[id]
 	if !ok {
 		b = &borrower{}
@@ -37,24 +49,36 @@
 	}
 	b.want = max(want, 0)
 	b.lastSeen = now
-	lendable := p.lendable.lowest(now, timing.Changeover())
-	value := min(b.want, p.fairShare(lendable), lendable-p.lent(now, id))
+	others := p.lent - b.counted
+	value := min(b.want, p.share, lendable-others)
 	if value <= 0 {
 		return 0
 	}
 	b.add(held{value: value, expires: now.Add(timing.GrantTTL)})
+	b.counted = b.grants[0].value
+	p.lent = others + b.counted
 	return value
 }
 
-// lent returns the sum of what counts as lent to others than except.
-func (p *pool) lent(now time.Time, except borrowerID) int64 {
-	var sum int64
+// sweep drops ended grants and borrowers that stopped asking, and divides the
+// pool anew.
+func (p *pool) sweep(now time.Time, lendable int64, timing Timing) {
+	if !p.swept.IsZero() && now.Sub(p.swept) < sweepInterval {
+		return
+	}
+	p.swept = now
+	p.lent = 0
 	for id, b := range p.borrowers {
-		if id != except {
-			sum += b.counted(now)
+		if now.Sub(b.lastSeen) > timing.GrantTTL {
+			b.want = 0
+		}
+		b.prune(now)
+		p.lent += b.counted
+		if b.want == 0 && b.counted == 0 {
+			delete(p.borrowers, id)
 		}
 	}
-	return sum
+	p.share = p.fairShare(lendable)
 }
 
 // fairShare returns the max-min fair share of a pool: the most that each of
@@ -81,27 +105,15 @@
 	}
 }
 
-// prune forgets borrowers that stopped asking and whose grants have ended.
-func (p *pool) prune(now time.Time, timing Timing) {
-	for id, b := range p.borrowers {
-		if now.Sub(b.lastSeen) > timing.GrantTTL {
-			b.want = 0
-		}
-		if b.want == 0 && b.counted(now) == 0 {
-			delete(p.borrowers, id)
-		}
-	}
-}
-
-// counted returns the largest grant that ended less than a Window ago.
-func (b *borrower) counted(now time.Time) int64 {
+// prune drops the grants that ended a Window ago.
+func (b *borrower) prune(now time.Time) {
 	for len(b.grants) > 0 && !now.Before(b.grants[0].expires.Add(Window)) {
 		b.grants = b.grants[1:]
 	}
-	if len(b.grants) == 0 {
-		return 0
+	b.counted = 0
+	if len(b.grants) > 0 {
+		b.counted = b.grants[0].value
 	}
-	return b.grants[0].value
 }
 
 // add keeps a grant that expires after all earlier ones.
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -319,9 +319,9 @@
 func forgetEnded(l *Lender, now time.Time) {
 	for _, p := range l.pools {
 		for _, b := range p.borrowers {
-			for len(b.grants) > 0 && !now.Before(b.grants[0].expires) {
-				b.grants = b.grants[1:]
-			}
+			p.lent -= b.counted
+			b.prune(now.Add(Window))
+			p.lent += b.counted
 		}
 	}
 }
