--- a/internal/steer/place.go
+++ b/internal/steer/place.go
@@ -11,8 +11,8 @@
 
 // The fits, the ones closest to a success last.
 const (
-	fitUnreachable fit = iota
-	fitNoServer
+	fitNoServer fit = iota
+	fitUnreachable
 	fitDraining
 	fitCrowded
 	fitRamping
@@ -35,22 +35,6 @@
 	}
 }
 
-// reasonRank orders reasons from the least to the most telling.
-var reasonRank = map[model.Reason]int{
-	model.ReasonNoServer:        0,
-	model.ReasonPeerUnreachable: 1,
-	model.ReasonPlaceDraining:   2,
-	model.ReasonQueueFull:       3,
-	model.ReasonPlaceRamping:    4,
-}
-
-func moreTelling(a, b model.Reason) model.Reason {
-	if reasonRank[b] > reasonRank[a] {
-		return b
-	}
-	return a
-}
-
 // place is one availability zone as a destination of one service.
 type place struct {
 	state ZoneState
@@ -84,10 +68,11 @@
 
 // returningFull reports that the place has returned after a loss and that its
 // ramp is full, home traffic included.
-func (p *place) returningFull(entries int) bool {
+func (p *place) returningFull(now time.Time, entries int) bool {
 	if !p.ramp.returning {
 		return false
 	}
+	p.ramp.expire(now)
 	return p.ramp.full(p.ramp.home+p.ramp.shifted, p.state.Slots, entries)
 }
 
@@ -101,6 +86,7 @@
 	case p.state.Draining:
 		return fitDraining
 	}
+	p.ramp.expire(now)
 	p.ramp.beginShift(now)
 	if p.ramp.full(p.ramp.shifted, p.state.Slots, entries) {
 		return fitRamping
--- a/internal/steer/router.go
+++ b/internal/steer/router.go
@@ -245,7 +245,7 @@
 	homeZone := req.Home[0].Zone
 	home := s.places[homeZone]
 	usable := home != nil && home.usable() && !slices.Contains(req.Tried, homeZone)
-	if usable && !home.returningFull(entries) {
+	if usable && !home.returningFull(now, entries) {
 		return home.serve(now)
 	}
 	choice := s.shift(now, req, home, entries)
@@ -277,25 +277,25 @@
 // target returns the first place that fits, or why none does. Urgent work may
 // go to a place without free slots when no other fits.
 func (s *serviceRouter) target(now time.Time, req Request, order []*place, entries int) (*place, model.Reason) {
-	reason := model.ReasonNoServer
+	closest := fitNoServer
 	var crowded *place
 	for _, p := range order {
 		if p.state.Zone == req.Home[0].Zone || slices.Contains(req.Tried, p.state.Zone) {
 			continue
 		}
-		fit := p.fits(now, entries)
-		if fit == fitYes {
+		f := p.fits(now, entries)
+		if f == fitYes {
 			return p, model.ReasonNone
 		}
-		if fit == fitCrowded && crowded == nil {
+		if f == fitCrowded && crowded == nil {
 			crowded = p
 		}
-		reason = moreTelling(reason, fit.reason())
+		closest = max(closest, f)
 	}
 	if crowded != nil && req.Priority == model.PriorityUrgent {
 		return crowded, model.ReasonNone
 	}
-	return nil, reason
+	return nil, closest.reason()
 }
 
 func (s *serviceRouter) spend(now time.Time, req Request) bool {
