Test agreement over seven entry VMs in fake time

Cause: agreement, resolution of lost answers, exclusion and freshness need tests that bring the failures about. Change: a fleet of services over in-memory links and the stand-in, in synctest bubbles; tests of commit, rebase, conflict, repeat of an ID, lost answers, a cut-off zone, a store outage and a restart in it.

--- /dev/null
+++ b/internal/config/fixture_test.go
@@ -0,0 +1,265 @@
+package config
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"fuchsiaspar/internal/membership"
+	"fuchsiaspar/internal/model"
+	"fuchsiaspar/internal/peer"
+	"fuchsiaspar/internal/platform/standin"
+)
+
+// testZones are six zones of three regions; the first holds two entry VMs.
+var testZones = []Zone{
+	{"lj-1", "lj"}, {"lj-2", "lj"}, {"mb-1", "mb"}, {"mb-2", "mb"}, {"kp-1", "kp"}, {"kp-2", "kp"},
+}
+
+var testSlots = []Slot{
+	{"vm0", "lj-1"}, {"vm1", "lj-1"}, {"vm2", "lj-2"}, {"vm3", "mb-1"}, {"vm4", "mb-2"}, {"vm5", "kp-1"}, {"vm6", "kp-2"},
+}
+
+func testTemplate() Template {
+	return Template{
+		Name:    "lease",
+		Service: "lease-desk",
+		Places:  []model.Zone{"lj-1", "lj-2", "mb-1"},
+		Server:  ServerClass{Slots: 3, MaxConns: 360},
+		Floors:  Floors{Urgent: 50, Normal: 20, Bulk: 10},
+		Classes: []Class{
+			{Name: "reserve", Method: "POST", PathPrefix: "/reservations", Priority: model.PriorityUrgent,
+				Highest: model.PriorityUrgent, Lowest: model.PriorityNormal, Deadline: model.Duration(time.Second)},
+			{Name: "any", PathPrefix: "/", Priority: model.PriorityNormal,
+				Highest: model.PriorityUrgent, Lowest: model.PriorityBulk, Idempotent: true, Deadline: model.Duration(time.Second)},
+		},
+		QueueLimit:   100,
+		RetryPercent: 10,
+		ShiftCap:     Range{Min: 0, Max: 1000, Default: 100},
+		Weight:       Range{Min: 1, Max: 10, Default: 1},
+	}
+}
+
+func testAccount(id model.AccountID, shiftCap int64) Account {
+	return Account{ID: id, Services: []AccountService{{Template: "lease", ShiftCap: &shiftCap}}}
+}
+
+// testDocument is a valid document of the test zones and two accounts.
+func testDocument() *Document {
+	return &Document{
+		Revision:  1,
+		Lookup:    Lookup{TTL: model.Duration(2 * time.Second)},
+		Zones:     testZones,
+		Slots:     testSlots,
+		Links:     []Link{{From: "lj", To: "mb", BytesPerSecond: 500_000_000}},
+		Templates: []Template{testTemplate()},
+		Accounts:  []Account{testAccount("acct0", 10), testAccount("acct1", 20)},
+		Drains:    []Drain{},
+	}
+}
+
+func testBlock(prefix string) Block {
+	return Block{Prefix: netip.MustParsePrefix(prefix), Places: []Place{{Zone: "lj-1", Weight: 1}}}
+}
+
+// fleet is services joined by in-memory links over one stand-in store.
+type fleet struct {
+	store *standin.Store
+
+	mu sync.Mutex
+	// cut holds the VMs that reach no other VM.
+	cut   map[model.VMID]bool
+	nodes map[model.VMID]*node
+	seed  int64
+	rules rules
+}
+
+// node is one process. A restart replaces it.
+type node struct {
+	fleet    *fleet
+	slot     Slot
+	service  *Service
+	handlers map[peer.Kind]peer.Handler
+	// revisions are those adopted, in order.
+	revisions []model.Revision
+	adopted   []*Snapshot
+}
+
+func newFleet(seed int64) *fleet {
+	return &fleet{
+		store: standin.New(standin.Options{}),
+		cut:   make(map[model.VMID]bool),
+		nodes: make(map[model.VMID]*node),
+		seed:  seed,
+		rules: standardRules(),
+	}
+}
+
+func (f *fleet) startAll() {
+	for _, slot := range testSlots {
+		f.start(slot)
+	}
+}
+
+// start runs a new process in a slot.
+func (f *fleet) start(slot Slot) {
+	f.seed++
+	n := &node{fleet: f, slot: slot, handlers: make(map[peer.Kind]peer.Handler)}
+	client := f.store.Client(string(slot.VM))
+	n.service = NewService(ServiceOptions{
+		Self:  slot.VM,
+		Zone:  slot.Zone,
+		Store: client,
+		Links: n,
+		View:  func() *membership.View { return f.view(slot.VM) },
+		Rand:  rand.New(rand.NewSource(f.seed)),
+	})
+	n.service.rules = f.rules
+	n.service.Subscribe(func(s *Snapshot) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		n.revisions = append(n.revisions, s.Revision())
+		n.adopted = append(n.adopted, s)
+	})
+	f.mu.Lock()
+	f.nodes[slot.VM] = n
+	f.mu.Unlock()
+	_ = n.service.Start(context.Background())
+}
+
+func (f *fleet) stop(vm model.VMID) {
+	f.mu.Lock()
+	n := f.nodes[vm]
+	delete(f.nodes, vm)
+	f.mu.Unlock()
+	_ = n.service.Stop(context.Background())
+}
+
+func (f *fleet) stopAll() {
+	for _, vm := range f.running() {
+		f.stop(vm)
+	}
+}
+
+func (f *fleet) running() []model.VMID {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var vms []model.VMID
+	for vm := range f.nodes {
+		vms = append(vms, vm)
+	}
+	slices.Sort(vms)
+	return vms
+}
+
+func (f *fleet) service(vm model.VMID) *Service {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.nodes[vm].service
+}
+
+// setCut cuts a VM off from every other one, or heals that.
+func (f *fleet) setCut(vm model.VMID, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut[vm] = cut
+}
+
+func (f *fleet) connected(a, b model.VMID) bool {
+	return a == b || (!f.cut[a] && !f.cut[b])
+}
+
+// view is what perfect membership would tell vm.
+func (f *fleet) view(vm model.VMID) *membership.View {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	v := &membership.View{Self: vm}
+	for _, slot := range testSlots {
+		state := membership.StateDead
+		if f.nodes[slot.VM] != nil && f.connected(vm, slot.VM) {
+			state = membership.StateAlive
+		}
+		v.Members = append(v.Members, membership.Member{VM: slot.VM, Zone: slot.Zone, State: state})
+	}
+	return v
+}
+
+const testLatency = time.Millisecond
+
+func (n *node) Handle(kind peer.Kind, h peer.Handler)     { n.handlers[kind] = h }
+func (n *node) HandleSlow(kind peer.Kind, h peer.Handler) { n.handlers[kind] = h }
+func (n *node) SetAddress(model.VMID, string)             {}
+func (n *node) Drop(model.VMID)                           {}
+
+func (n *node) Send(to model.VMID, kind peer.Kind, body any) error {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = n.Call(ctx, to, kind, body, nil)
+	}()
+	return nil
+}
+
+// Call hangs until ctx ends when either side is cut off at the time of the
+// request or of the reply.
+func (n *node) Call(ctx context.Context, to model.VMID, kind peer.Kind, body, reply any) error {
+	data, err := encoding.Marshal(body)
+	if err != nil {
+		return err
+	}
+	time.Sleep(testLatency)
+	target, ok := n.target(to)
+	if !ok {
+		return peer.ErrNoLink
+	}
+	if !n.reaches(to) {
+		<-ctx.Done()
+		return peer.ErrLinkLost
+	}
+	answer, err := target.handlers[kind](ctx, n.slot.VM, data)
+	time.Sleep(testLatency)
+	if !n.reaches(to) || ctx.Err() != nil {
+		<-ctx.Done()
+		return peer.ErrLinkLost
+	}
+	if err != nil {
+		return fmt.Errorf("%w: %v", peer.ErrRemote, err)
+	}
+	if reply == nil {
+		return nil
+	}
+	encoded, err := encoding.Marshal(answer)
+	if err != nil {
+		return err
+	}
+	return decode(encoded, reply)
+}
+
+func (n *node) target(to model.VMID) (*node, bool) {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	t, ok := n.fleet.nodes[to]
+	return t, ok
+}
+
+func (n *node) reaches(to model.VMID) bool {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	return n.fleet.connected(n.slot.VM, to)
+}
+
+// bootstrap puts testDocument in force as revision 1 through vm0.
+func (f *fleet) bootstrap(t *testing.T) {
+	t.Helper()
+	change := ReplaceAll(&Document{}, testDocument())
+	change.ID, change.Operator = "boot", "test"
+	result, err := f.service("vm0").Propose(context.Background(), change)
+	if err != nil || result.Revision != 1 {
+		t.Fatalf("bootstrap: %+v, %v", result, err)
+	}
+}
--- /dev/null
+++ b/internal/config/service_test.go
@@ -0,0 +1,173 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fuchsiaspar/internal/model"
+	"fuchsiaspar/internal/platform/standin"
+)
+
+// inFleet runs test in a bubble over seven started services with testDocument
+// in force.
+func inFleet(t *testing.T, test func(t *testing.T, f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1)
+		f.startAll()
+		defer f.stopAll()
+		f.bootstrap(t)
+		test(t, f)
+	})
+}
+
+func setCap(id ChangeID, base model.Revision, account model.AccountID, value int64) Change {
+	return Change{ID: id, Operator: "op-" + string(id), Base: base, Accounts: []Account{testAccount(account, value)}}
+}
+
+func (f *fleet) capAt(vm model.VMID, account model.AccountID) int64 {
+	value, _ := f.service(vm).Current().ShiftCap(account, "lease-desk")
+	return value
+}
+
+func TestCommitIsInForceEverywhere(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		result, err := f.service("vm4").Propose(context.Background(), setCap("c1", 1, "acct0", 77))
+		if err != nil || result.Revision != 2 || result.Rebased || len(result.Pending) > 0 {
+			t.Fatalf("got %+v, %v", result, err)
+		}
+		for _, vm := range f.running() {
+			if got := f.capAt(vm, "acct0"); got != 77 {
+				t.Errorf("%s has cap %d in force, want 77", vm, got)
+			}
+		}
+		time.Sleep(3 * time.Second)
+		for _, vm := range f.running() {
+			if !f.service(vm).Confirmed(time.Now()) {
+				t.Errorf("%s is not confirmed", vm)
+			}
+		}
+	})
+}
+
+func TestDisjointChangesRebaseAndSameAccountConflicts(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		ctx := context.Background()
+		if _, err := f.service("vm0").Propose(ctx, setCap("a", 1, "acct0", 1)); err != nil {
+			t.Fatal(err)
+		}
+		result, err := f.service("vm3").Propose(ctx, setCap("b", 1, "acct1", 2))
+		if err != nil || !result.Rebased || result.Revision != 3 {
+			t.Fatalf("disjoint change: %+v, %v", result, err)
+		}
+		_, err = f.service("vm5").Propose(ctx, setCap("c", 1, "acct0", 3))
+		var conflict *ConflictError
+		if !errors.As(err, &conflict) {
+			t.Fatalf("got %v, want a conflict", err)
+		}
+		if conflict.Other.ChangeID != "a" || conflict.Other.Revision != 2 || conflict.Other.Operator != "op-a" || conflict.Key != "account/acct0" {
+			t.Errorf("conflict names %+v", conflict)
+		}
+	})
+}
+
+func TestSameChangeCommitsOnce(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		for _, vm := range []model.VMID{"vm0", "vm6"} {
+			result, err := f.service(vm).Propose(context.Background(), setCap("same", 1, "acct0", 5))
+			if err != nil || result.Revision != 2 {
+				t.Fatalf("at %s: %+v, %v", vm, result, err)
+			}
+		}
+	})
+}
+
+func TestLostAnswerOfCommitIsResolved(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		for lost := 1; lost <= 4; lost++ {
+			f.store.LoseAnswers("vm0", lost)
+			id := ChangeID(rune('a' + lost))
+			result, err := f.service("vm0").Propose(context.Background(), setCap(id, 0, "acct0", int64(lost)))
+			if err != nil || result.Revision != model.Revision(lost+1) {
+				t.Fatalf("%d answers lost: %+v, %v", lost, result, err)
+			}
+		}
+	})
+}
+
+func TestCutOffZoneRefusesUntilExcludedAndAdoptsBeforeItRejoins(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		ctx := context.Background()
+		time.Sleep(2 * time.Second)
+		f.setCut("vm6", true)
+		f.store.Cut("vm6", true)
+		_, err := f.service("vm0").Propose(ctx, setCap("x", 1, "acct0", 9))
+		var refused *RefusedError
+		if !errors.As(err, &refused) || len(refused.By) != 1 || refused.By[0].VM != "vm6" {
+			t.Fatalf("got %v, want a refusal by vm6", err)
+		}
+		change := setCap("y", 1, "acct0", 9)
+		change.Exclude.Zones = []model.Zone{"kp-2"}
+		result, err := f.service("vm0").Propose(ctx, change)
+		if err != nil || len(result.Skipped) != 1 {
+			t.Fatalf("excluded: %+v, %v", result, err)
+		}
+		time.Sleep(confirmFor)
+		if f.service("vm6").Confirmed(time.Now()) {
+			t.Error("the cut-off VM is confirmed on a superseded revision")
+		}
+		f.setCut("vm6", false)
+		f.store.Cut("vm6", false)
+		time.Sleep(4 * time.Second)
+		if got := f.capAt("vm6", "acct0"); got != 9 || !f.service("vm6").Confirmed(time.Now()) {
+			t.Errorf("after healing: cap %d, confirmed %v", got, f.service("vm6").Confirmed(time.Now()))
+		}
+	})
+}
+
+func TestStoreOutageKeepsMajorityConfirmed(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		time.Sleep(ackLife)
+		f.store.Down(standin.AllClients, true)
+		f.setCut("vm6", true)
+		time.Sleep(time.Minute)
+		for _, vm := range f.running() {
+			if got, want := f.service(vm).Confirmed(time.Now()), vm != "vm6"; got != want {
+				t.Errorf("%s confirmed = %v, want %v", vm, got, want)
+			}
+		}
+		_, err := f.service("vm0").Propose(context.Background(), setCap("z", 0, "acct0", 9))
+		if !errors.Is(err, ErrStoreUnavailable) {
+			t.Errorf("change while the store is down: %v", err)
+		}
+	})
+}
+
+func TestRestartDuringStoreOutageAdoptsFromPeers(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		time.Sleep(ackLife)
+		f.store.Down(standin.AllClients, true)
+		f.stop("vm3")
+		f.start(testSlots[3])
+		time.Sleep(3 * time.Second)
+		s := f.service("vm3")
+		if s.Current() == nil || s.Current().Revision() != 1 || !s.Confirmed(time.Now()) {
+			t.Fatalf("restarted VM has %v in force", s.Current())
+		}
+	})
+}
+
+func TestInvalidChangeListsEveryProblem(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		change := setCap("bad", 1, "acct0", 5000)
+		change.DeleteDrains = []string{"none"}
+		_, err := f.service("vm0").Propose(context.Background(), change)
+		problems, ok := AsProblems(err)
+		if !ok || len(problems) != 2 {
+			t.Fatalf("got %v", err)
+		}
+	})
+}
