Keep edits minimal and measure a change at 160,000 blocks

Cause: a whole document sent back with one edit must conflict only over that edit, and the store's values must hold the expected size. Change: Between compares documents item by item; an empty change is a problem; JSON is read as strictly as TOML; tests of object sizes, reuse of untouched sections and damage; benchmarks.

--- a/internal/config/apply.go
+++ b/internal/config/apply.go
@@ -11,6 +11,9 @@
 // outcome is invalid, is refused with Problems.
 func Apply(doc *Document, change Change) (*Document, error) {
 	c := new(checker)
+	if len(change.Keys()) == 0 {
+		c.add("", "at least one edit", "change")
+	}
 	next := *doc
 	next.Revision = doc.Revision + 1
 	setWhole(&next, &change)
--- a/internal/config/change.go
+++ b/internal/config/change.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"bytes"
 	"math/rand"
 	"slices"
 	"strconv"
@@ -129,43 +130,69 @@
 	return change, nil
 }
 
-// ReplaceAll returns the change that turns the document old into next.
-func ReplaceAll(old, next *Document) Change {
-	c := Change{
-		Lookup:    &next.Lookup,
-		Zones:     emptyIfNil(next.Zones),
-		Slots:     emptyIfNil(next.Slots),
-		Links:     emptyIfNil(next.Links),
-		Templates: next.Templates,
-		Accounts:  next.Accounts,
-		Drains:    next.Drains,
-	}
-	c.DeleteTemplates = missing(old.Templates, next.Templates, templateName)
-	c.DeleteAccounts = missing(old.Accounts, next.Accounts, accountID)
-	c.DeleteDrains = missing(old.Drains, next.Drains, drainID)
+// ParseChangeJSON decodes a change. Unknown keys are faults.
+func ParseChangeJSON(text []byte) (*Change, error) {
+	change := new(Change)
+	if err := decodeJSON(text, change); err != nil {
+		return nil, err
+	}
+	return change, nil
+}
+
+// Between returns the change that turns the document old into next, based on
+// old. It edits only what differs.
+func Between(old, next *Document) Change {
+	c := Change{Base: old.Revision}
+	if !same(old.Lookup, next.Lookup) {
+		c.Lookup = &next.Lookup
+	}
+	c.Zones = changedWhole(old.Zones, next.Zones)
+	c.Slots = changedWhole(old.Slots, next.Slots)
+	c.Links = changedWhole(old.Links, next.Links)
+	c.Templates, c.DeleteTemplates = changedItems(old.Templates, next.Templates, templateName)
+	c.Accounts, c.DeleteAccounts = changedItems(old.Accounts, sortedBlocks(next.Accounts), accountID)
+	c.Drains, c.DeleteDrains = changedItems(old.Drains, next.Drains, drainID)
 	return c
 }
 
-func emptyIfNil[T any](items []T) []T {
-	if items == nil {
+// same reports whether two values are stored alike.
+func same(a, b any) bool {
+	encodedA, errA := encoding.Marshal(a)
+	encodedB, errB := encoding.Marshal(b)
+	return errA == nil && errB == nil && bytes.Equal(encodedA, encodedB)
+}
+
+// changedWhole returns next, never nil, unless it is the same as old.
+func changedWhole[T any](old, next []T) []T {
+	if same(old, next) {
+		return nil
+	}
+	if next == nil {
 		return []T{}
 	}
-	return items
+	return next
 }
 
-// missing returns the names of the old items that next lacks.
-func missing[T any, K comparable](old, next []T, name func(*T) K) []K {
-	kept := make(map[K]bool, len(next))
+// changedItems returns the items of next that old lacks or holds otherwise,
+// and the names of the old items that next lacks.
+func changedItems[T any, K comparable](old, next []T, name func(*T) K) (put []T, gone []K) {
+	before := make(map[K]*T, len(old))
+	for i := range old {
+		before[name(&old[i])] = &old[i]
+	}
 	for i := range next {
-		kept[name(&next[i])] = true
+		was, known := before[name(&next[i])]
+		if !known || !same(was, &next[i]) {
+			put = append(put, next[i])
+		}
+		delete(before, name(&next[i]))
 	}
-	var gone []K
 	for i := range old {
-		if k := name(&old[i]); !kept[k] {
-			gone = append(gone, k)
+		if _, left := before[name(&old[i])]; left {
+			gone = append(gone, name(&old[i]))
 		}
 	}
-	return gone
+	return put, gone
 }
 
 func templateName(t *Template) string      { return t.Name }
--- a/internal/config/fixture_test.go
+++ b/internal/config/fixture_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand"
-	"net/netip"
 	"slices"
 	"sync"
 	"testing"
@@ -63,10 +62,6 @@
 	}
 }
 
-func testBlock(prefix string) Block {
-	return Block{Prefix: netip.MustParsePrefix(prefix), Places: []Place{{Zone: "lj-1", Weight: 1}}}
-}
-
 // fleet is services joined by in-memory links over one stand-in store.
 type fleet struct {
 	store *standin.Store
@@ -256,7 +251,7 @@
 // bootstrap puts testDocument in force as revision 1 through vm0.
 func (f *fleet) bootstrap(t *testing.T) {
 	t.Helper()
-	change := ReplaceAll(&Document{}, testDocument())
+	change := Between(&Document{}, testDocument())
 	change.ID, change.Operator = "boot", "test"
 	result, err := f.service("vm0").Propose(context.Background(), change)
 	if err != nil || result.Revision != 1 {
--- /dev/null
+++ b/internal/config/objects_test.go
@@ -0,0 +1,140 @@
+package config
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"fuchsiaspar/internal/model"
+	"fuchsiaspar/internal/platform"
+)
+
+// manyBlocks returns count blocks with two places each.
+func manyBlocks(count int) []Block {
+	blocks := make([]Block, count)
+	for i := range blocks {
+		addr := netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)})
+		blocks[i] = Block{
+			Prefix: netip.PrefixFrom(addr, 32),
+			Places: []Place{{Zone: "lj-1", Weight: 3}, {Zone: "mb-1", Weight: 1}},
+		}
+	}
+	return blocks
+}
+
+func TestObjectsHoldTheBlocksOfTheExpectedSize(t *testing.T) {
+	const blocks = 160_000
+	tests := map[string]int{"one account": 1, "800 accounts": 800}
+	for name, accounts := range tests {
+		t.Run(name, func(t *testing.T) {
+			doc := testDocument()
+			all := manyBlocks(blocks)
+			per := blocks / accounts
+			doc.Accounts = nil
+			for i := range accounts {
+				a := testAccount(model.AccountID(fmt.Sprintf("acct%04d", i)), 10)
+				a.Blocks = all[i*per : (i+1)*per]
+				doc.Accounts = append(doc.Accounts, a)
+			}
+			encoded, err := encodeObjects(doc, nil, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, data := range encoded.data {
+				if len(data) > platform.MaxValueBytes {
+					t.Fatalf("an object has %d bytes", len(data))
+				}
+			}
+			head, err := encodeHead((*Head)(nil).next(Commit{Revision: 1}, encoded.manifest))
+			if err != nil || len(head) > platform.MaxValueBytes {
+				t.Fatalf("head of %d bytes, %v", len(head), err)
+			}
+			back, err := decodeObjects(doc.Revision, encoded)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !same(doc, back) {
+				t.Error("the decoded document differs")
+			}
+		})
+	}
+}
+
+func TestObjectsOfUntouchedSectionsAreReused(t *testing.T) {
+	doc := testDocument()
+	before, err := encodeObjects(doc, nil, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	change := setCap("c", 1, "acct0", 55)
+	next, err := Apply(doc, change)
+	if err != nil {
+		t.Fatal(err)
+	}
+	reused, err := encodeObjects(next, before, change.Keys())
+	if err != nil {
+		t.Fatal(err)
+	}
+	whole, err := encodeObjects(next, nil, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if reused.digest() != whole.digest() {
+		t.Error("reuse leads to another manifest")
+	}
+	changed := 0
+	for hash := range reused.data {
+		if before.data[hash] == nil {
+			changed++
+		}
+	}
+	if changed != 1 {
+		t.Errorf("%d objects changed, want 1", changed)
+	}
+}
+
+func TestDamagedObjectIsRefused(t *testing.T) {
+	o, err := encodeObjects(testDocument(), nil, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for hash, data := range o.data {
+		o.data[hash] = data[:len(data)-1]
+		break
+	}
+	if _, err := decodeObjects(1, o); err == nil {
+		t.Error("a damaged object was accepted")
+	}
+}
+
+func BenchmarkAdoptChangeOf160kBlocks(b *testing.B) {
+	doc := testDocument()
+	all := manyBlocks(160_000)
+	doc.Accounts = nil
+	for i := range 800 {
+		a := testAccount(model.AccountID(fmt.Sprintf("acct%04d", i)), 10)
+		a.Blocks = all[i*200 : (i+1)*200]
+		doc.Accounts = append(doc.Accounts, a)
+	}
+	encoded, err := encodeObjects(doc, nil, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	base := &version{doc: doc, objects: encoded}
+	b.ResetTimer()
+	for i := range b.N {
+		v, err := prepare(base, setCap("c", 1, "acct0001", int64(i%1000)))
+		if err != nil {
+			b.Fatal(err)
+		}
+		NewSnapshot(v.doc)
+	}
+}
+
+func BenchmarkClassify(b *testing.B) {
+	s := NewSnapshot(testDocument())
+	b.ReportAllocs()
+	for b.Loop() {
+		s.Classify("acct0", "lease-desk", "POST", "/reservations/7")
+	}
+}
