Add the operator API

Cause: operators drive and read the fleet over one typed HTTP API. Change: goa service operator (status, show, diff, history, apply, dry run, drains, explain, lookup) with typed failures, its generated code, and an implementation over small interfaces.

--- a/gen/http/caller/client/cli.go
+++ b/gen/http/caller/client/cli.go
@@ -44,7 +44,7 @@
 	{
 		err = json.Unmarshal([]byte(callerTicketBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"account\": \"Dolorum sapiente aliquam nostrum iste.\",\n      \"service\": \"Ipsa consequatur perspiciatis.\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"account\": \"Enim porro nesciunt maxime rerum.\",\n      \"service\": \"Labore accusamus minus perferendis officia voluptas neque.\"\n   }'")
 		}
 	}
 	v := &caller.TicketPayload{
--- a/gen/http/cli/fuchsiaspar/cli.go
+++ b/gen/http/cli/fuchsiaspar/cli.go
@@ -11,6 +11,7 @@
 	"flag"
 	"fmt"
 	callerc "fuchsiaspar/gen/http/caller/client"
+	operatorc "fuchsiaspar/gen/http/operator/client"
 	"net/http"
 	"os"
 
@@ -24,12 +25,14 @@
 func UsageCommands() []string {
 	return []string{
 		"caller (lookup|ticket)",
+		"operator (status|show|diff|history|apply|dry-run|drains|explain|lookup)",
 	}
 }
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "caller lookup --account \"Laudantium aspernatur qui.\" --service \"Suscipit eligendi.\" --client \"Qui aliquid.\"" + "\n" +
+	return os.Args[0] + " " + "caller lookup --account \"Dolorem ipsa maxime qui autem.\" --service \"Hic dolores.\" --client \"Quod cum quibusdam sed qui architecto.\"" + "\n" +
+		os.Args[0] + " " + "operator status" + "\n" +
 		""
 }
 
@@ -52,11 +55,59 @@
 
 		callerTicketFlags    = flag.NewFlagSet("ticket", flag.ExitOnError)
 		callerTicketBodyFlag = callerTicketFlags.String("body", "REQUIRED", "")
+
+		operatorFlags = flag.NewFlagSet("operator", flag.ContinueOnError)
+
+		operatorStatusFlags = flag.NewFlagSet("status", flag.ExitOnError)
+
+		operatorShowFlags        = flag.NewFlagSet("show", flag.ExitOnError)
+		operatorShowRevisionFlag = operatorShowFlags.String("revision", "", "")
+		operatorShowFormatFlag   = operatorShowFlags.String("format", "toml", "")
+
+		operatorDiffFlags    = flag.NewFlagSet("diff", flag.ExitOnError)
+		operatorDiffFromFlag = operatorDiffFlags.String("from", "REQUIRED", "")
+		operatorDiffToFlag   = operatorDiffFlags.String("to", "", "")
+
+		operatorHistoryFlags     = flag.NewFlagSet("history", flag.ExitOnError)
+		operatorHistoryLimitFlag = operatorHistoryFlags.String("limit", "20", "")
+
+		operatorApplyFlags    = flag.NewFlagSet("apply", flag.ExitOnError)
+		operatorApplyBodyFlag = operatorApplyFlags.String("body", "REQUIRED", "")
+
+		operatorDryRunFlags    = flag.NewFlagSet("dry-run", flag.ExitOnError)
+		operatorDryRunBodyFlag = operatorDryRunFlags.String("body", "REQUIRED", "")
+
+		operatorDrainsFlags = flag.NewFlagSet("drains", flag.ExitOnError)
+
+		operatorExplainFlags       = flag.NewFlagSet("explain", flag.ExitOnError)
+		operatorExplainKindFlag    = operatorExplainFlags.String("kind", "", "")
+		operatorExplainReasonFlag  = operatorExplainFlags.String("reason", "", "")
+		operatorExplainAccountFlag = operatorExplainFlags.String("account", "", "")
+		operatorExplainServiceFlag = operatorExplainFlags.String("service", "", "")
+		operatorExplainZoneFlag    = operatorExplainFlags.String("zone", "", "")
+		operatorExplainRequestFlag = operatorExplainFlags.String("request", "", "")
+		operatorExplainLimitFlag   = operatorExplainFlags.String("limit", "50", "")
+
+		operatorLookupFlags       = flag.NewFlagSet("lookup", flag.ExitOnError)
+		operatorLookupAccountFlag = operatorLookupFlags.String("account", "REQUIRED", "")
+		operatorLookupServiceFlag = operatorLookupFlags.String("service", "REQUIRED", "")
+		operatorLookupClientFlag  = operatorLookupFlags.String("client", "REQUIRED", "")
 	)
 	callerFlags.Usage = callerUsage
 	callerLookupFlags.Usage = callerLookupUsage
 	callerTicketFlags.Usage = callerTicketUsage
 
+	operatorFlags.Usage = operatorUsage
+	operatorStatusFlags.Usage = operatorStatusUsage
+	operatorShowFlags.Usage = operatorShowUsage
+	operatorDiffFlags.Usage = operatorDiffUsage
+	operatorHistoryFlags.Usage = operatorHistoryUsage
+	operatorApplyFlags.Usage = operatorApplyUsage
+	operatorDryRunFlags.Usage = operatorDryRunUsage
+	operatorDrainsFlags.Usage = operatorDrainsUsage
+	operatorExplainFlags.Usage = operatorExplainUsage
+	operatorLookupFlags.Usage = operatorLookupUsage
+
 	if err := flag.CommandLine.Parse(os.Args[1:]); err != nil {
 		return nil, nil, err
 	}
@@ -74,6 +125,8 @@
 		switch svcn {
 		case "caller":
 			svcf = callerFlags
+		case "operator":
+			svcf = operatorFlags
 		default:
 			return nil, nil, fmt.Errorf("unknown service %q", svcn)
 		}
@@ -99,6 +152,37 @@
 
 			}
 
+		case "operator":
+			switch epn {
+			case "status":
+				epf = operatorStatusFlags
+
+			case "show":
+				epf = operatorShowFlags
+
+			case "diff":
+				epf = operatorDiffFlags
+
+			case "history":
+				epf = operatorHistoryFlags
+
+			case "apply":
+				epf = operatorApplyFlags
+
+			case "dry-run":
+				epf = operatorDryRunFlags
+
+			case "drains":
+				epf = operatorDrainsFlags
+
+			case "explain":
+				epf = operatorExplainFlags
+
+			case "lookup":
+				epf = operatorLookupFlags
+
+			}
+
 		}
 	}
 	if epf == nil {
@@ -129,6 +213,35 @@
 				endpoint = c.Ticket()
 				data, err = callerc.BuildTicketPayload(*callerTicketBodyFlag)
 			}
+		case "operator":
+			c := operatorc.NewClient(scheme, host, doer, enc, dec, restore)
+			switch epn {
+			case "status":
+				endpoint = c.Status()
+			case "show":
+				endpoint = c.Show()
+				data, err = operatorc.BuildShowPayload(*operatorShowRevisionFlag, *operatorShowFormatFlag)
+			case "diff":
+				endpoint = c.Diff()
+				data, err = operatorc.BuildDiffPayload(*operatorDiffFromFlag, *operatorDiffToFlag)
+			case "history":
+				endpoint = c.History()
+				data, err = operatorc.BuildHistoryPayload(*operatorHistoryLimitFlag)
+			case "apply":
+				endpoint = c.Apply()
+				data, err = operatorc.BuildApplyPayload(*operatorApplyBodyFlag)
+			case "dry-run":
+				endpoint = c.DryRun()
+				data, err = operatorc.BuildDryRunPayload(*operatorDryRunBodyFlag)
+			case "drains":
+				endpoint = c.Drains()
+			case "explain":
+				endpoint = c.Explain()
+				data, err = operatorc.BuildExplainPayload(*operatorExplainKindFlag, *operatorExplainReasonFlag, *operatorExplainAccountFlag, *operatorExplainServiceFlag, *operatorExplainZoneFlag, *operatorExplainRequestFlag, *operatorExplainLimitFlag)
+			case "lookup":
+				endpoint = c.Lookup()
+				data, err = operatorc.BuildLookupPayload(*operatorLookupAccountFlag, *operatorLookupServiceFlag, *operatorLookupClientFlag)
+			}
 		}
 	}
 	if err != nil {
@@ -168,7 +281,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller lookup --account \"Laudantium aspernatur qui.\" --service \"Suscipit eligendi.\" --client \"Qui aliquid.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller lookup --account \"Dolorem ipsa maxime qui autem.\" --service \"Hic dolores.\" --client \"Quod cum quibusdam sed qui architecto.\"")
 }
 
 func callerTicketUsage() {
@@ -186,5 +299,201 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller ticket --body '{\n      \"account\": \"Dolorum sapiente aliquam nostrum iste.\",\n      \"service\": \"Ipsa consequatur perspiciatis.\"\n   }'")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller ticket --body '{\n      \"account\": \"Enim porro nesciunt maxime rerum.\",\n      \"service\": \"Labore accusamus minus perferendis officia voluptas neque.\"\n   }'")
+}
+
+// operatorUsage displays the usage of the operator command and its subcommands.
+func operatorUsage() {
+	fmt.Fprintln(os.Stderr, `Configuration, status and explanations for operators.`)
+	fmt.Fprintf(os.Stderr, "Usage:\n    %s [globalflags] operator COMMAND [flags]\n\n", os.Args[0])
+	fmt.Fprintln(os.Stderr, "COMMAND:")
+	fmt.Fprintln(os.Stderr, `    status: State of every entry VM as this one can gather it.`)
+	fmt.Fprintln(os.Stderr, `    show: The configuration in force, or an older revision.`)
+	fmt.Fprintln(os.Stderr, `    diff: What differs between two revisions.`)
+	fmt.Fprintln(os.Stderr, `    history: The newest committed changes.`)
+	fmt.Fprintln(os.Stderr, `    apply: Have a change acknowledged everywhere and commit it.`)
+	fmt.Fprintln(os.Stderr, `    dry-run: Say what a change would do without making it.`)
+	fmt.Fprintln(os.Stderr, `    drains: Planned drains with their progress.`)
+	fmt.Fprintln(os.Stderr, `    explain: Recent decisions that match, newest first.`)
+	fmt.Fprintln(os.Stderr, `    lookup: What a caller would be told, and why.`)
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Additional help:")
+	fmt.Fprintf(os.Stderr, "    %s operator COMMAND --help\n", os.Args[0])
+}
+func operatorStatusUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] operator status", os.Args[0])
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `State of every entry VM as this one can gather it.`)
+
+	// Flags list
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator status")
+}
+
+func operatorShowUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] operator show", os.Args[0])
+	fmt.Fprint(os.Stderr, " -revision UINT64")
+	fmt.Fprint(os.Stderr, " -format STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `The configuration in force, or an older revision.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -revision UINT64: `)
+	fmt.Fprintln(os.Stderr, `    -format STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator show --revision 19140929215551575 --format \"toml\"")
+}
+
+func operatorDiffUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] operator diff", os.Args[0])
+	fmt.Fprint(os.Stderr, " -from UINT64")
+	fmt.Fprint(os.Stderr, " -to UINT64")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `What differs between two revisions.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -from UINT64: `)
+	fmt.Fprintln(os.Stderr, `    -to UINT64: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator diff --from 16965810588723794137 --to 4259700344535537390")
+}
+
+func operatorHistoryUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] operator history", os.Args[0])
+	fmt.Fprint(os.Stderr, " -limit INT")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `The newest committed changes.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -limit INT: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator history --limit 676")
+}
+
+func operatorApplyUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] operator apply", os.Args[0])
+	fmt.Fprint(os.Stderr, " -body JSON")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Have a change acknowledged everywhere and commit it.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -body JSON: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator apply --body '{\n      \"base\": 2728875870106132100,\n      \"exclude_vms\": [\n         \"Reprehenderit sunt perspiciatis nihil aut non.\",\n         \"Et dolor sit deserunt et at nisi.\"\n      ],\n      \"exclude_zones\": [\n         \"Ut officia et consequuntur.\",\n         \"Inventore est ut.\",\n         \"Facere libero rerum blanditiis aliquam.\",\n         \"Architecto excepturi sapiente dicta.\"\n      ],\n      \"format\": \"json\",\n      \"id\": \"A vero labore.\",\n      \"operator\": \"Adipisci qui ut nostrum quia excepturi sed.\",\n      \"text\": \"Aliquid expedita deserunt iure harum omnis sit.\",\n      \"whole\": true\n   }'")
+}
+
+func operatorDryRunUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] operator dry-run", os.Args[0])
+	fmt.Fprint(os.Stderr, " -body JSON")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Say what a change would do without making it.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -body JSON: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator dry-run --body '{\n      \"base\": 14245313998662177749,\n      \"exclude_vms\": [\n         \"Quisquam ex quae quidem itaque ipsam.\",\n         \"Dolorem nihil.\",\n         \"Quidem iure ipsam nulla nesciunt placeat.\",\n         \"Eligendi illo deserunt saepe nesciunt natus.\"\n      ],\n      \"exclude_zones\": [\n         \"Voluptatem ut sed blanditiis.\",\n         \"Velit vel nobis voluptatem sed.\",\n         \"Nemo ipsam.\",\n         \"Corrupti sed aut perspiciatis sint.\"\n      ],\n      \"format\": \"toml\",\n      \"id\": \"Vero incidunt eos voluptatem laudantium inventore provident.\",\n      \"operator\": \"Dolor architecto veniam delectus blanditiis aut et.\",\n      \"text\": \"Rerum dolores reprehenderit quasi minima quod eos.\",\n      \"whole\": true\n   }'")
+}
+
+func operatorDrainsUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] operator drains", os.Args[0])
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Planned drains with their progress.`)
+
+	// Flags list
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator drains")
+}
+
+func operatorExplainUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] operator explain", os.Args[0])
+	fmt.Fprint(os.Stderr, " -kind STRING")
+	fmt.Fprint(os.Stderr, " -reason STRING")
+	fmt.Fprint(os.Stderr, " -account STRING")
+	fmt.Fprint(os.Stderr, " -service STRING")
+	fmt.Fprint(os.Stderr, " -zone STRING")
+	fmt.Fprint(os.Stderr, " -request STRING")
+	fmt.Fprint(os.Stderr, " -limit INT")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Recent decisions that match, newest first.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -kind STRING: `)
+	fmt.Fprintln(os.Stderr, `    -reason STRING: `)
+	fmt.Fprintln(os.Stderr, `    -account STRING: `)
+	fmt.Fprintln(os.Stderr, `    -service STRING: `)
+	fmt.Fprintln(os.Stderr, `    -zone STRING: `)
+	fmt.Fprintln(os.Stderr, `    -request STRING: `)
+	fmt.Fprintln(os.Stderr, `    -limit INT: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator explain --kind \"Cupiditate dolor rerum occaecati non modi officiis.\" --reason \"Quia ex dolor fuga.\" --account \"Et in ut sunt.\" --service \"Asperiores sit ut iusto quia architecto.\" --zone \"Tempore temporibus enim ut.\" --request \"Eos aut sapiente.\" --limit 150")
+}
+
+func operatorLookupUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] operator lookup", os.Args[0])
+	fmt.Fprint(os.Stderr, " -account STRING")
+	fmt.Fprint(os.Stderr, " -service STRING")
+	fmt.Fprint(os.Stderr, " -client STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `What a caller would be told, and why.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -account STRING: `)
+	fmt.Fprintln(os.Stderr, `    -service STRING: `)
+	fmt.Fprintln(os.Stderr, `    -client STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator lookup --account \"Recusandae voluptate quasi dolor.\" --service \"Illum odit veritatis dolorum consequatur.\" --client \"244.239.79.33\"")
 }
--- /dev/null
+++ b/internal/operator/errors.go
@@ -0,0 +1,130 @@
+package operator
+
+import (
+	"context"
+
+	gen "fuchsiaspar/gen/operator"
+	"fuchsiaspar/internal/config"
+
+	"github.com/pkg/errors"
+)
+
+// Names of the API's errors, as the design gives them.
+const (
+	nameInvalid     = "invalid"
+	nameNotFound    = "not_found"
+	nameRefused     = "refused"
+	nameConflict    = "conflict"
+	nameUnavailable = "unavailable"
+	nameUnresolved  = "unresolved"
+)
+
+// ErrNotFound reports that what an operator asked for does not exist. Sources
+// wrap it with what is missing.
+var ErrNotFound = errors.New("not found")
+
+func failure(name, message string) *gen.Failure {
+	return &gen.Failure{Name: name, Message: message}
+}
+
+// translate turns an error of the services below into one of the API.
+func translate(err error) error {
+	if err == nil {
+		return nil
+	}
+	var (
+		conflict   *config.ConflictError
+		refused    *config.RefusedError
+		unresolved *config.UnresolvedError
+		parse      *config.ParseError
+	)
+	problems, invalid := config.AsProblems(err)
+	f := failure(nameUnavailable, err.Error())
+	switch {
+	case invalid:
+		f.Name = nameInvalid
+		f.Problems = problemsOf(problems)
+	case errors.As(err, &parse):
+		f.Name = nameInvalid
+	case errors.As(err, &conflict):
+		f.Name = nameConflict
+		f.Conflict = conflictOf(conflict)
+	case errors.As(err, &refused):
+		f.Name = nameRefused
+		f.Refusals = refusalsOf(refused.By)
+	case errors.As(err, &unresolved):
+		f.Name = nameUnresolved
+		f.ChangeID = pointer(string(unresolved.ChangeID))
+	case errors.Is(err, ErrNotFound):
+		f.Name = nameNotFound
+	case errors.Is(err, config.ErrNoRevision):
+		f.Name = nameNotFound
+		f.Message += ": see the history for the revisions that there are"
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
+		f.Message = "no answer in time: try again"
+	}
+	return f
+}
+
+func problemsOf(problems config.Problems) []*gen.Problem {
+	out := make([]*gen.Problem, len(problems))
+	for i, p := range problems {
+		out[i] = &gen.Problem{Path: p.Path, Value: p.Value, Allowed: p.Allowed}
+	}
+	return out
+}
+
+func refusalsOf(by []config.Refusal) []*gen.VMRefusal {
+	out := make([]*gen.VMRefusal, len(by))
+	for i, r := range by {
+		out[i] = &gen.VMRefusal{VM: string(r.VM), Zone: string(r.Zone), Reason: r.Reason}
+	}
+	return out
+}
+
+func conflictOf(c *config.ConflictError) *gen.Conflict {
+	if c == nil {
+		return nil
+	}
+	return &gen.Conflict{
+		Key:      string(c.Key),
+		Base:     uint64(c.Base),
+		Revision: uint64(c.Other.Revision),
+		ChangeID: string(c.Other.ChangeID),
+		Operator: c.Other.Operator,
+	}
+}
+
+// pointer returns a pointer to v, nil for the zero value.
+func pointer[T comparable](v T) *T {
+	var zero T
+	if v == zero {
+		return nil
+	}
+	return &v
+}
+
+// valueOf returns what p points to, the zero value for nil.
+func valueOf[T any](p *T) T {
+	if p == nil {
+		var zero T
+		return zero
+	}
+	return *p
+}
+
+func texts[T ~string](items []T) []string {
+	out := make([]string, len(items))
+	for i, item := range items {
+		out[i] = string(item)
+	}
+	return out
+}
+
+func typed[T ~string](items []string) []T {
+	out := make([]T, len(items))
+	for i, item := range items {
+		out[i] = T(item)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/operator/queries.go
@@ -0,0 +1,144 @@
+package operator
+
+import (
+	"context"
+	"net/netip"
+	"strconv"
+	"time"
+
+	gen "fuchsiaspar/gen/operator"
+	"fuchsiaspar/internal/explain"
+	"fuchsiaspar/internal/membership"
+	"fuchsiaspar/internal/model"
+)
+
+// Status implements the API.
+func (s *Service) Status(ctx context.Context) (*gen.StatusResult, error) {
+	rows, err := s.deps.Status.Status(ctx)
+	if err != nil {
+		return nil, translate(err)
+	}
+	result := &gen.StatusResult{
+		AnsweredBy: string(s.deps.Self),
+		Confirmed:  s.deps.Config.Confirmed(s.deps.Now()),
+		Vms:        make([]*gen.VMStatus, len(rows)),
+	}
+	if current := s.deps.Config.Current(); current != nil {
+		result.Revision = uint64(current.Revision())
+	}
+	for i, row := range rows {
+		result.Vms[i] = vmStatus(row)
+	}
+	return result, nil
+}
+
+func vmStatus(row VMStatus) *gen.VMStatus {
+	const hexadecimal = 16
+	out := &gen.VMStatus{
+		VM:          string(row.VM),
+		Zone:        string(row.Zone),
+		Region:      string(row.Region),
+		State:       stateName(row.State),
+		Incarnation: strconv.FormatUint(uint64(row.Incarnation), hexadecimal),
+		Address:     row.Address,
+		Revision:    uint64(row.Revision),
+		Confirmed:   row.Confirmed,
+		Answered:    row.Answered,
+	}
+	for _, l := range row.Load {
+		out.Load = append(out.Load, &gen.ServiceLoad{
+			Service: string(l.Service),
+			Slots:   l.Slots,
+			Busy:    l.Busy,
+			Queued:  l.Queued,
+		})
+	}
+	return out
+}
+
+func stateName(state membership.State) string {
+	switch state {
+	case membership.StateAlive:
+		return "alive"
+	case membership.StateSuspect:
+		return "suspect"
+	case membership.StateLeaving:
+		return "leaving"
+	case membership.StateDead:
+		return "dead"
+	default:
+		return "unknown"
+	}
+}
+
+// Explain implements the API.
+func (s *Service) Explain(ctx context.Context, req *gen.ExplainPayload) (*gen.ExplainResult, error) {
+	decisions, err := s.deps.Explain.Explain(ctx, explain.Filter{
+		Kind:    explain.Kind(valueOf(req.Kind)),
+		Reason:  model.Reason(valueOf(req.Reason)),
+		Account: model.AccountID(valueOf(req.Account)),
+		Service: model.ServiceName(valueOf(req.Service)),
+		Zone:    model.Zone(valueOf(req.Zone)),
+		Request: model.AttemptID(valueOf(req.Request)),
+		Limit:   req.Limit,
+	})
+	if err != nil {
+		return nil, translate(err)
+	}
+	result := &gen.ExplainResult{Decisions: make([]*gen.DecisionInfo, len(decisions))}
+	for i, d := range decisions {
+		result.Decisions[i] = decisionInfo(d)
+	}
+	return result, nil
+}
+
+func decisionInfo(d explain.Decision) *gen.DecisionInfo {
+	return &gen.DecisionInfo{
+		At:       d.At.Format(time.RFC3339Nano),
+		VM:       string(d.VM),
+		Kind:     string(d.Kind),
+		Reason:   pointer(string(d.Reason)),
+		Revision: uint64(d.Revision),
+		Request:  pointer(string(d.Request)),
+		Account:  pointer(string(d.Account)),
+		Service:  pointer(string(d.Service)),
+		Priority: decisionPriority(d),
+		Zone:     pointer(string(d.Zone)),
+		Server:   pointer(string(d.Server)),
+		Detail:   pointer(d.Detail),
+	}
+}
+
+// decisionPriority returns the priority of a decision about an account's
+// work; other decisions have none.
+func decisionPriority(d explain.Decision) *string {
+	if d.Account == "" {
+		return nil
+	}
+	return pointer(d.Priority.String())
+}
+
+// Lookup implements the API.
+func (s *Service) Lookup(ctx context.Context, req *gen.LookupPayload) (*gen.LookupResult, error) {
+	client, err := netip.ParseAddr(req.Client)
+	if err != nil {
+		return nil, failure(nameInvalid, "client is no IP address: give one such as 10.1.2.3")
+	}
+	answer, err := s.deps.Lookup.Lookup(ctx, model.AccountID(req.Account), model.ServiceName(req.Service), client)
+	if err != nil {
+		return nil, translate(err)
+	}
+	result := &gen.LookupResult{
+		Entries:  make([]*gen.EntryVM, len(answer.Entries)),
+		TTLMs:    answer.TTL.Milliseconds(),
+		Revision: uint64(answer.Revision),
+		Why:      answer.Why,
+	}
+	if answer.Block.IsValid() {
+		result.Block = pointer(answer.Block.String())
+	}
+	for i, e := range answer.Entries {
+		result.Entries[i] = &gen.EntryVM{VM: string(e.VM), Zone: string(e.Zone), Address: e.Address}
+	}
+	return result, nil
+}
