--- /dev/null
+++ b/internal/cli/drain.go
@@ -0,0 +1,179 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"fuchsiaspar/gen/http/operator/server"
+	gen "fuchsiaspar/gen/operator"
+	"fuchsiaspar/internal/config"
+	"fuchsiaspar/internal/model"
+
+	"github.com/urfave/cli/v3"
+)
+
+// Names of flags of the drain commands.
+const (
+	flagName    = "name"
+	flagAccount = "account"
+	flagStart   = "start"
+	flagEnd     = "end"
+	flagFor     = "for"
+)
+
+// drainPollEvery is the time between two looks at a drain's progress.
+const drainPollEvery = time.Second
+
+var drainKinds = []string{
+	string(config.DrainServer), string(config.DrainEntry), string(config.DrainZone), string(config.DrainRegion),
+}
+
+func drainCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "drain",
+		Usage: "plan, watch and cancel drains",
+		Commands: []*cli.Command{
+			{Name: "list", Usage: "list the drains with their progress", Action: drainList},
+			{
+				Name:      "add",
+				Usage:     "plan a drain of a server, an entry VM, a zone or a region",
+				ArgsUsage: "KIND TARGET",
+				Flags: changeFlags(
+					&cli.StringFlag{Name: flagName, Usage: "`name` of the drain; kind and target when absent"},
+					&cli.StringFlag{Name: flagAccount, Usage: "client `account` to limit the drain to"},
+					&cli.TimestampFlag{Name: flagStart, Usage: "`time` of the start such as 2030-01-31T22:00:00Z; now when absent", Config: timestamps()},
+					&cli.TimestampFlag{Name: flagEnd, Usage: "`time` of the end", Config: timestamps()},
+					&cli.DurationFlag{Name: flagFor, Usage: "`length` of the drain instead of its end, such as 2h"},
+				),
+				Action: drainAdd,
+			},
+			{Name: "watch", Usage: "follow a drain until its target is empty", ArgsUsage: "NAME", Action: drainWatch},
+			{Name: "cancel", Usage: "end a drain now", ArgsUsage: "NAME", Flags: changeFlags(), Action: drainCancel},
+		},
+	}
+}
+
+func timestamps() cli.TimestampConfig {
+	return cli.TimestampConfig{Layouts: []string{time.RFC3339}}
+}
+
+func drains(ctx context.Context, cmd *cli.Command) (*gen.DrainsResult, error) {
+	return call(ctx, cmd, func(ctx context.Context, c *gen.Client) (*gen.DrainsResult, error) {
+		return c.Drains(ctx)
+	})
+}
+
+func drainList(ctx context.Context, cmd *cli.Command) error {
+	if err := noArguments(cmd); err != nil {
+		return err
+	}
+	result, err := drains(ctx, cmd)
+	if err != nil {
+		return err
+	}
+	return show(cmd, server.NewDrainsResponseBody(result), func(w io.Writer) { printDrains(w, result.Drains) })
+}
+
+func printDrains(w io.Writer, drains []*gen.DrainStatus) {
+	var rows [][]string
+	for _, d := range drains {
+		rows = append(rows, []string{
+			d.ID, d.Kind, d.Target, orDash(text(d.Account)), d.Start, d.End, d.Phase,
+			strconv.Itoa(d.InFlight), drainTime(d),
+		})
+	}
+	table(w, []string{"DRAIN", "KIND", "TARGET", "ACCOUNT", "START", "END", "PHASE", "IN FLIGHT", "EMPTY AFTER"}, rows)
+}
+
+func drainTime(d *gen.DrainStatus) string {
+	if d.DrainedMs == nil {
+		return "-"
+	}
+	return (time.Duration(*d.DrainedMs) * time.Millisecond).String()
+}
+
+func drainAdd(ctx context.Context, cmd *cli.Command) error {
+	const wanted = 2
+	args := cmd.Args().Slice()
+	if len(args) != wanted || !slices.Contains(drainKinds, args[0]) {
+		return usage("drain add takes a kind (%s) and a target: see --help", strings.Join(drainKinds, ", "))
+	}
+	drain, err := drainOf(cmd, args[0], args[1], time.Now())
+	if err != nil {
+		return err
+	}
+	return submitChange(ctx, cmd, config.Change{Drains: []config.Drain{drain}})
+}
+
+// drainOf returns the drain that the flags describe.
+func drainOf(cmd *cli.Command, kind, target string, now time.Time) (config.Drain, error) {
+	d := config.Drain{
+		ID:      cmd.String(flagName),
+		Kind:    config.DrainKind(kind),
+		Target:  target,
+		Account: model.AccountID(cmd.String(flagAccount)),
+		Start:   now.UTC().Truncate(time.Second),
+		End:     cmd.Timestamp(flagEnd).UTC(),
+	}
+	if d.ID == "" {
+		d.ID = kind + "-" + target
+	}
+	if cmd.IsSet(flagStart) {
+		d.Start = cmd.Timestamp(flagStart).UTC()
+	}
+	if cmd.IsSet(flagEnd) == cmd.IsSet(flagFor) {
+		return d, usage("drain add takes either --%s or --%s", flagEnd, flagFor)
+	}
+	if cmd.IsSet(flagFor) {
+		d.End = d.Start.Add(cmd.Duration(flagFor))
+	}
+	return d, nil
+}
+
+func drainWatch(ctx context.Context, cmd *cli.Command) error {
+	name, err := argument(cmd, "NAME")
+	if err != nil {
+		return err
+	}
+	for {
+		d, err := findDrain(ctx, cmd, name)
+		if err != nil {
+			return err
+		}
+		if d.Phase == "drained" || d.Phase == "ended" {
+			result := &gen.DrainsResult{Drains: []*gen.DrainStatus{d}}
+			return show(cmd, server.NewDrainsResponseBody(result), func(w io.Writer) {
+				fmt.Fprintf(w, "%s %s is %s, empty after %s\n", d.Kind, d.Target, d.Phase, drainTime(d))
+			})
+		}
+		progress(cmd, "%s %s is %s: %d requests in flight", d.Kind, d.Target, d.Phase, d.InFlight)
+		if !wait(ctx, drainPollEvery) {
+			return ctx.Err()
+		}
+	}
+}
+
+func findDrain(ctx context.Context, cmd *cli.Command, name string) (*gen.DrainStatus, error) {
+	result, err := drains(ctx, cmd)
+	if err != nil {
+		return nil, err
+	}
+	i := slices.IndexFunc(result.Drains, func(d *gen.DrainStatus) bool { return d.ID == name })
+	if i < 0 {
+		return nil, missing("drain", name)
+	}
+	return result.Drains[i], nil
+}
+
+func drainCancel(ctx context.Context, cmd *cli.Command) error {
+	name, err := argument(cmd, "NAME")
+	if err != nil {
+		return err
+	}
+	return submitChange(ctx, cmd, config.Change{DeleteDrains: []string{name}})
+}
--- /dev/null
+++ b/internal/cli/errors.go
@@ -0,0 +1,176 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+
+	gen "fuchsiaspar/gen/operator"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+)
+
+// Exit codes of the command.
+const (
+	ExitOK = iota
+	// ExitUsage is wrong usage of the command.
+	ExitUsage
+	// ExitRefused is a change or call that was refused or invalid.
+	ExitRefused
+	// ExitConflict is a change that another one came before.
+	ExitConflict
+	// ExitUnavailable is a server or store that gave no answer.
+	ExitUnavailable
+)
+
+// exitCodes holds the exit code of each error of the operator API.
+var exitCodes = map[string]int{
+	"invalid":     ExitRefused,
+	"not_found":   ExitRefused,
+	"refused":     ExitRefused,
+	"conflict":    ExitConflict,
+	"unavailable": ExitUnavailable,
+	"unresolved":  ExitUnavailable,
+}
+
+// unreachableError reports that no server answered.
+type unreachableError struct {
+	servers []string
+	last    error
+}
+
+func (e *unreachableError) Error() string {
+	return fmt.Sprintf("no server answered of %v (last: %v): name a live one with --server or FUCHSIASPAR_SERVER", e.servers, e.last)
+}
+
+// refusedError reports that a dry run found a change that can't be made.
+type refusedError struct {
+	message string
+	code    int
+}
+
+func (e *refusedError) Error() string { return e.message }
+
+// ExitCode returns the exit code of an error of a command.
+func ExitCode(err error) int {
+	var (
+		failure     *gen.Failure
+		refused     *refusedError
+		unreachable *unreachableError
+		coder       cli.ExitCoder
+	)
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &failure):
+		return exitCodes[failure.Name]
+	case errors.As(err, &refused):
+		return refused.code
+	case errors.As(err, &unreachable):
+		return ExitUnavailable
+	case errors.As(err, &coder):
+		return coder.ExitCode()
+	default:
+		return ExitUsage
+	}
+}
+
+// failureOutput is an error as --json prints it.
+type failureOutput struct {
+	Error    string          `json:"error"`
+	Name     string          `json:"name"`
+	ExitCode int             `json:"exit_code"`
+	Problems []problemOutput `json:"problems,omitempty"`
+	Refusals []refusalOutput `json:"refusals,omitempty"`
+	Conflict *conflictOutput `json:"conflict,omitempty"`
+	ChangeID string          `json:"change_id,omitempty"`
+}
+
+type problemOutput struct {
+	Path    string `json:"path"`
+	Value   string `json:"value"`
+	Allowed string `json:"allowed"`
+}
+
+type refusalOutput struct {
+	VM     string `json:"vm"`
+	Zone   string `json:"zone"`
+	Reason string `json:"reason"`
+}
+
+type conflictOutput struct {
+	Key      string `json:"key"`
+	Base     uint64 `json:"base"`
+	Revision uint64 `json:"revision"`
+	ChangeID string `json:"change_id"`
+	Operator string `json:"operator"`
+}
+
+// report prints an error for people or, with --json, for programs.
+func report(root *cli.Command, err error) {
+	if !root.Bool(flagJSON) {
+		fmt.Fprintf(root.ErrWriter, "fuchsiaspar: %v\n", message(err))
+		return
+	}
+	encoder := json.NewEncoder(root.Writer)
+	encoder.SetIndent("", "  ")
+	_ = encoder.Encode(failureOf(err))
+}
+
+// message returns the text of an error with what to do next.
+func message(err error) string {
+	var failure *gen.Failure
+	if !errors.As(err, &failure) {
+		return err.Error()
+	}
+	if failure.Name == "unresolved" && failure.ChangeID != nil {
+		return fmt.Sprintf("%s\nrun the same command again with --id %s", failure.Message, *failure.ChangeID)
+	}
+	return failure.Message
+}
+
+func failureOf(err error) failureOutput {
+	output := failureOutput{Error: err.Error(), Name: "usage", ExitCode: ExitCode(err)}
+	if output.ExitCode == ExitUnavailable {
+		output.Name = "unavailable"
+	}
+	if output.ExitCode == ExitRefused {
+		output.Name = "refused"
+	}
+	var failure *gen.Failure
+	if !errors.As(err, &failure) {
+		return output
+	}
+	output.Name = failure.Name
+	output.Error = message(err)
+	output.Problems = problemOutputs(failure.Problems)
+	output.Refusals = refusalOutputs(failure.Refusals)
+	output.Conflict = conflictOutputOf(failure.Conflict)
+	if failure.ChangeID != nil {
+		output.ChangeID = *failure.ChangeID
+	}
+	return output
+}
+
+func problemOutputs(problems []*gen.Problem) []problemOutput {
+	var out []problemOutput
+	for _, p := range problems {
+		out = append(out, problemOutput{p.Path, p.Value, p.Allowed})
+	}
+	return out
+}
+
+func refusalOutputs(refusals []*gen.VMRefusal) []refusalOutput {
+	var out []refusalOutput
+	for _, r := range refusals {
+		out = append(out, refusalOutput{r.VM, r.Zone, r.Reason})
+	}
+	return out
+}
+
+func conflictOutputOf(c *gen.Conflict) *conflictOutput {
+	if c == nil {
+		return nil
+	}
+	return &conflictOutput{c.Key, c.Base, c.Revision, c.ChangeID, c.Operator}
+}
--- /dev/null
+++ b/internal/cli/output.go
@@ -0,0 +1,59 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+)
+
+// show prints a result: body as JSON with --json, else what print writes.
+func show(cmd *cli.Command, body any, print func(io.Writer)) error {
+	if !cmd.Bool(flagJSON) {
+		print(out(cmd))
+		return nil
+	}
+	encoder := json.NewEncoder(out(cmd))
+	encoder.SetIndent("", "  ")
+	return errors.Wrap(encoder.Encode(body), "print result")
+}
+
+// table prints rows in columns under a header.
+func table(w io.Writer, header []string, rows [][]string) {
+	const padding = 2
+	columns := tabwriter.NewWriter(w, 0, 0, padding, ' ', 0)
+	fmt.Fprintln(columns, strings.Join(header, "\t"))
+	for _, row := range rows {
+		fmt.Fprintln(columns, strings.Join(row, "\t"))
+	}
+	_ = columns.Flush()
+}
+
+// orDash returns a dash for an empty text.
+func orDash(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return text
+}
+
+// text returns what p points to, empty for nil.
+func text(p *string) string {
+	if p == nil {
+		return ""
+	}
+	return *p
+}
+
+// optional returns a pointer to v, nil for the zero value.
+func optional[T comparable](v T) *T {
+	var zero T
+	if v == zero {
+		return nil
+	}
+	return &v
+}
--- a/internal/config/change.go
+++ b/internal/config/change.go
@@ -39,11 +39,11 @@
 
 // Change is a set of edits of a document. Nil parts stay as they are.
 type Change struct {
-	ID       ChangeID `json:"id" toml:"id"`
-	Operator string   `json:"operator" toml:"operator"`
+	ID       ChangeID `json:"id,omitzero" toml:"id,omitempty"`
+	Operator string   `json:"operator,omitzero" toml:"operator,omitempty"`
 	// Base is the revision that the operator looked at; zero takes the one in
 	// force when the change arrives, so that it conflicts with nothing.
-	Base model.Revision `json:"base" toml:"base"`
+	Base model.Revision `json:"base,omitzero" toml:"base,omitempty"`
 
 	Lookup *Lookup `json:"lookup,omitempty" toml:"lookup,omitempty"`
 	Zones  []Zone  `json:"zones,omitzero" toml:"zones,omitempty"`
@@ -130,6 +130,11 @@
 	return change, nil
 }
 
+// MarshalChangeTOML encodes a change so that ParseChangeTOML reads it back.
+func MarshalChangeTOML(change *Change) ([]byte, error) {
+	return encodeTOML(change)
+}
+
 // ParseChangeJSON decodes a change. Unknown keys are faults.
 func ParseChangeJSON(text []byte) (*Change, error) {
 	change := new(Change)
--- a/internal/config/toml.go
+++ b/internal/config/toml.go
@@ -51,11 +51,15 @@
 
 // MarshalTOML encodes a document so that ParseTOML reads it back.
 func MarshalTOML(doc *Document) ([]byte, error) {
+	return encodeTOML(doc)
+}
+
+func encodeTOML(v any) ([]byte, error) {
 	var buf bytes.Buffer
 	encoder := toml.NewEncoder(&buf)
 	encoder.SetArraysMultiline(false)
-	if err := encoder.Encode(doc); err != nil {
-		return nil, errors.Wrap(err, "encode document as TOML")
+	if err := encoder.Encode(v); err != nil {
+		return nil, errors.Wrap(err, "encode as TOML")
 	}
 	return buf.Bytes(), nil
 }
