--- a/cmd/fuchsiaspar/main.go
+++ b/cmd/fuchsiaspar/main.go
@@ -3,18 +3,16 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
+	"os/signal"
 
+	"fuchsiaspar/internal/cli"
 	"fuchsiaspar/internal/demo"
-
-	"github.com/urfave/cli/v3"
 )
 
 func main() {
-	root := &cli.Command{Name: "fuchsiaspar", Usage: "operate global traffic steering", Commands: []*cli.Command{demo.Command()}}
-	if err := root.Run(context.Background(), os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	code := cli.Run(ctx, cli.New(demo.Command()), os.Args)
+	stop()
+	os.Exit(code)
 }
--- a/gen/http/caller/client/cli.go
+++ b/gen/http/caller/client/cli.go
@@ -44,7 +44,7 @@
 	{
 		err = json.Unmarshal([]byte(callerTicketBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"account\": \"Sunt enim.\",\n      \"service\": \"Ratione illum placeat assumenda atque velit possimus.\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"account\": \"Enim porro nesciunt maxime rerum.\",\n      \"service\": \"Labore accusamus minus perferendis officia voluptas neque.\"\n   }'")
 		}
 	}
 	v := &caller.TicketPayload{
@@ -63,7 +63,7 @@
 	{
 		err = json.Unmarshal([]byte(callerSealBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"ticket\": \"Omnis minus pariatur.\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"ticket\": \"Cumque molestias minus iure sed quis error.\"\n   }'")
 		}
 	}
 	v := &caller.SealPayload{
--- a/gen/http/cli/fuchsiaspar/cli.go
+++ b/gen/http/cli/fuchsiaspar/cli.go
@@ -11,6 +11,7 @@
 	"flag"
 	"fmt"
 	callerc "fuchsiaspar/gen/http/caller/client"
+	operatorc "fuchsiaspar/gen/http/operator/client"
 	"net/http"
 	"os"
 
@@ -24,12 +25,14 @@
 func UsageCommands() []string {
 	return []string{
 		"caller (lookup|ticket|seal)",
+		"operator (status|show|diff|history|apply|dry-run|drains|explain|lookup)",
 	}
 }
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "caller lookup --account \"Molestiae qui quia.\" --service \"Nam quis dolorum aspernatur.\" --client \"Sit aut autem pariatur ut dolorem.\"" + "\n" +
+	return os.Args[0] + " " + "caller lookup --account \"Dolorem ipsa maxime qui autem.\" --service \"Hic dolores.\" --client \"Quod cum quibusdam sed qui architecto.\"" + "\n" +
+		os.Args[0] + " " + "operator status" + "\n" +
 		""
 }
 
@@ -55,12 +58,60 @@
 
 		callerSealFlags    = flag.NewFlagSet("seal", flag.ExitOnError)
 		callerSealBodyFlag = callerSealFlags.String("body", "REQUIRED", "")
+
+		operatorFlags = flag.NewFlagSet("operator", flag.ContinueOnError)
+
+		operatorStatusFlags = flag.NewFlagSet("status", flag.ExitOnError)
+
+		operatorShowFlags        = flag.NewFlagSet("show", flag.ExitOnError)
+		operatorShowRevisionFlag = operatorShowFlags.String("revision", "", "")
+		operatorShowFormatFlag   = operatorShowFlags.String("format", "toml", "")
+
+		operatorDiffFlags    = flag.NewFlagSet("diff", flag.ExitOnError)
+		operatorDiffFromFlag = operatorDiffFlags.String("from", "REQUIRED", "")
+		operatorDiffToFlag   = operatorDiffFlags.String("to", "", "")
+
+		operatorHistoryFlags     = flag.NewFlagSet("history", flag.ExitOnError)
+		operatorHistoryLimitFlag = operatorHistoryFlags.String("limit", "20", "")
+
+		operatorApplyFlags    = flag.NewFlagSet("apply", flag.ExitOnError)
+		operatorApplyBodyFlag = operatorApplyFlags.String("body", "REQUIRED", "")
+
+		operatorDryRunFlags    = flag.NewFlagSet("dry-run", flag.ExitOnError)
+		operatorDryRunBodyFlag = operatorDryRunFlags.String("body", "REQUIRED", "")
+
+		operatorDrainsFlags = flag.NewFlagSet("drains", flag.ExitOnError)
+
+		operatorExplainFlags       = flag.NewFlagSet("explain", flag.ExitOnError)
+		operatorExplainKindFlag    = operatorExplainFlags.String("kind", "", "")
+		operatorExplainReasonFlag  = operatorExplainFlags.String("reason", "", "")
+		operatorExplainAccountFlag = operatorExplainFlags.String("account", "", "")
+		operatorExplainServiceFlag = operatorExplainFlags.String("service", "", "")
+		operatorExplainZoneFlag    = operatorExplainFlags.String("zone", "", "")
+		operatorExplainRequestFlag = operatorExplainFlags.String("request", "", "")
+		operatorExplainLimitFlag   = operatorExplainFlags.String("limit", "50", "")
+
+		operatorLookupFlags       = flag.NewFlagSet("lookup", flag.ExitOnError)
+		operatorLookupAccountFlag = operatorLookupFlags.String("account", "REQUIRED", "")
+		operatorLookupServiceFlag = operatorLookupFlags.String("service", "REQUIRED", "")
+		operatorLookupClientFlag  = operatorLookupFlags.String("client", "REQUIRED", "")
 	)
 	callerFlags.Usage = callerUsage
 	callerLookupFlags.Usage = callerLookupUsage
 	callerTicketFlags.Usage = callerTicketUsage
 	callerSealFlags.Usage = callerSealUsage
 
+	operatorFlags.Usage = operatorUsage
+	operatorStatusFlags.Usage = operatorStatusUsage
+	operatorShowFlags.Usage = operatorShowUsage
+	operatorDiffFlags.Usage = operatorDiffUsage
+	operatorHistoryFlags.Usage = operatorHistoryUsage
+	operatorApplyFlags.Usage = operatorApplyUsage
+	operatorDryRunFlags.Usage = operatorDryRunUsage
+	operatorDrainsFlags.Usage = operatorDrainsUsage
+	operatorExplainFlags.Usage = operatorExplainUsage
+	operatorLookupFlags.Usage = operatorLookupUsage
+
 	if err := flag.CommandLine.Parse(os.Args[1:]); err != nil {
 		return nil, nil, err
 	}
@@ -78,6 +129,8 @@
 		switch svcn {
 		case "caller":
 			svcf = callerFlags
+		case "operator":
+			svcf = operatorFlags
 		default:
 			return nil, nil, fmt.Errorf("unknown service %q", svcn)
 		}
@@ -106,6 +159,37 @@
 
 			}
 
+		case "operator":
+			switch epn {
+			case "status":
+				epf = operatorStatusFlags
+
+			case "show":
+				epf = operatorShowFlags
+
+			case "diff":
+				epf = operatorDiffFlags
+
+			case "history":
+				epf = operatorHistoryFlags
+
+			case "apply":
+				epf = operatorApplyFlags
+
+			case "dry-run":
+				epf = operatorDryRunFlags
+
+			case "drains":
+				epf = operatorDrainsFlags
+
+			case "explain":
+				epf = operatorExplainFlags
+
+			case "lookup":
+				epf = operatorLookupFlags
+
+			}
+
 		}
 	}
 	if epf == nil {
@@ -139,6 +223,35 @@
 				endpoint = c.Seal()
 				data, err = callerc.BuildSealPayload(*callerSealBodyFlag)
 			}
+		case "operator":
+			c := operatorc.NewClient(scheme, host, doer, enc, dec, restore)
+			switch epn {
+			case "status":
+				endpoint = c.Status()
+			case "show":
+				endpoint = c.Show()
+				data, err = operatorc.BuildShowPayload(*operatorShowRevisionFlag, *operatorShowFormatFlag)
+			case "diff":
+				endpoint = c.Diff()
+				data, err = operatorc.BuildDiffPayload(*operatorDiffFromFlag, *operatorDiffToFlag)
+			case "history":
+				endpoint = c.History()
+				data, err = operatorc.BuildHistoryPayload(*operatorHistoryLimitFlag)
+			case "apply":
+				endpoint = c.Apply()
+				data, err = operatorc.BuildApplyPayload(*operatorApplyBodyFlag)
+			case "dry-run":
+				endpoint = c.DryRun()
+				data, err = operatorc.BuildDryRunPayload(*operatorDryRunBodyFlag)
+			case "drains":
+				endpoint = c.Drains()
+			case "explain":
+				endpoint = c.Explain()
+				data, err = operatorc.BuildExplainPayload(*operatorExplainKindFlag, *operatorExplainReasonFlag, *operatorExplainAccountFlag, *operatorExplainServiceFlag, *operatorExplainZoneFlag, *operatorExplainRequestFlag, *operatorExplainLimitFlag)
+			case "lookup":
+				endpoint = c.Lookup()
+				data, err = operatorc.BuildLookupPayload(*operatorLookupAccountFlag, *operatorLookupServiceFlag, *operatorLookupClientFlag)
+			}
 		}
 	}
 	if err != nil {
@@ -179,7 +292,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller lookup --account \"Molestiae qui quia.\" --service \"Nam quis dolorum aspernatur.\" --client \"Sit aut autem pariatur ut dolorem.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller lookup --account \"Dolorem ipsa maxime qui autem.\" --service \"Hic dolores.\" --client \"Quod cum quibusdam sed qui architecto.\"")
 }
 
 func callerTicketUsage() {
@@ -197,7 +310,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller ticket --body '{\n      \"account\": \"Sunt enim.\",\n      \"service\": \"Ratione illum placeat assumenda atque velit possimus.\"\n   }'")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller ticket --body '{\n      \"account\": \"Enim porro nesciunt maxime rerum.\",\n      \"service\": \"Labore accusamus minus perferendis officia voluptas neque.\"\n   }'")
 }
 
 func callerSealUsage() {
@@ -215,5 +328,201 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller seal --body '{\n      \"ticket\": \"Omnis minus pariatur.\"\n   }'")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller seal --body '{\n      \"ticket\": \"Cumque molestias minus iure sed quis error.\"\n   }'")
+}
+
+// operatorUsage displays the usage of the operator command and its subcommands.
+func operatorUsage() {
+	fmt.Fprintln(os.Stderr, `Configuration, status and explanations for operators.`)
+	fmt.Fprintf(os.Stderr, "Usage:\n    %s [globalflags] operator COMMAND [flags]\n\n", os.Args[0])
+	fmt.Fprintln(os.Stderr, "COMMAND:")
+	fmt.Fprintln(os.Stderr, `    status: State of every entry VM as this one can gather it.`)
+	fmt.Fprintln(os.Stderr, `    show: The configuration in force, or an older revision.`)
+	fmt.Fprintln(os.Stderr, `    diff: What differs between two revisions.`)
+	fmt.Fprintln(os.Stderr, `    history: The newest committed changes.`)
+	fmt.Fprintln(os.Stderr, `    apply: Have a change acknowledged everywhere and commit it.`)
+	fmt.Fprintln(os.Stderr, `    dry-run: Say what a change would do without making it.`)
+	fmt.Fprintln(os.Stderr, `    drains: Planned drains with their progress.`)
+	fmt.Fprintln(os.Stderr, `    explain: Recent decisions that match, newest first.`)
+	fmt.Fprintln(os.Stderr, `    lookup: What a caller would be told, and why.`)
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Additional help:")
+	fmt.Fprintf(os.Stderr, "    %s operator COMMAND --help\n", os.Args[0])
+}
+func operatorStatusUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] operator status", os.Args[0])
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `State of every entry VM as this one can gather it.`)
+
+	// Flags list
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator status")
+}
+
+func operatorShowUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] operator show", os.Args[0])
+	fmt.Fprint(os.Stderr, " -revision UINT64")
+	fmt.Fprint(os.Stderr, " -format STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `The configuration in force, or an older revision.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -revision UINT64: `)
+	fmt.Fprintln(os.Stderr, `    -format STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator show --revision 14817514231697804431 --format \"json\"")
+}
+
+func operatorDiffUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] operator diff", os.Args[0])
+	fmt.Fprint(os.Stderr, " -from UINT64")
+	fmt.Fprint(os.Stderr, " -to UINT64")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `What differs between two revisions.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -from UINT64: `)
+	fmt.Fprintln(os.Stderr, `    -to UINT64: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator diff --from 14313778557452418128 --to 13528641540740642875")
+}
+
+func operatorHistoryUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] operator history", os.Args[0])
+	fmt.Fprint(os.Stderr, " -limit INT")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `The newest committed changes.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -limit INT: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator history --limit 860")
+}
+
+func operatorApplyUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] operator apply", os.Args[0])
+	fmt.Fprint(os.Stderr, " -body JSON")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Have a change acknowledged everywhere and commit it.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -body JSON: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator apply --body '{\n      \"base\": 15965020080712775423,\n      \"exclude_vms\": [\n         \"Voluptatem expedita.\",\n         \"Dicta qui.\",\n         \"Non beatae quia consectetur enim.\",\n         \"Velit voluptatem.\"\n      ],\n      \"exclude_zones\": [\n         \"Qui nisi illum.\",\n         \"Alias veniam corporis eum at qui vitae.\"\n      ],\n      \"format\": \"json\",\n      \"id\": \"Similique quia dolor non repudiandae ea.\",\n      \"operator\": \"Et fuga omnis rerum voluptatibus incidunt.\",\n      \"text\": \"Enim nostrum suscipit.\",\n      \"whole\": true\n   }'")
+}
+
+func operatorDryRunUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] operator dry-run", os.Args[0])
+	fmt.Fprint(os.Stderr, " -body JSON")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Say what a change would do without making it.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -body JSON: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator dry-run --body '{\n      \"base\": 7825170805233709860,\n      \"exclude_vms\": [\n         \"Aut perspiciatis sint doloremque ducimus repudiandae ab.\",\n         \"Esse veniam pariatur.\"\n      ],\n      \"exclude_zones\": [\n         \"Cumque hic.\",\n         \"Quos et aspernatur laudantium dolores deleniti perferendis.\",\n         \"Incidunt rerum.\",\n         \"Non quis.\"\n      ],\n      \"format\": \"toml\",\n      \"id\": \"Velit vel nobis voluptatem sed.\",\n      \"operator\": \"Nemo ipsam.\",\n      \"text\": \"Natus dicta aut voluptatem ut.\",\n      \"whole\": true\n   }'")
+}
+
+func operatorDrainsUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] operator drains", os.Args[0])
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Planned drains with their progress.`)
+
+	// Flags list
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator drains")
+}
+
+func operatorExplainUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] operator explain", os.Args[0])
+	fmt.Fprint(os.Stderr, " -kind STRING")
+	fmt.Fprint(os.Stderr, " -reason STRING")
+	fmt.Fprint(os.Stderr, " -account STRING")
+	fmt.Fprint(os.Stderr, " -service STRING")
+	fmt.Fprint(os.Stderr, " -zone STRING")
+	fmt.Fprint(os.Stderr, " -request STRING")
+	fmt.Fprint(os.Stderr, " -limit INT")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Recent decisions that match, newest first.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -kind STRING: `)
+	fmt.Fprintln(os.Stderr, `    -reason STRING: `)
+	fmt.Fprintln(os.Stderr, `    -account STRING: `)
+	fmt.Fprintln(os.Stderr, `    -service STRING: `)
+	fmt.Fprintln(os.Stderr, `    -zone STRING: `)
+	fmt.Fprintln(os.Stderr, `    -request STRING: `)
+	fmt.Fprintln(os.Stderr, `    -limit INT: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator explain --kind \"Architecto ullam tempore temporibus enim ut.\" --reason \"Eos aut sapiente.\" --account \"Quia aut rerum repudiandae qui aut.\" --service \"Aut sed nihil quod ex est ducimus.\" --zone \"Deleniti et sit labore nemo inventore.\" --request \"Amet libero at ut quia.\" --limit 866")
+}
+
+func operatorLookupUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] operator lookup", os.Args[0])
+	fmt.Fprint(os.Stderr, " -account STRING")
+	fmt.Fprint(os.Stderr, " -service STRING")
+	fmt.Fprint(os.Stderr, " -client STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `What a caller would be told, and why.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -account STRING: `)
+	fmt.Fprintln(os.Stderr, `    -service STRING: `)
+	fmt.Fprintln(os.Stderr, `    -client STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator lookup --account \"Magnam nesciunt quod mollitia corporis.\" --service \"Laboriosam odio modi aliquid eos.\" --client \"22.17.113.28\"")
 }
