--- a/internal/once/attempts.go
+++ b/internal/once/attempts.go
@@ -114,9 +114,11 @@
 }
 
 // Accept records an attempt that has arrived and may wait up to ttl before it
-// starts. Every error is an *Error. After ErrRevoked, ErrStale and ErrFull the
-// attempt has not run and never will, under this identifier; after
-// ErrDuplicate the first copy decides.
+// starts. Every error is an *Error and means that this copy does not run. An
+// origin that sends each attempt exactly once may therefore count any refusal as
+// not run. The Outcome of the error also holds for an origin whose transport may
+// deliver copies twice: it is OutcomeNotRun only when no copy of the attempt has
+// run or ever will.
 func (a *Attempts) Accept(now time.Time, id model.AttemptID, ttl time.Duration) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -127,7 +129,7 @@
 	}
 	token, ok := a.usable(id, offset)
 	if !ok {
-		return ErrStale
+		return a.staleError(id, offset)
 	}
 	if _, ok := a.sealed[id]; ok {
 		return ErrRevoked
@@ -147,6 +149,15 @@
 	return ErrDuplicate
 }
 
+// staleError tells attempts that no process has ever accepted from those that
+// an earlier process, or this one long ago, may have run.
+func (a *Attempts) staleError(id model.AttemptID, offset time.Duration) error {
+	if _, _, hasToken := tokenOf(id); hasToken && !a.neverAccepted(id, offset) {
+		return ErrStale
+	}
+	return errStaleUnused
+}
+
 // usable reports whether the token of an attempt is valid at offset.
 func (a *Attempts) usable(id model.AttemptID, offset time.Duration) (time.Duration, bool) {
 	incarnation, token, ok := tokenOf(id)
--- a/internal/once/errors.go
+++ b/internal/once/errors.go
@@ -44,10 +44,14 @@
 	ErrSealed    = &Error{Reason: model.ReasonTicketSealed, Outcome: model.OutcomeNotRun}
 	ErrReused    = &Error{Reason: model.ReasonTicketReused, Outcome: model.OutcomeNotRun}
 	ErrRevoked   = &Error{Reason: model.ReasonRevoked, Outcome: model.OutcomeNotRun}
-	ErrStale     = &Error{Reason: ReasonStaleToken, Outcome: model.OutcomeNotRun}
+	ErrStale     = &Error{Reason: ReasonStaleToken, Outcome: model.OutcomeUnknown}
 	ErrFull      = &Error{Reason: ReasonAttemptsFull, Outcome: model.OutcomeNotRun}
 	ErrDuplicate = &Error{Reason: ReasonDuplicate, Outcome: model.OutcomeUnknown}
 )
 
-// errExpiredUnused is ErrExpired for a ticket that is known not to have run.
-var errExpiredUnused = &Error{Reason: model.ReasonTicketExpired, Outcome: model.OutcomeNotRun}
+var (
+	// errExpiredUnused is ErrExpired for a ticket that is known not to have run.
+	errExpiredUnused = &Error{Reason: model.ReasonTicketExpired, Outcome: model.OutcomeNotRun}
+	// errStaleUnused is ErrStale for an attempt that is known not to have run.
+	errStaleUnused = &Error{Reason: ReasonStaleToken, Outcome: model.OutcomeNotRun}
+)
--- a/internal/once/registry.go
+++ b/internal/once/registry.go
@@ -166,8 +166,8 @@
 	if rec, ok := r.records[info.ID]; ok {
 		return rec.claim(req)
 	}
-	if offset >= info.expiry {
-		return Claim{}, r.expired(info)
+	if err := r.checkExpiry(info, offset); err != nil {
+		return Claim{}, err
 	}
 	rec := r.newRecord(info)
 	rec.fingerprint = req
@@ -187,13 +187,16 @@
 	return Claim{Kind: ClaimKept, ID: rec.id, Result: rec.result, run: rec.run}, nil
 }
 
-// expired tells an expired ticket that never began from one whose record may
-// have been dropped.
-func (r *Registry) expired(info Info) error {
-	if r.buckets.covers(info.expiry) {
+// checkExpiry refuses an expired ticket without a record. It tells a ticket that
+// never began from one whose record may have been dropped.
+func (r *Registry) checkExpiry(info Info, offset time.Duration) error {
+	if !r.buckets.covers(info.expiry) {
+		return ErrExpired
+	}
+	if offset >= info.expiry {
 		return errExpiredUnused
 	}
-	return ErrExpired
+	return nil
 }
 
 func (r *Registry) newRecord(info Info) *record {
@@ -242,8 +245,7 @@
 	if rec, ok := r.records[info.ID]; ok {
 		return rec.outcome(), nil
 	}
-	if offset >= info.expiry {
-		err := r.expired(info)
+	if err := r.checkExpiry(info, offset); err != nil {
 		return OutcomeOf(err), err
 	}
 	rec := r.newRecord(info)
