Follow the renamed difference of two documents

Cause: merging renamed the function that turns one document into another. Change: the demo calls the new name. Before and after: the tree did not build after the merge; it does now. Conclusion: none beyond that.

--- a/internal/demo/configure.go
+++ b/internal/demo/configure.go
@@ -57,7 +57,7 @@
 	if err := f.awaitMembers(ctx); err != nil {
 		return err
 	}
-	change := config.ReplaceAll(&config.Document{}, f.deployment.document())
+	change := config.Between(&config.Document{}, f.deployment.document())
 	change.ID = f.changeID()
 	change.Operator = "demo"
 	r, err := f.propose(ctx, f.live()[0], change)
