--- /dev/null
+++ b/internal/cli/cli_test.go
@@ -0,0 +1,125 @@
+package cli
+
+import (
+	"encoding/json"
+	"os"
+	"strings"
+	"testing"
+
+	"fuchsiaspar/internal/platform/standin"
+)
+
+// loaded starts a server with the runbook's first configuration in force.
+func loaded(t *testing.T) *testServer {
+	t.Helper()
+	page, err := os.ReadFile("../../docs/RUNBOOK.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := startServer(t)
+	t.Setenv("FUCHSIASPAR_SERVER", server.address)
+	t.Chdir(t.TempDir())
+	first := fences(string(page))[0]
+	writeFile(t, first.name, strings.Join(first.lines, "\n"))
+	if got := run("config", "apply", first.name); got.code != ExitOK {
+		t.Fatalf("first configuration: %+v", got)
+	}
+	return server
+}
+
+func TestExitCodes(t *testing.T) {
+	loaded(t)
+	tests := []struct {
+		name string
+		line string
+		code int
+		says string
+	}{
+		{"done", "status", ExitOK, "entry-lj-1"},
+		{"unknown command", "bogus", ExitUsage, "--help"},
+		{"unknown subcommand", "config bogus", ExitUsage, "--help"},
+		{"unknown flag", "status --bogus", ExitUsage, "--help"},
+		{"missing argument", "account show", ExitUsage, "one argument"},
+		{"superfluous argument", "status now", ExitUsage, "no argument"},
+		{"missing file", "config apply none.toml", ExitUsage, "none.toml"},
+		{"bad rank", "account set kanal --template lease --rank lookup=soon", ExitUsage, "class=urgent"},
+		{"no revision", "config diff x", ExitUsage, "history"},
+		{"drain without end", "drain add zone lj-1", ExitUsage, "--for"},
+		{"missing account", "account show nobody", ExitRefused, "account list"},
+		{"missing revision", "config show --revision 77", ExitRefused, "history"},
+		{"limit out of range", "config history --limit 5000", ExitRefused, "1000"},
+		{"invalid value", "account set kanal --template lease --weight 99", ExitRefused, "1 to 10"},
+		{"invalid in dry run", "account set kanal --template lease --weight 99 --dry-run", ExitRefused, "1 to 10"},
+		{"client is no address", "lookup kanal lease-desk here", ExitRefused, "client"},
+		{"unknown drain", "drain watch none", ExitRefused, "drain list"},
+		{"unreachable server", "--server 127.0.0.1:1 status", ExitUnavailable, "--server"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got := run(strings.Fields(tt.line)...)
+			if got.code != tt.code || !strings.Contains(got.stdout+got.stderr, tt.says) {
+				t.Errorf("%s: got %+v, want exit %d and %q", tt.line, got, tt.code, tt.says)
+			}
+		})
+	}
+}
+
+func TestEveryAnswerIsJSONWhenAsked(t *testing.T) {
+	loaded(t)
+	lines := []string{
+		"status", "config show", "config history", "config diff 1", "template list", "template show lease",
+		"account list", "account show kanal", "drain list", "explain", "lookup kanal lease-desk 10.20.0.1",
+		"account set kanal --template lease --weight 3 --dry-run", "account set kanal --template lease --weight 3",
+		"account set kanal --template lease --weight 99", "bogus", "status --server 127.0.0.1:1",
+	}
+	for _, line := range lines {
+		got := run(append([]string{"--json"}, strings.Fields(line)...)...)
+		if !json.Valid([]byte(got.stdout)) || got.stderr != "" {
+			t.Errorf("%s: %+v", line, got)
+		}
+	}
+}
+
+func TestServersAreTriedInOrder(t *testing.T) {
+	server := loaded(t)
+	got := run("--server", "127.0.0.1:1", "--server", server.address, "account", "set", "kanal", "--template", "lease", "--weight", "4")
+	if got.code != ExitOK || !strings.Contains(got.stdout, "revision 2") {
+		t.Errorf("got %+v", got)
+	}
+}
+
+func TestShownPartsCanBeApplied(t *testing.T) {
+	loaded(t)
+	for _, kind := range []string{"template show lease", "account show kanal"} {
+		shown := run(strings.Fields(kind)...)
+		if shown.code != ExitOK {
+			t.Fatalf("%s: %+v", kind, shown)
+		}
+		writeFile(t, "part.toml", shown.stdout)
+		verb := strings.Fields(kind)[0]
+		got := run(verb, "apply", "part.toml", "--dry-run")
+		if got.code != ExitOK || !strings.Contains(got.stdout, "no difference") {
+			t.Errorf("%s apply: %+v\n%s", verb, got, shown.stdout)
+		}
+	}
+}
+
+func TestCompletionScripts(t *testing.T) {
+	for _, shell := range []string{"bash", "zsh", "fish", "pwsh"} {
+		if got := run("completion", shell); got.code != ExitOK || got.stdout == "" {
+			t.Errorf("%s: %+v", shell, got)
+		}
+	}
+}
+
+func TestStoreOutageIsUnavailable(t *testing.T) {
+	server := loaded(t)
+	server.store.Down(standin.AllClients, true)
+	got := run("--timeout", "200ms", "account", "set", "kanal", "--template", "lease", "--weight", "4")
+	if got.code != ExitUnavailable {
+		t.Errorf("got %+v", got)
+	}
+	if got := run("config", "show"); got.code != ExitOK {
+		t.Errorf("reading during the outage: %+v", got)
+	}
+}
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -41,19 +41,25 @@
 	return ask(ctx, newClient(server))
 }
 
-// passOver reports whether another server may answer better.
+// passOver reports whether another server may answer better: this one can't
+// serve the call now, failed, or was not reached.
 func passOver(err error) bool {
-	if err == nil {
-		return false
-	}
-	var failure *gen.Failure
+	var (
+		failure *gen.Failure
+		client  *goahttp.ClientError
+	)
 	if errors.As(err, &failure) {
 		return failure.Name == "unavailable"
 	}
-	var usage *usageError
-	return !errors.As(err, &usage)
+	if errors.As(err, &client) {
+		return client.Fault || client.Name == requestError
+	}
+	return false
 }
 
+// requestError is goa's name for a request that got no response.
+const requestError = "request_error"
+
 func newClient(server string) *gen.Client {
 	c := client.NewClient("http", server, http.DefaultClient, goahttp.RequestEncoder, goahttp.ResponseDecoder, false)
 	return gen.NewClient(
--- a/internal/cli/errors.go
+++ b/internal/cli/errors.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
+	goahttp "goa.design/goa/v3/http"
 )
 
 // Exit codes of the command.
@@ -57,6 +58,7 @@
 		failure     *gen.Failure
 		refused     *refusedError
 		unreachable *unreachableError
+		response    *goahttp.ClientError
 		coder       cli.ExitCoder
 	)
 	switch {
@@ -68,6 +70,8 @@
 		return refused.code
 	case errors.As(err, &unreachable):
 		return ExitUnavailable
+	case errors.As(err, &response):
+		return ExitRefused
 	case errors.As(err, &coder):
 		return coder.ExitCode()
 	default:
--- a/internal/cli/queries.go
+++ b/internal/cli/queries.go
@@ -85,11 +85,11 @@
 			&cli.StringFlag{Name: "request", Usage: "`attempt` at a request"},
 			&cli.IntFlag{Name: flagLimit, Usage: "greatest `count` of decisions", Value: explainLimit},
 		},
-		Action: explain,
+		Action: explainDecisions,
 	}
 }
 
-func explain(ctx context.Context, cmd *cli.Command) error {
+func explainDecisions(ctx context.Context, cmd *cli.Command) error {
 	if err := noArguments(cmd); err != nil {
 		return err
 	}
