--- a/internal/platform/httpstore/httpstore.go
+++ b/internal/platform/httpstore/httpstore.go
@@ -29,7 +29,7 @@
 	// over the rate limit; it doubles with each further one.
 	backOffBase = 20 * time.Millisecond
 	// maxRepeats bounds the repeats of a call that was over the rate limit.
-	maxRepeats = 5
+	maxRepeats = 4
 )
 
 // Options configure a Client.
