--- a/internal/demo/deployment.go
+++ b/internal/demo/deployment.go
@@ -72,7 +72,7 @@
 		Delays:    Delays{Zone: time.Millisecond, Region: 12 * time.Millisecond, Client: time.Millisecond},
 		LinkBytes: 500_000_000,
 		Accounts:  []model.AccountID{"carrier", "builder", "survey"},
-		Scaling:   "servers, slots, connections, links and delays as stated by the users; service times of 40 to 150 ms set the fleet's rate to what one machine carries",
+		Scaling:   "servers, slots, connections, links and delays as stated by the users; service times of 100 to 300 ms set the fleet's rate to what one machine carries",
 		Services: []Service{
 			{Name: "lease-desk", Servers: 20, MaxConns: 360, Kinds: deskKinds("duct", "reserve", "route-map", "sync")},
 			{Name: "plan-vault", Servers: 12, MaxConns: 360, Kinds: vaultKinds("pack", "survey", mebibyte)},
@@ -87,7 +87,7 @@
 		Delays:    Delays{Zone: time.Millisecond, Region: 35 * time.Millisecond, Client: 3 * time.Millisecond},
 		LinkBytes: 35_000_000,
 		Accounts:  []model.AccountID{"dealers", "shops", "museums"},
-		Scaling:   "servers, slots, connections, links and delays as stated by the users; service times of 40 to 150 ms set the fleet's rate to what one machine carries",
+		Scaling:   "servers, slots, connections, links and delays as stated by the users; service times of 100 to 300 ms set the fleet's rate to what one machine carries",
 		Services: []Service{
 			{Name: "order-desk", Servers: 20, MaxConns: 390, Kinds: deskKinds("stock", "order", "price-list", "report")},
 			{Name: "pattern-archive", Servers: 16, MaxConns: 390, Kinds: vaultKinds("chart", "catalogue", mebibyte/2)},
@@ -97,17 +97,17 @@
 
 func deskKinds(query, order, normal, bulk string) []Kind {
 	return []Kind{
-		{Name: query, Path: "/" + query, Priority: model.PriorityUrgent, Idempotent: true, Deadline: time.Second, Bytes: 600, Time: 40 * time.Millisecond},
-		{Name: order, Path: "/" + order, Priority: model.PriorityUrgent, Deadline: 2 * time.Second, Bytes: 200, Time: 40 * time.Millisecond},
-		{Name: normal, Path: "/" + normal, Priority: model.PriorityNormal, Idempotent: true, Deadline: 2 * time.Second, Bytes: 8 << 10, Time: 40 * time.Millisecond},
-		{Name: bulk, Path: "/" + bulk, Priority: model.PriorityBulk, Idempotent: true, Deadline: 4 * time.Second, Bytes: 4 << 10, Time: 40 * time.Millisecond},
+		{Name: query, Path: "/" + query, Priority: model.PriorityUrgent, Idempotent: true, Deadline: time.Second, Bytes: 600, Time: 100 * time.Millisecond},
+		{Name: order, Path: "/" + order, Priority: model.PriorityUrgent, Deadline: 2 * time.Second, Bytes: 200, Time: 100 * time.Millisecond},
+		{Name: normal, Path: "/" + normal, Priority: model.PriorityNormal, Idempotent: true, Deadline: 2 * time.Second, Bytes: 8 << 10, Time: 100 * time.Millisecond},
+		{Name: bulk, Path: "/" + bulk, Priority: model.PriorityBulk, Idempotent: true, Deadline: 4 * time.Second, Bytes: 4 << 10, Time: 100 * time.Millisecond},
 	}
 }
 
 func vaultKinds(transfer, bulk string, size int) []Kind {
 	return []Kind{
-		{Name: transfer, Path: "/" + transfer, Priority: model.PriorityNormal, Idempotent: true, Long: true, Deadline: 5 * time.Second, Bytes: size, Time: 150 * time.Millisecond},
-		{Name: bulk, Path: "/" + bulk, Priority: model.PriorityBulk, Idempotent: true, Deadline: 4 * time.Second, Bytes: 64 << 10, Time: 80 * time.Millisecond},
+		{Name: transfer, Path: "/" + transfer, Priority: model.PriorityNormal, Idempotent: true, Long: true, Deadline: 5 * time.Second, Bytes: size, Time: 300 * time.Millisecond},
+		{Name: bulk, Path: "/" + bulk, Priority: model.PriorityBulk, Idempotent: true, Deadline: 4 * time.Second, Bytes: 64 << 10, Time: 200 * time.Millisecond},
 	}
 }
 
--- a/internal/demo/run.go
+++ b/internal/demo/run.go
@@ -42,7 +42,7 @@
 	// drainTime is how long a run waits for its last answers.
 	drainTime = 10 * time.Second
 	// maxOutstanding bounds the requests in flight at the callers.
-	maxOutstanding = 20_000
+	maxOutstanding = 4_000
 )
 
 // run is one run of a scenario.
