Join the operator API and the daemon's life cycle

Cause: operators had an API without a fleet behind it, and the daemon no program. Change: any entry VM gathers status, drains and decisions from all others; fuchsiaspard reads and checks its settings, serves and stops as planned. Before and after: no process could be started alone; it now can, and exits 1 with every problem named when its settings are wrong. Conclusion: the whole path can be built as separate processes.

--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -12,6 +12,7 @@
 	"fuchsiaspar/internal/config"
 	"fuchsiaspar/internal/entry"
 	"fuchsiaspar/internal/explain"
+	"fuchsiaspar/internal/fleet"
 	"fuchsiaspar/internal/membership"
 	"fuchsiaspar/internal/model"
 	"fuchsiaspar/internal/owner"
@@ -73,9 +74,11 @@
 	state    atomic.Pointer[entry.State]
 	wake     chan struct{}
 	stopping atomic.Bool
+	activity atomic.Pointer[func() int64]
 	cancel   context.CancelFunc
 	done     sync.WaitGroup
 	builder  builder
+	progress progress
 	rebuilds tally.Counter
 }
 
@@ -92,6 +95,22 @@
 // State returns the newest control state, nil before the first configuration.
 func (s *Service) State() *entry.State { return s.state.Load() }
 
+// View returns the members as this VM knows them.
+func (s *Service) View() *membership.View { return s.options.Members.View() }
+
+// Drains returns the progress of the drains in force at this VM.
+func (s *Service) Drains() []fleet.DrainState { return s.progress.list() }
+
+func (s *Service) active() int64 {
+	if f := s.activity.Load(); f != nil {
+		return (*f)()
+	}
+	return 0
+}
+
+// CountActive makes f tell how many callers' requests are in flight.
+func (s *Service) CountActive(f func() int64) { s.activity.Store(&f) }
+
 // Confirmed reports whether the configuration in force is known to be newest.
 func (s *Service) Confirmed(now time.Time) bool { return s.options.Config.Confirmed(now) }
 
@@ -174,5 +193,6 @@
 		return
 	}
 	s.state.Store(state)
+	s.progress.update(in, s.options.Pools, s.active())
 	s.options.Members.SetLocal(snapshot.Revision(), s.options.Pools.Loads())
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"fuchsiaspar/internal/control"
 	"fuchsiaspar/internal/entry"
 	"fuchsiaspar/internal/explain"
+	"fuchsiaspar/internal/fleet"
 	"fuchsiaspar/internal/kernel"
 	"fuchsiaspar/internal/membership"
 	"fuchsiaspar/internal/metrics"
@@ -48,6 +49,7 @@
 	NamePoller     = "backend.poller"
 	NameControl    = "control.state"
 	NameEntry      = "entry.path"
+	NameFleet      = "operator.fleet"
 	NameHTTP       = "entry.http"
 	explainEntries = 4096
 	retryPercent   = 10
@@ -120,12 +122,13 @@
 	relays   *backend.Client
 	router   *steer.Router
 	poller   *control.Poller
+	fleet    *fleet.Service
 }
 
 func (b *assembly) assemble() error {
 	steps := []func() error{
 		b.identity, b.core, b.listener, b.links, b.membership, b.configuration, b.platform,
-		b.quota, b.owners, b.controlState, b.dataPath, b.routes,
+		b.quota, b.owners, b.controlState, b.dataPath, b.operators, b.routes,
 	}
 	for _, step := range steps {
 		if err := step(); err != nil {
@@ -348,6 +351,7 @@
 		Scope:   b.metrics.Scope,
 		Logger:  b.deps.Logger.WithPrefix("entry"),
 	})
+	b.daemon.control.CountActive(b.daemon.entry.Active)
 	return b.add(NameEntry, b.daemon.entry)
 }
 
@@ -366,3 +370,13 @@
 	}
 	return live
 }
+
+func (b *assembly) operators() error {
+	b.fleet = fleet.New(fleet.Options{
+		Self:  b.settings.VM.Name,
+		Local: b.daemon.control,
+		Links: b.mesh,
+		Ring:  b.ring,
+	})
+	return b.add(NameFleet, b.fleet)
+}
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -10,6 +10,7 @@
 	callerhttp "fuchsiaspar/gen/http/caller/server"
 	"fuchsiaspar/internal/backend"
 	"fuchsiaspar/internal/entry"
+	"fuchsiaspar/internal/operator"
 	"fuchsiaspar/internal/peer"
 
 	"github.com/charmbracelet/log"
@@ -56,6 +57,14 @@
 func (b *assembly) routes() error {
 	mux := goahttp.NewMuxer()
 	mountCaller(mux, b.daemon.entry)
+	operator.Mount(mux, operator.New(operator.Deps{
+		Self:    b.settings.VM.Name,
+		Config:  b.config,
+		Status:  b.fleet,
+		Drains:  b.fleet,
+		Explain: b.fleet,
+		Lookup:  b.fleet,
+	}))
 	root := http.NewServeMux()
 	root.Handle("/", mux)
 	root.HandleFunc(entry.RequestPath, b.daemon.entry.ServeRequest)
--- /dev/null
+++ b/internal/daemon/run.go
@@ -0,0 +1,99 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"fuchsiaspar/internal/platform/httpstore"
+	"fuchsiaspar/internal/settings"
+
+	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+)
+
+// Exit codes of the process.
+const (
+	exitOK       = 0
+	exitSettings = 1
+	exitFailed   = 2
+)
+
+// startTimeout bounds the start of all services.
+const startTimeout = 30 * time.Second
+
+// Run is the whole life of the process: it reads the settings that args name,
+// starts, serves until ctx ends and stops as planned. It returns the exit
+// code: 0 after a planned stop, 1 for wrong settings, 2 for a failure.
+func Run(ctx context.Context, args []string, out io.Writer) int {
+	code := exitOK
+	command := &cli.Command{
+		Name:      "fuchsiaspard",
+		Usage:     "steer traffic on one entry VM",
+		Writer:    out,
+		ErrWriter: out,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Required: true, Usage: "`FILE` with this process's settings"},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			code = runFile(ctx, c.String("settings"), c.Bool("check"), out)
+			return nil
+		},
+	}
+	if err := command.Run(ctx, args); err != nil {
+		_, _ = io.WriteString(out, err.Error()+"\n")
+		return exitSettings
+	}
+	return code
+}
+
+func runFile(ctx context.Context, path string, checkOnly bool, out io.Writer) int {
+	s, err := settings.Load(path)
+	if err != nil {
+		_, _ = io.WriteString(out, err.Error()+"\n")
+		return exitSettings
+	}
+	if checkOnly {
+		return exitOK
+	}
+	logger := newLogger(s, out)
+	if err := serve(ctx, s, logger); err != nil {
+		logger.Error("failed", "err", err)
+		return exitFailed
+	}
+	return exitOK
+}
+
+func newLogger(s settings.Settings, out io.Writer) *log.Logger {
+	logger := log.NewWithOptions(out, log.Options{
+		Formatter:       log.LogfmtFormatter,
+		ReportTimestamp: true,
+		TimeFormat:      time.RFC3339Nano,
+	})
+	if level, err := log.ParseLevel(s.Log.Level); err == nil {
+		logger.SetLevel(level)
+	}
+	return logger.With("vm", string(s.VM.Name))
+}
+
+// serve starts the daemon, waits for ctx and stops it as planned.
+func serve(ctx context.Context, s settings.Settings, logger *log.Logger) error {
+	platform := httpstore.New(httpstore.Options{
+		BaseURL: "http://" + s.Platform.Address,
+		Client:  string(s.VM.Name),
+	})
+	d, err := New(s, Deps{Store: platform, VMs: platform, Logger: logger})
+	if err != nil {
+		return err
+	}
+	starting, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if err := d.Start(starting); err != nil {
+		return errors.Wrap(err, "start")
+	}
+	logger.Info("started", "zone", s.VM.Zone, "region", s.VM.Region, "address", s.VM.Listen)
+	<-ctx.Done()
+	return d.Stop(context.WithoutCancel(ctx))
+}
--- a/internal/owner/pools.go
+++ b/internal/owner/pools.go
@@ -178,3 +178,22 @@
 	}
 	return list
 }
+
+// Running counts the requests in flight at each server.
+func (p *Pools) Running() map[Key]map[model.ServerID]int {
+	counts := make(map[Key]map[model.ServerID]int)
+	for key, pool := range *p.pools.Load() {
+		counts[key] = pool.inFlight()
+	}
+	return counts
+}
+
+func (p *Pool) inFlight() map[model.ServerID]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	counts := make(map[model.ServerID]int)
+	for _, slot := range p.running {
+		counts[slot.Target.ID]++
+	}
+	return counts
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -25,6 +25,7 @@
 	KindConfigAnnounce Kind = 31 // config: a higher revision exists
 	KindConfigFetch    Kind = 32 // config: fetch objects of a revision
 	KindStatus         Kind = 40 // operator: status of one entry VM
+	KindExplain        Kind = 41 // operator: recent decisions of one entry VM
 	KindServers        Kind = 50 // servers: VM list of a zone's reader
 	KindToken          Kind = 22 // entry: token for relayed attempts
 	KindSeal           Kind = 21 // entry: seal a ticket
