quota: host the lenders of shifts outside the region; distrust old revisions

(2) The lender of the shifts away from a region was a VM of that region, so its caps fell to the floors just when the region was lost. (3) A dead holder was looked up with a doubling back-off, so that a VM outside the region could win the lease. Change: ConfirmUntil bounds, on the VM's own clock, how long the adopted configuration is trusted; it is checked at each use. Links are lent by their own region, shifts by the next one, under leases of their own. The back-off grows slowly. Each goroutine has its own source of jitter, so that histories repeat. Conclusion: a lowered cap is in force after the changeover also across pauses, and the loss of a region leaves the lender of its shifts in place.

--- a/internal/quota/agent.go
+++ b/internal/quota/agent.go
@@ -23,32 +23,33 @@
 	// firstBackoff and maxBackoff bound the wait after a failed store call.
 	firstBackoff = 250 * time.Millisecond
 	maxBackoff   = 4 * time.Second
-	// maxDoublings bounds the doublings of a back-off.
-	maxDoublings = 4
+	// backoffStep is added for each request that no lender served.
+	backoffStep = firstBackoff / 8
 	// rankDelay separates the VMs that compete for a lease.
 	rankDelay = 100 * time.Millisecond
 	// maxRankDelay bounds the sum of rank delays.
 	maxRankDelay = 2 * time.Second
-	// foreignDelay is how much longer VMs outside the region wait.
+	// foreignDelay is how much longer VMs outside the hosting region wait.
 	foreignDelay = time.Second
 )
 
 // leasePrefix is the start of the store's keys of lease records.
 const leasePrefix = "quota/"
 
-// record is the value under a region's key.
+// record is the value under a lender's key.
 type record struct {
 	VM    model.VMID `cbor:"1,keyasint"`
 	Epoch uint64     `cbor:"2,keyasint"`
 }
 
-// agent deals with the caps of one region: it knows their lender, and becomes
-// the lender itself when there is none. Its run goroutine makes all store
+// agent deals with one lender: it knows which VM lends, and becomes the lender
+// itself when there is none. Its run goroutine makes all store
 // calls; the other methods are safe for concurrent use.
 type agent struct {
 	service *Service
-	region  model.Region
+	id      lenderID
 	lease   lease
+	jitter  jitter
 	// renewing reports that the latest renewal failed and is due at once.
 	renewing bool
 	// recheck wakes the run goroutine to read the lease's record.
@@ -57,6 +58,9 @@
 	mu     sync.Mutex
 	lender *Lender
 	holder record
+	// host reports that this VM is in the region that hosts the lender.
+	host bool
+	// rank is how long this VM waits before it takes a free lease.
 	rank   time.Duration
 	asking bool
 	// unanswered counts the requests in a row that no lender served.
@@ -65,22 +69,30 @@
 	wantedAt   time.Time
 }
 
-func newAgent(s *Service, region model.Region) *agent {
+func newAgent(s *Service, id lenderID) *agent {
 	a := &agent{
 		service: s,
-		region:  region,
+		id:      id,
+		jitter:  s.jitter.fork(),
 		recheck: make(chan struct{}, 1),
 		lender:  NewLender(LenderOptions{Timing: s.opts.Timing}),
 	}
-	a.lease = lease{store: s.opts.Store, key: leasePrefix + string(region), now: s.opts.Now}
+	a.lease = lease{store: s.opts.Store, key: id.key(), now: s.opts.Now}
 	return a
 }
 
-func (a *agent) setCaps(now time.Time, d *deployment, caps []Cap) {
+func (a *agent) setCaps(now time.Time, d *deployment) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.lender.SetCaps(now, d.slots, caps)
-	a.rank = rankOf(a.service.opts.Self, a.region, d)
+	a.lender.SetCaps(now, d.slots, d.caps[a.id])
+	a.host = d.hostOf(a.id) == a.service.opts.Region
+	a.rank = rankOf(a.service.opts.Self, a.id, d)
+}
+
+func (a *agent) confirmUntil(until time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.lender.ConfirmUntil(until)
 }
 
 // lend serves a request in the time of its arrival.
@@ -125,7 +137,7 @@
 	}
 }
 
-// run follows the lease of the region until ctx ends.
+// run follows the lease until ctx ends.
 func (a *agent) run(ctx context.Context) {
 	backoff := firstBackoff
 	for ctx.Err() == nil {
@@ -134,7 +146,7 @@
 			backoff = firstBackoff
 			continue
 		}
-		if !sleep(ctx, a.service.jitter.around(backoff)) {
+		if !sleep(ctx, a.jitter.around(backoff)) {
 			return
 		}
 		backoff = nextBackoff(backoff, err)
@@ -152,7 +164,7 @@
 // step renews a held lease, or else finds the holder or takes the lease.
 func (a *agent) step(ctx context.Context) error {
 	if a.lease.held() {
-		if !a.renewing && !sleep(ctx, a.service.jitter.around(keepAliveInterval)) {
+		if !a.renewing && !sleep(ctx, a.jitter.around(keepAliveInterval)) {
 			return nil
 		}
 		return a.renew(ctx)
@@ -174,7 +186,7 @@
 	if a.lease.held() {
 		return nil
 	}
-	if !sleep(ctx, a.service.jitter.around(a.patience())) {
+	if !sleep(ctx, a.jitter.around(a.patience())) {
 		return nil
 	}
 	select {
@@ -184,22 +196,23 @@
 	return nil
 }
 
-// patience returns how long to wait before the store is read again. It doubles
-// with each request that no lender served.
+// patience returns how long to wait before the store is read again. It grows
+// slowly with the requests that no lender served: a dead lender's lease lapses
+// within its duration, but a lender may be out of reach for hours.
 func (a *agent) patience() time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return min(firstBackoff<<min(a.unanswered, maxDoublings), maxBackoff)
+	return min(firstBackoff+time.Duration(a.unanswered)*backoffStep, maxBackoff)
 }
 
-// eligible reports whether this VM may take the lease: always in its own
-// region, elsewhere only while it has demand there.
+// eligible reports whether this VM may take the lease: always in the hosting
+// region, elsewhere only while it has demand.
 func (a *agent) eligible() bool {
-	if a.region == a.service.opts.Region {
-		return true
-	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.host {
+		return true
+	}
 	return !a.wantedAt.IsZero() && a.service.opts.Now().Sub(a.wantedAt) < checkInterval
 }
 
@@ -231,7 +244,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	rec := record{VM: a.service.opts.Self, Epoch: a.service.jitter.uint64() | 1}
+	rec := record{VM: a.service.opts.Self, Epoch: a.jitter.rand.Uint64() | 1}
 	if err := a.lease.take(ctx, rec); err != nil {
 		a.service.metrics.store("take", err)
 		return err
@@ -252,8 +265,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.lender.Acquired(a.service.opts.Now(), a.lease.until, rec.Epoch)
-	a.service.metrics.holding(a.region, true)
-	a.service.opts.Logger.Info("quota lease acquired", "region", a.region, "epoch", rec.Epoch)
+	a.service.metrics.holding(a.id, true)
+	a.service.opts.Logger.Info("quota lease acquired", "lender", a.id.key(), "epoch", rec.Epoch)
 }
 
 func (a *agent) setHolder(rec record) {
@@ -289,8 +302,8 @@
 	a.lender.Lost()
 	a.holder = record{}
 	a.signal()
-	a.service.metrics.holding(a.region, false)
-	a.service.opts.Logger.Warn("quota lease lost", "region", a.region, "cause", cause)
+	a.service.metrics.holding(a.id, false)
+	a.service.opts.Logger.Warn("quota lease lost", "lender", a.id.key(), "cause", cause)
 }
 
 // release gives the lease up. The run goroutine has ended.
@@ -304,7 +317,7 @@
 	}
 }
 
-// decodeRecord reads the value under a region's key.
+// decodeRecord reads the value under a lender's key.
 func decodeRecord(value []byte) (record, error) {
 	var rec record
 	if err := cbor.Unmarshal(value, &rec); err != nil {
--- a/internal/quota/borrow.go
+++ b/internal/quota/borrow.go
@@ -8,43 +8,35 @@
 )
 
 // borrow asks the lenders for what the ledger needs, until ctx ends.
-func (s *Service) borrow(ctx context.Context) {
-	for sleep(ctx, s.jitter.around(borrowInterval)) {
+func (s *Service) borrow(ctx context.Context, pace jitter) {
+	for sleep(ctx, pace.around(borrowInterval)) {
 		now := s.opts.Now()
-		demands := s.demandsByRegion(now)
+		demands := s.demandsByLender(now)
 		for _, a := range s.allAgents() {
-			if !a.due(now, demands[a.region]) {
+			if !a.due(now, demands[a.id]) {
 				continue
 			}
-			s.running.Go(func() { a.ask(ctx, demands[a.region]) })
+			s.running.Go(func() { a.ask(ctx, demands[a.id]) })
 		}
 	}
 }
 
-// demandsByRegion groups the ledger's demands by the region that lends.
-func (s *Service) demandsByRegion(now time.Time) map[model.Region][]Demand {
+// demandsByLender groups the ledger's demands by who lends them.
+func (s *Service) demandsByLender(now time.Time) map[lenderID][]Demand {
 	demands := s.ledger.Demands(now)
 	if len(demands) == 0 {
 		return nil
 	}
-	grouped := make(map[model.Region][]Demand)
+	grouped := make(map[lenderID][]Demand)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, d := range demands {
-		region := s.doc.lenderOf(d.Key)
-		grouped[region] = append(grouped[region], d)
+		id := s.doc.lenderOf(d.Key)
+		grouped[id] = append(grouped[id], d)
 	}
 	return grouped
 }
 
-// lenderOf returns the region that lends a cap.
-func (d *deployment) lenderOf(key Key) model.Region {
-	if key.Kind == KindLink {
-		return key.From
-	}
-	return d.regionOf[key.Zone]
-}
-
 // due reports whether to send a request now, and marks one as under way.
 func (a *agent) due(now time.Time, demands []Demand) bool {
 	a.mu.Lock()
@@ -55,8 +47,7 @@
 	if a.asking {
 		return false
 	}
-	own := a.region == a.service.opts.Region
-	if len(demands) == 0 && (!own || now.Sub(a.askedAt) < checkInterval) {
+	if len(demands) == 0 && (!a.host || now.Sub(a.askedAt) < checkInterval) {
 		return false
 	}
 	if a.holder.Epoch == 0 {
@@ -74,7 +65,7 @@
 	holder := a.currentHolder()
 	sent := a.service.opts.Now()
 	req := GrantRequest{
-		Region:  a.region,
+		Lender:  a.id,
 		Epoch:   holder.Epoch,
 		Process: a.service.process,
 		Demands: demands,
--- a/internal/quota/caps.go
+++ b/internal/quota/caps.go
@@ -1,16 +1,34 @@
 package quota
 
 import (
+	"cmp"
+	"maps"
+	"slices"
+
 	"fuchsiaspar/internal/config"
 	"fuchsiaspar/internal/model"
 )
 
+// lenderID names a lender: it lends the caps of one kind of one region.
+type lenderID struct {
+	Kind   Kind         `cbor:"1,keyasint"`
+	Region model.Region `cbor:"2,keyasint"`
+}
+
+// key returns the store's key of the lender's lease.
+func (id lenderID) key() string {
+	if id.Kind == KindLink {
+		return leasePrefix + "links/" + string(id.Region)
+	}
+	return leasePrefix + "shifts/" + string(id.Region)
+}
+
 // deployment is what the service reads from a configuration.
 type deployment struct {
 	// slots counts all provisioned entry VMs.
 	slots int
-	// caps holds the caps by the region that lends them.
-	caps map[model.Region][]Cap
+	// caps holds the caps by their lender.
+	caps map[lenderID][]Cap
 	// regionOf places each zone.
 	regionOf map[model.Zone]model.Region
 	// slotsOf holds the entry VMs of each region.
@@ -19,6 +37,13 @@
 	provisioned bool
 }
 
+// lenders returns all lenders in order.
+func (d *deployment) lenders() []lenderID {
+	return slices.SortedFunc(maps.Keys(d.caps), func(a, b lenderID) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Region, b.Region))
+	})
+}
+
 // all returns the caps of every region.
 func (d *deployment) all() []Cap {
 	var caps []Cap
@@ -33,13 +58,14 @@
 	regions := make(map[model.Zone]model.Region, len(doc.Zones))
 	d := &deployment{
 		slots:    len(doc.Slots),
-		caps:     make(map[model.Region][]Cap),
+		caps:     make(map[lenderID][]Cap),
 		regionOf: regions,
 		slotsOf:  make(map[model.Region][]model.VMID),
 	}
 	for _, z := range doc.Zones {
 		regions[z.Name] = z.Region
-		d.caps[z.Region] = nil
+		d.caps[lenderID{KindLink, z.Region}] = nil
+		d.caps[lenderID{KindShift, z.Region}] = nil
 	}
 	home := model.Region("")
 	for _, s := range doc.Slots {
@@ -55,6 +81,42 @@
 	return d
 }
 
+// add files a cap under its lender.
+func (d *deployment) add(c Cap) {
+	id := d.lenderOf(c.Key)
+	d.caps[id] = append(d.caps[id], c)
+}
+
+// lenderOf returns the lender of a cap: that of the region which a link or a
+// shift leaves.
+func (d *deployment) lenderOf(key Key) lenderID {
+	if key.Kind == KindLink {
+		return lenderID{Kind: KindLink, Region: key.From}
+	}
+	return lenderID{Kind: KindShift, Region: d.regionOf[key.Zone]}
+}
+
+// hostOf returns the region whose VMs hold a lender's lease in ordinary times.
+// Links are lent where they are used. Shifts leave a region when it fails, so
+// they are lent by the next region that has entry VMs.
+func (d *deployment) hostOf(id lenderID) model.Region {
+	if id.Kind == KindLink {
+		return id.Region
+	}
+	regions := slices.Sorted(maps.Keys(d.slotsOf))
+	for _, r := range regions {
+		if r > id.Region {
+			return r
+		}
+	}
+	for _, r := range regions {
+		if r != id.Region {
+			return r
+		}
+	}
+	return id.Region
+}
+
 // addLinks adds the links' caps. Their floors belong to the slots of the
 // region that a link leaves, since its entry VMs send on it.
 func (d *deployment) addLinks(doc *config.Document, home model.Region) {
@@ -62,7 +124,7 @@
 		if l.From == l.To {
 			continue
 		}
-		d.caps[l.From] = append(d.caps[l.From], Cap{
+		d.add(Cap{
 			Key:       LinkKey(l.From, l.To),
 			PerSecond: l.BytesPerSecond,
 			Slots:     len(d.slotsOf[l.From]),
@@ -85,8 +147,7 @@
 			}
 			perSecond := shiftCap(s, template)
 			for _, zone := range template.Places {
-				region := d.regionOf[zone]
-				d.caps[region] = append(d.caps[region], Cap{
+				d.add(Cap{
 					Key:       ShiftKey(account.ID, template.Service, zone),
 					PerSecond: perSecond,
 					NoFloor:   !d.provisioned,
--- a/internal/quota/lease.go
+++ b/internal/quota/lease.go
@@ -106,37 +106,37 @@
 }
 
 // rankOf returns how long a VM waits before it takes a free lease: the VMs of
-// the region first, each set in an order that differs by region.
-func rankOf(self model.VMID, region model.Region, d *deployment) time.Duration {
-	own := d.slotsOf[region]
-	if at := slices.Index(byHash(own, region), self); at >= 0 {
+// the hosting region first, each set in an order that differs by lender.
+func rankOf(self model.VMID, id lenderID, d *deployment) time.Duration {
+	host := d.hostOf(id)
+	if at := slices.Index(byHash(d.slotsOf[host], id), self); at >= 0 {
 		return min(time.Duration(at)*rankDelay, maxRankDelay)
 	}
 	var others []model.VMID
-	for r, vms := range d.slotsOf {
-		if r != region {
+	for region, vms := range d.slotsOf {
+		if region != host {
 			others = append(others, vms...)
 		}
 	}
-	at := max(slices.Index(byHash(others, region), self), 0)
+	at := max(slices.Index(byHash(others, id), self), 0)
 	return foreignDelay + min(time.Duration(at)*rankDelay, maxRankDelay)
 }
 
-// byHash orders VMs by a hash of their name and the region.
-func byHash(vms []model.VMID, region model.Region) []model.VMID {
+// byHash orders VMs by a hash of their name and the lender.
+func byHash(vms []model.VMID, id lenderID) []model.VMID {
 	sorted := slices.Clone(vms)
 	slices.SortFunc(sorted, func(a, b model.VMID) int {
 		return cmp.Or(
-			cmp.Compare(hashOf(a, region), hashOf(b, region)),
+			cmp.Compare(hashOf(a, id), hashOf(b, id)),
 			cmp.Compare(a, b),
 		)
 	})
 	return sorted
 }
 
-func hashOf(vm model.VMID, region model.Region) uint64 {
+func hashOf(vm model.VMID, id lenderID) uint64 {
 	h := fnv.New64a()
-	h.Write([]byte(region))
+	h.Write([]byte(id.key()))
 	h.Write([]byte{0})
 	h.Write([]byte(vm))
 	return h.Sum64()
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -44,6 +44,9 @@
 	meters atomic.Pointer[map[Key]*meter]
 
 	inUse activeSet
+	// confirmed is when the adopted configuration stops to be trusted; nil
+	// means never.
+	confirmed atomic.Pointer[time.Time]
 	// start is the origin of sub-windows, set by the first SetCaps.
 	start atomic.Pointer[time.Time]
 	// setMu serialises SetCaps.
@@ -82,6 +85,27 @@
 	l.meters.Store(&next)
 }
 
+// ConfirmUntil tells how long the adopted configuration may be trusted to be
+// the newest; after that nothing may be spent. A VM that confirms its revision
+// at a moment may trust it for Timing.Spread from then on. Before the first
+// call there is no limit.
+func (l *Ledger) ConfirmUntil(until time.Time) { l.confirmed.Store(&until) }
+
+// trusted reports whether the adopted configuration may be trusted.
+func (l *Ledger) trusted(now time.Time) bool {
+	until := l.confirmed.Load()
+	return until == nil || now.Before(*until)
+}
+
+// allowance returns the units that m may spend in one Window that ends now.
+// The caller holds m.mu.
+func (l *Ledger) allowance(m *meter, now time.Time) int64 {
+	if !l.trusted(now) {
+		return 0
+	}
+	return m.allowance(now, l.timing.Changeover())
+}
+
 // retire keeps the meters of removed caps until their values no longer count.
 func (l *Ledger) retire(now time.Time, previous, next map[Key]*meter) {
 	for key, m := range previous {
@@ -124,7 +148,7 @@
 	defer m.mu.Unlock()
 	now = l.open(m, now)
 	m.window.want(p, n)
-	if m.room(m.allowance(now, l.timing.Changeover()), p) < n {
+	if m.room(l.allowance(m, now), p) < n {
 		return false
 	}
 	m.window.spend(p, n)
@@ -147,7 +171,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now = l.open(m, now)
-	allowed := m.allowance(now, l.timing.Changeover())
+	allowed := l.allowance(m, now)
 	taken := min(n, m.room(allowed, p))
 	// A paced transfer asks again for what it did not get, so that only what
 	// fits into one sub-window counts as wanted.
@@ -167,7 +191,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now = l.open(m, now)
-	allowed := m.allowance(now, l.timing.Changeover())
+	allowed := l.allowance(m, now)
 	if m.room(allowed, p) >= n {
 		return now
 	}
@@ -218,7 +242,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.allowance(m.observe(now), l.timing.Changeover())
+	return l.allowance(m, m.observe(now))
 }
 
 // InForce returns the cap that the whole deployment keeps to now, and how long
--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -16,8 +16,8 @@
 
 // GrantRequest asks a lender for parts of its caps.
 type GrantRequest struct {
-	// Region is the region whose caps are asked for.
-	Region model.Region `cbor:"1,keyasint"`
+	// Lender says whose caps are asked for.
+	Lender lenderID `cbor:"1,keyasint"`
 	// Epoch is the term of the lender that the borrower knows of.
 	Epoch uint64 `cbor:"2,keyasint"`
 	// Process tells two processes of one VM apart. What was lent to a process
@@ -36,6 +36,8 @@
 	GrantServed GrantStatus = iota + 1
 	// GrantSettling means that the lender does not lend yet.
 	GrantSettling
+	// GrantUnconfirmed means that the lender cannot confirm its configuration.
+	GrantUnconfirmed
 	// GrantNotHolder means that the VM is no lender, or in another epoch.
 	GrantNotHolder
 )
@@ -64,6 +66,9 @@
 	timing Timing
 	pools  map[Key]*pool
 	epoch  uint64
+	// confirmed is when the adopted configuration stops to be trusted; zero
+	// means never.
+	confirmed time.Time
 	// from and until bound the term; until is zero without a lease.
 	from, until time.Time
 }
@@ -96,7 +101,7 @@
 func (l *Lender) pool(key Key) *pool {
 	p, ok := l.pools[key]
 	if !ok {
-		p = &pool{borrowers: make(map[borrowerID]*borrower)}
+		p = &pool{}
 		l.pools[key] = p
 	}
 	return p
@@ -120,6 +125,10 @@
 // Lost ends the term.
 func (l *Lender) Lost() { l.until = time.Time{} }
 
+// ConfirmUntil tells how long the adopted configuration may be trusted to be
+// the newest; after that nothing is lent. It follows Ledger.ConfirmUntil.
+func (l *Lender) ConfirmUntil(until time.Time) { l.confirmed = until }
+
 // Holds reports whether the term lasts at now.
 func (l *Lender) Holds(now time.Time) bool { return now.Before(l.until) }
 
@@ -136,6 +145,10 @@
 		reply.Status = GrantSettling
 		return reply
 	}
+	if !l.confirmed.IsZero() && !now.Before(l.confirmed) {
+		reply.Status = GrantUnconfirmed
+		return reply
+	}
 	reply.Status = GrantServed
 	id := borrowerID{vm: from, process: req.Process}
 	for _, d := range req.Demands[:min(len(req.Demands), maxDemands)] {
--- a/internal/quota/metrics.go
+++ b/internal/quota/metrics.go
@@ -1,8 +1,6 @@
 package quota
 
 import (
-	"fuchsiaspar/internal/model"
-
 	"github.com/uber-go/tally/v4"
 )
 
@@ -23,9 +21,10 @@
 
 // statusNames holds the values of the status tag.
 var statusNames = map[GrantStatus]string{
-	GrantServed:    "served",
-	GrantSettling:  "settling",
-	GrantNotHolder: "not_holder",
+	GrantServed:      "served",
+	GrantSettling:    "settling",
+	GrantUnconfirmed: "unconfirmed",
+	GrantNotHolder:   "not_holder",
 }
 
 // String returns the name of s.
@@ -51,10 +50,10 @@
 	m.scope.Tagged(tags).Counter("store_failures").Inc(1)
 }
 
-func (m *metrics) holding(region model.Region, holds bool) {
+func (m *metrics) holding(id lenderID, holds bool) {
 	value := 0.0
 	if holds {
 		value = 1
 	}
-	m.scope.Tagged(map[string]string{"region": string(region)}).Gauge("lender").Update(value)
+	m.scope.Tagged(map[string]string{"lease": id.key()}).Gauge("lender").Update(value)
 }
--- a/internal/quota/pool.go
+++ b/internal/quota/pool.go
@@ -44,8 +44,7 @@
 	p.sweep(now, lendable, timing)
 	b, ok := p.borrowers[id]
 	if !ok {
-		b = &borrower{}
-		p.borrowers[id] = b
+		b = p.admit(id)
 	}
 	b.want = max(want, 0)
 	b.lastSeen = now
@@ -60,6 +59,17 @@
 	return value
 }
 
+// admit adds a borrower. The map is created at first use, since most caps are
+// never borrowed.
+func (p *pool) admit(id borrowerID) *borrower {
+	if p.borrowers == nil {
+		p.borrowers = make(map[borrowerID]*borrower)
+	}
+	b := &borrower{}
+	p.borrowers[id] = b
+	return b
+}
+
 // sweep drops ended grants and borrowers that stopped asking, and divides the
 // pool anew.
 func (p *pool) sweep(now time.Time, lendable int64, timing Timing) {
--- a/internal/quota/service.go
+++ b/internal/quota/service.go
@@ -70,19 +70,19 @@
 	return o
 }
 
-// Service runs the ledger of one entry VM and, where it holds a region's
-// lease, the lender of that region.
+// Service runs the ledger of one entry VM and, where it holds the lease of a
+// lender, that lender.
 type Service struct {
 	opts    ServiceOptions
 	ledger  *Ledger
 	metrics *metrics
-	jitter  *jitter
 	// process tells this process from its predecessors at the lenders.
 	process uint64
 
 	mu      sync.Mutex
+	jitter  jitter
 	doc     *deployment
-	agents  map[model.Region]*agent
+	agents  map[lenderID]*agent
 	runCtx  context.Context
 	cancel  context.CancelFunc
 	running sync.WaitGroup
@@ -96,10 +96,10 @@
 		opts:    opts,
 		ledger:  NewLedger(opts.Self, LedgerOptions{Timing: opts.Timing}),
 		metrics: newMetrics(opts.Scope),
-		jitter:  &jitter{rand: opts.Rand},
-		agents:  make(map[model.Region]*agent),
+		jitter:  jitter{rand: opts.Rand},
+		agents:  make(map[lenderID]*agent),
 	}
-	s.process = s.jitter.uint64()
+	s.process = opts.Rand.Uint64()
 	opts.Links.Handle(peer.KindGrantRequest, s.handle)
 	return s
 }
@@ -118,7 +118,8 @@
 	for _, a := range s.agents {
 		s.startAgent(a)
 	}
-	s.running.Go(func() { s.borrow(s.runCtx) })
+	pace := s.jitter.fork()
+	s.running.Go(func() { s.borrow(s.runCtx, pace) })
 	return nil
 }
 
@@ -154,20 +155,29 @@
 	s.doc = readDocument(doc, s.opts.Self)
 	now := s.opts.Now()
 	s.ledger.SetCaps(now, s.doc.slots, s.doc.all())
-	for region := range s.doc.caps {
-		if _, ok := s.agents[region]; !ok {
-			s.addAgent(region)
+	for _, id := range s.doc.lenders() {
+		if _, ok := s.agents[id]; !ok {
+			s.addAgent(id)
 		}
 	}
-	for region, a := range s.agents {
-		a.setCaps(now, s.doc, s.doc.caps[region])
+	for _, a := range s.agents {
+		a.setCaps(now, s.doc)
+	}
+}
+
+// ConfirmUntil tells how long the adopted configuration may be trusted to be
+// the newest. After that this VM neither spends nor lends.
+func (s *Service) ConfirmUntil(until time.Time) {
+	s.ledger.ConfirmUntil(until)
+	for _, a := range s.allAgents() {
+		a.confirmUntil(until)
 	}
 }
 
-// addAgent begins to watch over the lease of a region. The caller holds s.mu.
-func (s *Service) addAgent(region model.Region) {
-	a := newAgent(s, region)
-	s.agents[region] = a
+// addAgent begins to watch over the lease of a lender. The caller holds s.mu.
+func (s *Service) addAgent(id lenderID) {
+	a := newAgent(s, id)
+	s.agents[id] = a
 	if s.runCtx != nil && s.runCtx.Err() == nil {
 		s.startAgent(a)
 	}
@@ -178,10 +188,10 @@
 	s.running.Go(func() { a.run(ctx) })
 }
 
-func (s *Service) agent(region model.Region) *agent {
+func (s *Service) agent(id lenderID) *agent {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.agents[region]
+	return s.agents[id]
 }
 
 func (s *Service) allAgents() []*agent {
@@ -200,30 +210,26 @@
 	if err := cbor.Unmarshal(body, &req); err != nil {
 		return nil, errors.WithMessage(ErrBadRequest, err.Error())
 	}
-	a := s.agent(req.Region)
+	a := s.agent(req.Lender)
 	if a == nil {
 		return GrantReply{Status: GrantNotHolder}, nil
 	}
 	return a.lend(from, req), nil
 }
 
-// jitter spreads intervals at random. It is safe for concurrent use.
+// jitter spreads intervals at random. It is used by one goroutine.
 type jitter struct {
-	mu   sync.Mutex
 	rand *rand.Rand
 }
 
-// around returns a duration between half of d and one and a half times d.
-func (j *jitter) around(d time.Duration) time.Duration {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	return d/2 + time.Duration(j.rand.Int64N(int64(d)+1))
+// fork returns a jitter for another goroutine.
+func (j jitter) fork() jitter {
+	return jitter{rand: rand.New(rand.NewPCG(j.rand.Uint64(), j.rand.Uint64()))}
 }
 
-func (j *jitter) uint64() uint64 {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	return j.rand.Uint64()
+// around returns a duration between half of d and one and a half times d.
+func (j jitter) around(d time.Duration) time.Duration {
+	return d/2 + time.Duration(j.rand.Int64N(int64(d)+1))
 }
 
 // sleep waits for d and reports false when ctx ends first.
