quota, steer: show caps, lenders and ramps

Cause: operators have to see which caps are in force, who lends and which places ramp up; the pure state had no read access.

--- a/internal/quota/agent.go
+++ b/internal/quota/agent.go
@@ -266,6 +266,7 @@
 	defer a.mu.Unlock()
 	a.lender.Acquired(a.service.opts.Now(), a.lease.until, rec.Epoch)
 	a.service.metrics.holding(a.id, true)
+	a.service.record("acquired the lease " + a.id.key())
 	a.service.opts.Logger.Info("quota lease acquired", "lender", a.id.key(), "epoch", rec.Epoch)
 }
 
@@ -303,6 +304,7 @@
 	a.holder = record{}
 	a.signal()
 	a.service.metrics.holding(a.id, false)
+	a.service.record("lost the lease " + a.id.key())
 	a.service.opts.Logger.Warn("quota lease lost", "lender", a.id.key(), "cause", cause)
 }
 
--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -132,6 +132,16 @@
 // Holds reports whether the term lasts at now.
 func (l *Lender) Holds(now time.Time) bool { return now.Before(l.until) }
 
+// Lends reports whether the lender lends at now.
+func (l *Lender) Lends(now time.Time) bool {
+	return l.Holds(now) && !now.Before(l.from) && l.trusted(now)
+}
+
+// trusted reports whether the adopted configuration may be trusted.
+func (l *Lender) trusted(now time.Time) bool {
+	return l.confirmed.IsZero() || now.Before(l.confirmed)
+}
+
 // Epoch returns the latest term.
 func (l *Lender) Epoch() uint64 { return l.epoch }
 
@@ -145,7 +155,7 @@
 		reply.Status = GrantSettling
 		return reply
 	}
-	if !l.confirmed.IsZero() && !now.Before(l.confirmed) {
+	if !l.trusted(now) {
 		reply.Status = GrantUnconfirmed
 		return reply
 	}
--- a/internal/quota/service.go
+++ b/internal/quota/service.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fuchsiaspar/internal/config"
+	"fuchsiaspar/internal/explain"
 	"fuchsiaspar/internal/model"
 	"fuchsiaspar/internal/peer"
 	"fuchsiaspar/internal/platform"
@@ -38,8 +39,8 @@
 	storeTimeout = time.Second
 )
 
-// ServiceOptions configures a Service. Rand, Logger, Scope and Now have
-// defaults.
+// ServiceOptions configures a Service. Timing, Rand, Logger, Scope and Now
+// have defaults.
 type ServiceOptions struct {
 	Self   model.VMID
 	Region model.Region
@@ -49,6 +50,8 @@
 	Rand   *rand.Rand
 	Logger *log.Logger
 	Scope  tally.Scope
+	// Explain keeps the changes of leases; nil keeps none.
+	Explain explain.Recorder
 	// Now returns the time with its monotonic reading.
 	Now func() time.Time
 }
@@ -183,6 +186,19 @@
 	}
 }
 
+// record keeps a change of a lease.
+func (s *Service) record(detail string) {
+	if s.opts.Explain == nil {
+		return
+	}
+	s.opts.Explain.Record(explain.Decision{
+		At:     s.opts.Now(),
+		VM:     s.opts.Self,
+		Kind:   explain.KindGrant,
+		Detail: detail,
+	})
+}
+
 func (s *Service) startAgent(a *agent) {
 	ctx := s.runCtx
 	s.running.Go(func() { a.run(ctx) })
--- a/internal/steer/ramp.go
+++ b/internal/steer/ramp.go
@@ -53,9 +53,8 @@
 	if r.warm {
 		return false
 	}
-	part := max(slots/entries, 1)
-	limit := max(part*r.opts.RampStartPercent/100, 1) + r.answers/rampGrowth
-	if limit >= part && r.answers > 0 {
+	limit := r.limit(slots, entries)
+	if limit >= max(slots/entries, 1) && r.answers > 0 {
 		r.warm = true
 		r.returning = false
 		return false
@@ -63,6 +62,12 @@
 	return outstanding >= limit
 }
 
+// limit returns the count of requests that may be outstanding.
+func (r *ramp) limit(slots, entries int) int {
+	part := max(slots/entries, 1)
+	return max(part*r.opts.RampStartPercent/100, 1) + r.answers/rampGrowth
+}
+
 func (r *ramp) addHome(now time.Time) {
 	r.expire(now)
 	r.home++
