Tell a queued attempt from a silent connection

Cause: an attempt that waited in a server's queue longer than the silence period was reported as not started, so it was cancelled and called silent. A connection that was given up could still deliver its unsent bytes much later. A caller's broken upload was reported as a fault of the server. Change: state "waiting" in the protocol; an abandoned connection drops what the kernel has not sent; reason caller_gone; an option for silence at servers without the control protocol; failing control answers are told from missing ones. Conclusion: only attempts that the server does not know or has ended without progress are taken for silent.

--- a/internal/backend/body.go
+++ b/internal/backend/body.go
@@ -25,6 +25,8 @@
 // the transport cannot repeat an attempt with a body.
 type uploadBody struct {
 	source io.Reader
+	// failed ends the attempt when the source breaks off.
+	failed context.CancelCauseFunc
 	// reading says that a Read of the source is in progress.
 	reading atomic.Bool
 	stopped atomic.Bool
@@ -36,8 +38,12 @@
 		return 0, errAbandoned
 	}
 	b.reading.Store(true)
-	defer b.reading.Store(false)
-	return b.source.Read(p)
+	n, err := b.source.Read(p)
+	b.reading.Store(false)
+	if err != nil && !errors.Is(err, io.EOF) {
+		b.failed(errCallerBody)
+	}
+	return n, err
 }
 
 // Close leaves the source open: it belongs to the caller of Do.
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -33,6 +33,10 @@
 	// Silence is how long an attempt may wait without progress on its
 	// connection before the server is asked about it on a new connection.
 	Silence time.Duration
+	// PlainSilence is how long an idempotent attempt at a server without the
+	// control protocol may wait without progress before its connection counts
+	// as silent. Zero leaves it to the deadline and the kernel.
+	PlainSilence time.Duration
 	// IdleTimeout is how long an unused connection is kept. It must be shorter
 	// than the servers' own idle timeout.
 	IdleTimeout time.Duration
--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -251,10 +251,31 @@
 	}
 }
 
-func TestPlainServer(t *testing.T) {
+// brokenReader is a caller's body that breaks off.
+type brokenReader struct{ io.Reader }
+
+func (r brokenReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+func TestCallerGoneDuringUpload(t *testing.T) {
 	f := newFixture(t, standin.Options{}, longSilence)
-	req := order("/w?fault=plain")
-	if _, err := f.whole(req); err != nil {
+	f.learn()
+	req := order("/upload")
+	req.Body = brokenReader{strings.NewReader(strings.Repeat("x", 1<<16))}
+	req.ContentLength = 1 << 20
+	_, err := f.whole(req)
+	f.wantError(err, model.OutcomeNotRun, model.ReasonCallerGone)
+	f.wantRuns(req, 0)
+}
+
+func TestPlainServer(t *testing.T) {
+	f := newFixture(t, standin.Options{Plain: true}, longSilence)
+	if _, err := f.whole(order("/w")); err != nil {
 		t.Fatal(err)
 	}
 	_, err := f.whole(order("/w?fault=reset-before"))
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -68,9 +68,14 @@
 func (c *trackedConn) begun() uint64 { return c.writes.Load() &^ abandonedBit }
 
 // abandon closes the connection and returns the count of writes begun before.
-// A write that begins later fails without passing a byte on.
+// A write that begins later fails without passing a byte on, and the kernel
+// drops what it has not sent yet, so that no request arrives long after its
+// attempt was given up.
 func (c *trackedConn) abandon() uint64 {
 	begun := c.writes.Or(abandonedBit) &^ abandonedBit
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
 	c.Close()
 	return begun
 }
--- a/internal/backend/control.go
+++ b/internal/backend/control.go
@@ -95,8 +95,8 @@
 	}
 	defer resp.Body.Close()
 	instance := resp.Header.Get(HeaderInstance)
-	if resp.StatusCode != http.StatusOK || instance == "" {
-		return "", errors.Wrapf(ErrUnsupported, "status %d", resp.StatusCode)
+	if err := checkControl(resp.StatusCode, instance); err != nil {
+		return "", err
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxControlBytes))
 	if err != nil {
@@ -108,3 +108,18 @@
 	p.sawInstance(resp.Header)
 	return instance, nil
 }
+
+// checkControl tells a server without the control protocol from a failure.
+func checkControl(status int, instance string) error {
+	switch status {
+	case http.StatusNotFound, http.StatusMethodNotAllowed, http.StatusNotImplemented:
+		return errors.Wrapf(ErrUnsupported, "status %d", status)
+	case http.StatusOK:
+		if instance == "" {
+			return ErrUnsupported
+		}
+		return nil
+	default:
+		return errors.Wrapf(errControl, "status %d", status)
+	}
+}
--- a/internal/backend/errors.go
+++ b/internal/backend/errors.go
@@ -44,12 +44,14 @@
 	// ErrUnsupported reports a server without the control protocol.
 	ErrUnsupported = errors.New("server does not know attempts")
 
+	errControl        = errors.New("control request failed")
 	errAbandoned      = errors.New("connection abandoned")
 	errRepeat         = errors.New("repeat of a written request prevented")
 	errSilent         = errors.New("connection is silent")
 	errServerLost     = errors.New("server does not answer on new connections")
 	errNoLength       = errors.New("answer has neither length nor chunked encoding")
 	errSwitch         = errors.New("server switched protocols")
+	errCallerBody     = errors.New("request body ended early")
 	errNotRequestPath = errors.New("path must start with a slash")
 )
 
@@ -72,6 +74,8 @@
 		return model.ReasonSilent
 	case errors.Is(err, errRepeat):
 		return model.ReasonReset
+	case errors.Is(err, errCallerBody):
+		return model.ReasonCallerGone
 	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, syscall.ETIMEDOUT):
 		return model.ReasonTimeout
 	case errors.Is(err, context.Canceled), errors.Is(err, ErrClosed):
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -53,7 +53,7 @@
 	ex.ctx = ctx
 	ex.unlink = context.AfterFunc(c.ctx, func() { ex.cancel(ErrClosed) })
 	if req.Body != nil && req.ContentLength != 0 {
-		ex.upload = &uploadBody{source: req.Body}
+		ex.upload = &uploadBody{source: req.Body, failed: ex.cancel}
 	}
 	p.add(ex)
 	return ex
@@ -146,10 +146,10 @@
 func (ex *exchange) fail(reason model.Reason, err error) *Error {
 	written := ex.leave()
 	defer ex.finish()
+	if !written && context.Cause(ex.ctx) == nil {
+		reason = model.ReasonConnect
+	}
 	if !written {
-		if reason == model.ReasonReset || reason == model.ReasonTruncated {
-			reason = model.ReasonConnect
-		}
 		return notRun(reason, err)
 	}
 	return &Error{Outcome: ex.resolve(), Reason: reason, Err: err}
--- a/internal/backend/protocol.go
+++ b/internal/backend/protocol.go
@@ -38,9 +38,12 @@
 
 // The states of an attempt.
 const (
-	// StateNotStarted means that the server has not started the attempt. In
-	// the answer to a cancellation it means that it never will.
+	// StateNotStarted means that the server does not know the attempt or has
+	// refused it. In the answer to a cancellation it means that the server has
+	// not started the attempt and never will.
 	StateNotStarted AttemptState = "not-started"
+	// StateWaiting means that the attempt has arrived and waits for its start.
+	StateWaiting AttemptState = "waiting"
 	// StateRunning means that the attempt runs.
 	StateRunning AttemptState = "running"
 	// StateStopped means that a cancellation stopped the attempt after its
--- a/internal/backend/silence.go
+++ b/internal/backend/silence.go
@@ -30,6 +30,7 @@
 	seen    uint64
 	lost    int
 	late    int
+	plain   int
 }
 
 func (w *silenceWatch) start(ex *exchange) {
@@ -93,7 +94,7 @@
 	if moved == w.seen {
 		return false
 	}
-	w.seen, w.lost, w.late = moved, 0, 0
+	w.seen, w.lost, w.late, w.plain = moved, 0, 0, 0
 	return true
 }
 
@@ -113,7 +114,7 @@
 	defer stop()
 	state, instance, err := w.ex.pool.state(ctx, w.ex.req.Attempt)
 	if errors.Is(err, ErrUnsupported) {
-		return nil
+		return w.plainServer()
 	}
 	if err != nil {
 		return w.count(&w.lost, maxLostProbes, errServerLost)
@@ -123,7 +124,7 @@
 		return errServerLost
 	}
 	switch state {
-	case StateRunning:
+	case StateRunning, StateWaiting:
 		w.late = 0
 		return nil
 	case StateNotStarted:
@@ -133,6 +134,16 @@
 	}
 }
 
+// plainServer decides on an attempt at a server that answers on new connections
+// but cannot tell about attempts.
+func (w *silenceWatch) plainServer() error {
+	opts := w.ex.client.opts
+	if !w.ex.req.Idempotent || opts.PlainSilence == 0 {
+		return nil
+	}
+	return w.count(&w.plain, int(opts.PlainSilence/opts.Silence), errSilent)
+}
+
 func (w *silenceWatch) count(n *int, limit int, err error) error {
 	*n++
 	if *n < limit {
--- a/internal/backend/silence_test.go
+++ b/internal/backend/silence_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"fuchsiaspar/internal/backend"
 	"fuchsiaspar/internal/backend/standin"
 	"fuchsiaspar/internal/model"
 )
@@ -56,6 +57,45 @@
 	}
 }
 
+// TestQueuedAttemptIsNotSilent keeps an attempt in the server's queue over
+// several probes.
+func TestQueuedAttemptIsNotSilent(t *testing.T) {
+	const probes = 8
+	h := newHeld()
+	f := newFixture(t, standin.Options{Slots: 1, ServiceTime: h.serviceTime}, testSilence)
+	f.learn()
+	running := f.start(order("/held"))
+	<-h.started
+	queued := f.start(order("/w"))
+	for f.server.Counts().Asked < probes {
+		time.Sleep(time.Millisecond)
+	}
+	close(h.release)
+	for _, done := range []<-chan result{running, queued} {
+		if r := <-done; r.err != nil {
+			t.Error(r.err)
+		}
+	}
+}
+
+// TestPlainServerSilence leaves a connection to a server that cannot tell about
+// attempts.
+func TestPlainServerSilence(t *testing.T) {
+	h := newHeld()
+	f := newFixture(t, standin.Options{Plain: true, ServiceTime: h.serviceTime}, testSilence)
+	f.client.Close()
+	f.client = backend.New(backend.Options{Silence: testSilence, PlainSilence: 2 * testSilence})
+	req := lookup("/held")
+	_, err := f.whole(req)
+	f.wantError(err, model.OutcomeUnknown, model.ReasonSilent)
+	close(h.release)
+	report, err := f.client.Health(t.Context(), f.server.Target())
+	if err != nil || !report.Ready || !report.Plain {
+		t.Errorf("report %+v, %v", report, err)
+	}
+	f.client.Close()
+}
+
 // TestSlowReaderIsNotSilent leaves an answer unread over several periods.
 func TestSlowReaderIsNotSilent(t *testing.T) {
 	f := newFixture(t, standin.Options{}, testSilence)
--- a/internal/backend/standin/attempts.go
+++ b/internal/backend/standin/attempts.go
@@ -21,10 +21,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.counts.Asked++
-	if a, ok := s.attempts[id]; ok {
-		return a.state
+	a, ok := s.attempts[id]
+	if !ok {
+		return backend.StateNotStarted
 	}
-	return backend.StateNotStarted
+	if a.state == backend.StateNotStarted && !a.sealed {
+		return backend.StateWaiting
+	}
+	return a.state
 }
 
 // cancel seals an attempt that has not started and stops one that runs.
--- a/internal/backend/standin/server.go
+++ b/internal/backend/standin/server.go
@@ -51,6 +51,8 @@
 	ReportLag time.Duration
 	// DrainGrace is how long a draining server takes new work.
 	DrainGrace time.Duration
+	// Plain makes a server without the control protocol.
+	Plain bool
 	// Seed is part of the server's instance name; zero draws one at random.
 	Seed uint64
 }
@@ -218,7 +220,13 @@
 
 // ServeHTTP handles control requests and work.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set(backend.HeaderInstance, s.instance)
+	if s.opts.Plain && strings.HasPrefix(r.URL.Path, backend.ControlPath) {
+		http.NotFound(w, r)
+		return
+	}
+	if !s.opts.Plain {
+		w.Header().Set(backend.HeaderInstance, s.instance)
+	}
 	if s.draining() {
 		w.Header().Set(backend.HeaderDraining, "true")
 	}
--- a/internal/backend/standin/work.go
+++ b/internal/backend/standin/work.go
@@ -29,7 +29,6 @@
 	FaultResetBefore = "reset-before" // the connection is lost before the run
 	FaultResetAfter  = "reset-after"  // the connection is lost after the run
 	FaultNoLength    = "no-length"    // the end of the body is the end of the connection
-	FaultPlain       = "plain"        // the answer names no attempt
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
@@ -48,7 +47,7 @@
 	id := r.Header.Get(backend.HeaderAttempt)
 	ctx, cancel := withDeadline(r)
 	defer cancel()
-	echo(w, r, id)
+	s.echo(w, r, id)
 	if r.FormValue("fault") == FaultResetBefore {
 		panic(http.ErrAbortHandler)
 	}
@@ -90,12 +89,11 @@
 	return context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
 }
 
-func echo(w http.ResponseWriter, r *http.Request, id string) {
-	switch r.FormValue("fault") {
-	case FaultCrossed:
+func (s *Server) echo(w http.ResponseWriter, r *http.Request, id string) {
+	switch {
+	case s.opts.Plain:
+	case r.FormValue("fault") == FaultCrossed:
 		w.Header().Set(backend.HeaderAttempt, id+"-other")
-	case FaultPlain:
-		w.Header().Del(backend.HeaderInstance)
 	default:
 		w.Header().Set(backend.HeaderAttempt, id)
 	}
