Shorten the stand-in

Cause: the stand-in is to stay small. Change: defaults by cmp.Or, a read-write lock as the pause gate, content written by one loop. Conclusion: behaviour unchanged; all client tests pass under -race.

--- a/internal/backend/standin/conn.go
+++ b/internal/backend/standin/conn.go
@@ -9,34 +9,25 @@
 
 // gate blocks its waiters while it is closed.
 type gate struct {
-	mu   sync.Mutex
-	open chan struct{} // nil while the gate is open
+	closed atomic.Bool
+	mu     sync.RWMutex // write-locked while the gate is closed
 }
 
 func (g *gate) close() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.open == nil {
-		g.open = make(chan struct{})
+	if g.closed.CompareAndSwap(false, true) {
+		g.mu.Lock()
 	}
 }
 
-func (g *gate) reopen() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.open != nil {
-		close(g.open)
-		g.open = nil
+func (g *gate) open() {
+	if g.closed.CompareAndSwap(true, false) {
+		g.mu.Unlock()
 	}
 }
 
 func (g *gate) wait() {
-	g.mu.Lock()
-	open := g.open
-	g.mu.Unlock()
-	if open != nil {
-		<-open
-	}
+	g.mu.RLock()
+	defer g.mu.RUnlock()
 }
 
 // listener accepts a bounded count of connections and can spoil them.
@@ -45,6 +36,7 @@
 	opts   Options
 	gate   gate
 	killed chan struct{}
+	once   sync.Once
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -94,26 +86,19 @@
 	}
 }
 
-func (l *listener) pause() { l.gate.close() }
-
-func (l *listener) resume() { l.gate.reopen() }
-
 // kill resets all connections and ends the listener.
 func (l *listener) kill() {
+	l.once.Do(func() {
+		close(l.killed)
+		l.Listener.Close()
+	})
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	select {
-	case <-l.killed:
-		return
-	default:
-	}
-	close(l.killed)
-	l.Listener.Close()
 	for c := range l.conns {
 		_ = c.Conn.(*net.TCPConn).SetLinger(0)
 		c.Conn.Close()
 	}
-	l.gate.reopen()
+	l.gate.open()
 }
 
 // conn is one accepted connection.
--- a/internal/backend/standin/content.go
+++ b/internal/backend/standin/content.go
@@ -13,42 +13,17 @@
 	return b
 }
 
-// contentReader is an answer of a given size: a prefix that names the order,
-// then a pattern. It implements io.WriterTo without copying the pattern.
-type contentReader struct {
-	prefix string
-	size   int64
-	at     int64
-}
-
-// WriteTo writes the rest of the content.
-func (c *contentReader) WriteTo(w io.Writer) (int64, error) {
-	start := c.at
-	for c.at < c.size {
-		n, err := w.Write(c.next(blockBytes))
-		c.at += int64(n)
-		if err != nil {
-			return c.at - start, err
+// writeContent writes the first size bytes of an answer: the order that it
+// belongs to, then a pattern.
+func writeContent(w io.Writer, order string, size int64) error {
+	part := []byte(order + "\n")
+	for size > 0 {
+		part = part[:min(int64(len(part)), size)]
+		if _, err := w.Write(part); err != nil {
+			return err
 		}
+		size -= int64(len(part))
+		part = block
 	}
-	return c.at - start, nil
-}
-
-// Read reads the content.
-func (c *contentReader) Read(p []byte) (int, error) {
-	if c.at >= c.size {
-		return 0, io.EOF
-	}
-	n := copy(p, c.next(len(p)))
-	c.at += int64(n)
-	return n, nil
-}
-
-// next returns up to limit bytes at the present offset.
-func (c *contentReader) next(limit int) []byte {
-	rest := block[int(c.at)%blockBytes:]
-	if c.at < int64(len(c.prefix)) {
-		rest = []byte(c.prefix[c.at:])
-	}
-	return rest[:min(int64(len(rest)), int64(limit), c.size-c.at)]
+	return nil
 }
--- a/internal/backend/standin/server.go
+++ b/internal/backend/standin/server.go
@@ -4,10 +4,12 @@
 package standin
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -111,21 +113,11 @@
 }
 
 func (o Options) withDefaults() Options {
-	if o.Address == "" {
-		o.Address = "127.0.0.1:0"
-	}
-	if o.Slots == 0 {
-		o.Slots = defaultSlots
-	}
-	if o.MaxConns == 0 {
-		o.MaxConns = defaultMaxConns
-	}
-	if o.DrainGrace == 0 {
-		o.DrainGrace = defaultDrainGrace
-	}
-	if o.Seed == 0 {
-		o.Seed = rand.Uint64()
-	}
+	o.Address = cmp.Or(o.Address, "127.0.0.1:0")
+	o.Slots = cmp.Or(o.Slots, defaultSlots)
+	o.MaxConns = cmp.Or(o.MaxConns, defaultMaxConns)
+	o.DrainGrace = cmp.Or(o.DrainGrace, defaultDrainGrace)
+	o.Seed = cmp.Or(o.Seed, rand.Uint64())
 	if o.ServiceTime == nil {
 		o.ServiceTime = func(string) time.Duration { return 0 }
 	}
@@ -142,7 +134,7 @@
 
 // Close stops the server after the requests in flight.
 func (s *Server) Close() {
-	s.listener.resume()
+	s.listener.gate.open()
 	ctx, stop := context.WithTimeout(context.Background(), defaultDrainGrace)
 	defer stop()
 	_ = s.http.Shutdown(ctx)
@@ -161,10 +153,10 @@
 func (s *Server) Silence() { s.listener.silence() }
 
 // Pause stops all traffic of the server, as when its process is suspended.
-func (s *Server) Pause() { s.listener.pause() }
+func (s *Server) Pause() { s.listener.gate.close() }
 
 // Resume ends Pause.
-func (s *Server) Resume() { s.listener.resume() }
+func (s *Server) Resume() { s.listener.gate.open() }
 
 // Drain makes the server leave: it says so in its answers, and after
 // Options.DrainGrace it refuses new work.
@@ -194,11 +186,7 @@
 func (s *Server) Orders() map[string]int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	orders := make(map[string]int, len(s.runs))
-	for id, n := range s.runs {
-		orders[id] = n
-	}
-	return orders
+	return maps.Clone(s.runs)
 }
 
 // AttemptRuns returns how often an attempt was started.
--- a/internal/backend/standin/work.go
+++ b/internal/backend/standin/work.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/base64"
+	"hash"
 	"hash/crc32"
 	"io"
 	"net/http"
@@ -36,10 +37,12 @@
 // Digest reads r to its end and returns the value of HeaderDigest for it.
 func Digest(r io.Reader) (string, error) {
 	sum := crc32.New(castagnoli)
-	if _, err := io.Copy(sum, r); err != nil {
-		return "", err
-	}
-	return "crc32c=:" + base64.StdEncoding.EncodeToString(sum.Sum(nil)) + ":", nil
+	_, err := io.Copy(sum, r)
+	return digestOf(sum), err
+}
+
+func digestOf(sum hash.Hash) string {
+	return "crc32c=:" + base64.StdEncoding.EncodeToString(sum.Sum(nil)) + ":"
 }
 
 // work handles one request: it waits for a slot, runs and answers.
@@ -183,27 +186,24 @@
 	if err != nil {
 		size = defaultAnswerBytes
 	}
-	content := &contentReader{prefix: r.Header.Get(HeaderOrder) + "\n", size: size}
-	digest, _ := Digest(&contentReader{prefix: content.prefix, size: size})
-	fault := r.FormValue("fault")
+	order, fault := r.Header.Get(HeaderOrder), r.FormValue("fault")
+	sum := crc32.New(castagnoli)
+	_ = writeContent(sum, order, size)
 	switch {
 	case r.FormValue("chunked") != "":
 		w.Header().Set("Trailer", HeaderDigest)
-		defer w.Header().Set(HeaderDigest, digest)
+		defer w.Header().Set(HeaderDigest, digestOf(sum))
 	case fault == FaultNoLength:
 		w.Header().Set("Connection", "close")
 		w.Header().Set("Transfer-Encoding", "identity")
 	default:
-		w.Header().Set(HeaderDigest, digest)
+		w.Header().Set(HeaderDigest, digestOf(sum))
 		w.Header().Set("Content-Length", strconv.FormatInt(size, 10))
 	}
 	if fault == FaultTruncate {
-		_, _ = io.CopyN(w, content, size/2)
+		_ = writeContent(w, order, size/2)
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
-	_, _ = io.Copy(onlyWriter{w}, content)
+	_ = writeContent(w, order, size)
 }
-
-// onlyWriter hides ReadFrom, so that the content's WriteTo is used.
-type onlyWriter struct{ io.Writer }
