--- a/internal/demo/network.go
+++ b/internal/demo/network.go
@@ -60,11 +60,7 @@
 	return [2]model.Zone{a, b}
 }
 
-// cut makes everything between two zones silent until heal.
-func (n *network) cut(a, b model.Zone) { n.set(a, b, true) }
-
-func (n *network) heal(a, b model.Zone) { n.set(a, b, false) }
-
+// set makes everything between two zones silent, or ends that.
 func (n *network) set(a, b model.Zone, cut bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
