Keep the newest token of each far side

Cause: every origin of relays needs a recent token of the VM that it relays to. Change: type Tokens, which ignores tokens that arrive out of order.

--- a/internal/once/attempts_test.go
+++ b/internal/once/attempts_test.go
@@ -123,3 +123,23 @@
 		t.Error("started after its deadline")
 	}
 }
+
+func TestTokensKeepTheNewest(t *testing.T) {
+	far, restarted := newFar(1), newFar(2)
+	old := far.Token(testStart)
+	newer := far.Token(testStart.Add(time.Second))
+	var tokens once.Tokens
+	for _, test := range []struct{ set, want once.Token }{
+		{"", ""}, {"nonsense", ""}, {old, old}, {newer, newer}, {old, newer},
+		{restarted.Token(testStart), restarted.Token(testStart)},
+	} {
+		tokens.Set("lj-1", test.set)
+		if got := tokens.Get("lj-1"); got != test.want {
+			t.Errorf("after %q: %q, want %q", test.set, got, test.want)
+		}
+	}
+	tokens.Retain(nil)
+	if got := tokens.Get("lj-1"); got != "" {
+		t.Errorf("token %q after its VM left", got)
+	}
+}
