--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -69,6 +69,8 @@
 	Dial   Dial
 	Logger *log.Logger
 	Quota  quota.Timing
+	// Listener serves instead of the address in the settings.
+	Listener net.Listener
 }
 
 // Daemon is one fuchsiaspard process.
@@ -330,6 +332,7 @@
 		Zone:               vm.Zone,
 		Region:             vm.Region,
 		Instance:           strconv.FormatUint(uint64(b.incarnation), 16),
+		MaxHeaderBytes:     limits.MaxHeaderBytes,
 		MaxReplayBytes:     limits.MaxReplayBytes,
 		MaxKeptAnswerBytes: limits.MaxKeptAnswerBytes,
 		Source:             b.daemon.control,
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -22,6 +22,9 @@
 const MetricsPath = "/metrics"
 
 const (
+	// hardHeaderFactor times the limit of a header is where the connection is
+	// refused; below that a request with too large a header gets an answer.
+	hardHeaderFactor = 4
 	// headerTimeout bounds the arrival of a request's header.
 	headerTimeout = 10 * time.Second
 	// idleTimeout is how long an unused connection of a caller is kept. It is
@@ -34,7 +37,8 @@
 	address string
 	server  *http.Server
 	logger  *log.Logger
-	bound   net.Listener
+	// bound is the listener to serve; nil binds address.
+	bound net.Listener
 }
 
 // listener registers the HTTP server first, so that it starts before the
@@ -42,9 +46,10 @@
 func (b *assembly) listener() error {
 	b.daemon.server = &httpServer{
 		address: b.settings.VM.Listen,
+		bound:   b.deps.Listener,
 		logger:  b.deps.Logger.WithPrefix("http"),
 		server: &http.Server{
-			MaxHeaderBytes:    b.settings.Limits.MaxHeaderBytes,
+			MaxHeaderBytes:    hardHeaderFactor * b.settings.Limits.MaxHeaderBytes,
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       idleTimeout,
 			ErrorLog:          b.deps.Logger.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
@@ -85,14 +90,11 @@
 
 // Start binds the address and serves it.
 func (h *httpServer) Start(ctx context.Context) error {
-	var lc net.ListenConfig
-	l, err := lc.Listen(ctx, "tcp", h.address)
-	if err != nil {
-		return errors.Wrapf(err, "listen on %s", h.address)
+	if err := h.bind(ctx); err != nil {
+		return err
 	}
-	h.bound = l
 	go func() {
-		err := h.server.Serve(l)
+		err := h.server.Serve(h.bound)
 		if err != nil && !errors.Is(err, http.ErrServerClosed) {
 			h.logger.Error("server ended", "err", err)
 		}
@@ -100,6 +102,19 @@
 	return nil
 }
 
+func (h *httpServer) bind(ctx context.Context) error {
+	if h.bound != nil {
+		return nil
+	}
+	var lc net.ListenConfig
+	l, err := lc.Listen(ctx, "tcp", h.address)
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", h.address)
+	}
+	h.bound = l
+	return nil
+}
+
 // Stop lets requests in flight finish and closes the address.
 func (h *httpServer) Stop(ctx context.Context) error {
 	err := h.server.Shutdown(ctx)
--- a/internal/demo/baseline.go
+++ b/internal/demo/baseline.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -37,7 +36,7 @@
 func (f *fleet) startBaseline() error {
 	for _, vm := range f.order {
 		e := f.entries[vm]
-		l, err := net.Listen("tcp", e.address())
+		l, err := e.listener()
 		if err != nil {
 			return errors.Wrap(err, "start baseline")
 		}
@@ -79,7 +78,7 @@
 	body := map[string]any{"ttl_ms": lookupTTL.Milliseconds()}
 	var entries []map[string]string
 	for _, i := range rand.Perm(len(b.fleet.order)) {
-		entries = append(entries, map[string]string{"address": b.fleet.entries[b.fleet.order[i]].address()})
+		entries = append(entries, map[string]string{"address": b.fleet.entries[b.fleet.order[i]].address})
 	}
 	body["entries"] = entries
 	_ = json.NewEncoder(w).Encode(body)
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net"
-	"strconv"
 	"sync"
 	"time"
 
@@ -22,8 +21,6 @@
 )
 
 const (
-	// entryPort is the port of every entry VM; their IP numbers differ.
-	entryPort = 7400
 	// listLag is how far the platform's VM list lags.
 	listLag = 500 * time.Millisecond
 	// ticketValidity is how long a ticket may be used in the demo.
@@ -56,9 +53,13 @@
 
 // entryVM is one entry VM slot with the process that runs there now.
 type entryVM struct {
-	slot    config.Slot
-	region  model.Region
-	host    string
+	slot   config.Slot
+	region model.Region
+	// address is where the slot's process listens; its port comes from the
+	// kernel when the fleet starts.
+	address string
+	// bound is the listener of the slot's first process.
+	bound   net.Listener
 	process process
 	// daemon is nil when the baseline runs.
 	daemon  *daemon.Daemon
@@ -80,8 +81,14 @@
 	dead    bool
 }
 
-// address is where the slot's process listens.
-func (e *entryVM) address() string { return net.JoinHostPort(e.host, strconv.Itoa(entryPort)) }
+// listener returns the listener of the slot's next process.
+func (e *entryVM) listener() (net.Listener, error) {
+	if l := e.bound; l != nil {
+		e.bound = nil
+		return l, nil
+	}
+	return net.Listen("tcp", e.address)
+}
 
 // hostOf returns the IP number of the n-th host of a kind.
 func hostOf(kind, n int) string { return fmt.Sprintf("127.%d.%d.%d", kind, n/200, n%200+1) }
@@ -113,12 +120,24 @@
 		return err
 	}
 	for i, slot := range f.deployment.slots() {
-		e := &entryVM{slot: slot, region: f.net.regions[slot.Zone], host: hostOf(hostEntry, i)}
-		f.net.place(e.host, slot.Zone)
-		f.entries[slot.VM] = e
-		f.order = append(f.order, slot.VM)
-		f.store.SetVM(platform.VM{ID: string(slot.VM), Role: platform.RoleEntry, Zone: slot.Zone, Address: e.address(), State: platform.VMLive})
+		if err := f.layOut(slot, hostOf(hostEntry, i)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// layOut gives a slot its address and puts it on the platform's list.
+func (f *fleet) layOut(slot config.Slot, host string) error {
+	l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
+	if err != nil {
+		return errors.Wrap(err, "reserve the address of an entry VM")
 	}
+	e := &entryVM{slot: slot, region: f.net.regions[slot.Zone], address: l.Addr().String(), bound: l}
+	f.net.place(host, slot.Zone)
+	f.entries[slot.VM] = e
+	f.order = append(f.order, slot.VM)
+	f.store.SetVM(platform.VM{ID: string(slot.VM), Role: platform.RoleEntry, Zone: slot.Zone, Address: e.address, State: platform.VMLive})
 	return nil
 }
 
@@ -186,13 +205,18 @@
 }
 
 func (f *fleet) startEntry(ctx context.Context, e *entryVM) error {
+	listener, err := e.listener()
+	if err != nil {
+		return err
+	}
 	client := f.store.Client(string(e.slot.VM))
 	d, err := daemon.New(f.settings(e), daemon.Deps{
-		Store:  client,
-		VMs:    client,
-		Dial:   f.net.dialer(e.slot.Zone),
-		Logger: f.logger.With("vm", string(e.slot.VM)),
-		Quota:  demoQuota,
+		Store:    client,
+		VMs:      client,
+		Dial:     f.net.dialer(e.slot.Zone),
+		Logger:   f.logger.With("vm", string(e.slot.VM)),
+		Quota:    demoQuota,
+		Listener: listener,
 	})
 	if err != nil {
 		return err
@@ -214,14 +238,14 @@
 		Name:      e.slot.VM,
 		Zone:      e.slot.Zone,
 		Region:    e.region,
-		Listen:    e.address(),
-		Advertise: e.address(),
+		Listen:    e.address,
+		Advertise: e.address,
 	}
 	s.Limits.TicketValidity = model.Duration(ticketValidity)
 	s.Limits.SilenceAfter = model.Duration(silenceAfter)
 	for _, vm := range f.order {
 		if vm != e.slot.VM {
-			s.Seeds = append(s.Seeds, settings.Seed{VM: vm, Address: f.entries[vm].address()})
+			s.Seeds = append(s.Seeds, settings.Seed{VM: vm, Address: f.entries[vm].address})
 		}
 	}
 	return s
--- a/internal/demo/run.go
+++ b/internal/demo/run.go
@@ -101,7 +101,7 @@
 	}
 	var bootstrap []string
 	for _, e := range r.fleet.live() {
-		bootstrap = append(bootstrap, e.address())
+		bootstrap = append(bootstrap, e.address)
 	}
 	for _, zone := range r.zones {
 		r.callers = append(r.callers, newCaller(zone, r.fleet.net.dialer(zone), bootstrap))
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -74,6 +74,9 @@
 	if state == nil || state.Config == nil {
 		return nil, refuse(http.StatusServiceUnavailable, model.ReasonNoConfig, "no configuration yet; try another entry VM")
 	}
+	if n := headerBytes(r.Header); n > s.options.MaxHeaderBytes {
+		return nil, refuse(http.StatusRequestHeaderFieldsTooLarge, model.ReasonTooLarge, "the header is larger than "+strconv.Itoa(s.options.MaxHeaderBytes)+" bytes")
+	}
 	q := &request{id: newID(), state: state, method: r.Method, ticket: r.Header.Get(header.Ticket)}
 	if f := q.parsePath(r); f != nil {
 		return nil, f
@@ -96,6 +99,17 @@
 	return q, nil
 }
 
+// headerBytes returns the size of a header's names and values.
+func headerBytes(h http.Header) int {
+	n := 0
+	for name, values := range h {
+		for _, v := range values {
+			n += len(name) + len(v)
+		}
+	}
+	return n
+}
+
 func (q *request) parsePath(r *http.Request) *Failure {
 	rest := strings.TrimPrefix(r.URL.EscapedPath(), RequestPath)
 	service, path, ok := strings.Cut(rest, "/")
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -26,6 +26,8 @@
 	Region model.Region
 	// Instance names this process; it differs after each restart.
 	Instance string
+	// MaxHeaderBytes bounds the header of a caller's request.
+	MaxHeaderBytes int
 	// MaxReplayBytes bounds the request body kept for a retry.
 	MaxReplayBytes int
 	// MaxKeptAnswerBytes bounds one answer kept for repeats of a ticket.
