Play scenarios together and add those under tight caps

Cause: no scenario brought a cap near its bound, and faults came one at a time. Change: names joined by a plus sign are played at once; shift-cap, link-cap and region-return are new; a replaced server keeps its place in the checks.

--- a/internal/demo/baseline.go
+++ b/internal/demo/baseline.go
@@ -117,7 +117,7 @@
 	}
 	s := servers[rand.IntN(len(servers))]
 	ctx, cancel := context.WithTimeout(r.Context(), baselineTimeout)
-	out, err := http.NewRequestWithContext(ctx, r.Method, "http://"+s.server.Address()+"/"+path+"?"+r.URL.RawQuery, strings.NewReader(body))
+	out, err := http.NewRequestWithContext(ctx, r.Method, "http://"+s.server().Address()+"/"+path+"?"+r.URL.RawQuery, strings.NewReader(body))
 	if err != nil {
 		cancel()
 		return nil, err
--- a/internal/demo/check.go
+++ b/internal/demo/check.go
@@ -38,9 +38,7 @@
 func (r *run) runs() map[string]int {
 	runs := make(map[string]int)
 	for _, s := range r.fleet.servers {
-		for order, n := range s.server.Orders() {
-			runs[order] += n
-		}
+		s.runs(runs)
 	}
 	return runs
 }
@@ -137,7 +135,10 @@
 
 // highestShiftCap is the largest cap that any change of the run could set.
 func (r *run) highestShiftCap() int64 {
-	return int64(shiftCap + len(r.events.changes))
+	if len(r.events.changes) == 0 {
+		return r.options.Deployment.ShiftCap
+	}
+	return max(r.options.Deployment.ShiftCap, int64(shiftCap+len(r.events.changes)))
 }
 
 func (r *run) regionLoad() Invariant {
@@ -203,7 +204,7 @@
 	v := Invariant{Name: "a draining server gets no new work after 3 s"}
 	for _, d := range r.events.drains {
 		v.Checked++
-		if more := d.server.server.Counts().Started - d.started; more > 0 {
+		if more := d.server.server().Counts().Started - d.started; more > 0 {
 			v.Violations++
 			v.Detail = fmt.Sprintf("%s started %d more requests", d.server.id, more)
 		}
--- a/internal/demo/command.go
+++ b/internal/demo/command.go
@@ -26,9 +26,10 @@
 		Description: "Starts 7 entry VMs, backend servers and callers in one process, plays a scenario and\n" +
 			"checks the invariants at callers and servers. Exits 0 only if all of them held.\n\nScenarios:\n" + scenarioList(),
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "scenario", Value: "tour", Usage: "`NAME` of the scenario"},
+			&cli.StringFlag{Name: "scenario", Value: "tour", Usage: "`NAME` of the scenario; join names with + to play them at once"},
 			&cli.StringFlag{Name: "deployment", Value: "kanalnet", Usage: "kanalnet or hofer"},
 			&cli.StringFlag{Name: "policy", Value: string(PolicyFull), Usage: "full or baseline"},
+			&cli.DurationFlag{Name: "time", Usage: "offer load for this long instead of the scenario's own time"},
 			&cli.Uint64Flag{Name: "seed", Value: defaultSeed, Usage: "seed of the arrivals"},
 			&cli.BoolFlag{Name: "json", Usage: "print one JSON document"},
 			&cli.BoolFlag{Name: "verbose", Usage: "log what the daemons do to standard error"},
@@ -75,6 +76,9 @@
 	if !ok {
 		return o, errors.Errorf("no scenario is called %q; see demo --help", c.String("scenario"))
 	}
+	if t := c.Duration("time"); t > 0 {
+		scenario.Duration = t
+	}
 	o.Scenario = scenario
 	deployment, ok := Deployments()[c.String("deployment")]
 	if !ok {
--- a/internal/demo/deployment.go
+++ b/internal/demo/deployment.go
@@ -21,7 +21,12 @@
 	LinkBytes int64
 	Services  []Service
 	Accounts  []model.AccountID
-	Scaling   string
+	// ShiftCap is the cap of an account's shifts of one service from one place,
+	// in requests a second.
+	ShiftCap int64
+	// OnePlace keeps the servers of the second service in the first region.
+	OnePlace bool
+	Scaling  string
 }
 
 // Service is a service of a deployment with its backend servers.
@@ -71,6 +76,7 @@
 		Regions:   []model.Region{"lj", "mb", "kp"},
 		Delays:    Delays{Zone: time.Millisecond, Region: 12 * time.Millisecond, Client: time.Millisecond},
 		LinkBytes: 500_000_000,
+		ShiftCap:  shiftCap,
 		Accounts:  []model.AccountID{"carrier", "builder", "survey"},
 		Scaling:   "servers, slots, connections, links and delays as stated by the users; service times of 100 to 300 ms set the fleet's rate to what one machine carries",
 		Services: []Service{
@@ -86,6 +92,7 @@
 		Regions:   []model.Region{"tirol", "wien", "steiermark"},
 		Delays:    Delays{Zone: time.Millisecond, Region: 35 * time.Millisecond, Client: 3 * time.Millisecond},
 		LinkBytes: 35_000_000,
+		ShiftCap:  shiftCap,
 		Accounts:  []model.AccountID{"dealers", "shops", "museums"},
 		Scaling:   "servers, slots, connections, links and delays as stated by the users; service times of 100 to 300 ms set the fleet's rate to what one machine carries",
 		Services: []Service{
@@ -123,6 +130,26 @@
 	return zones
 }
 
+// placesOf returns the zones that run a service.
+func (d Deployment) placesOf(s Service) []config.Zone {
+	if d.OnePlace && s.Name != d.Services[0].Name {
+		return d.zones()[:zonesPerRegion]
+	}
+	return d.zones()
+}
+
+// under returns the deployment with a scenario's caps and places.
+func (d Deployment) under(s Scenario) Deployment {
+	if s.ShiftCap > 0 {
+		d.ShiftCap = s.ShiftCap
+	}
+	if s.LinkBytes > 0 {
+		d.LinkBytes = s.LinkBytes
+	}
+	d.OnePlace = s.OnePlace
+	return d
+}
+
 // slots returns one entry VM a zone and a second one in the first zone.
 func (d Deployment) slots() []config.Slot {
 	var slots []config.Slot
@@ -166,10 +193,10 @@
 		Floors:       config.Floors{Normal: 15, Bulk: 5},
 		QueueLimit:   200,
 		RetryPercent: 10,
-		ShiftCap:     config.Range{Min: 0, Max: 100_000, Default: shiftCap},
+		ShiftCap:     config.Range{Min: 0, Max: 100_000, Default: d.ShiftCap},
 		Weight:       config.Range{Min: 1, Max: 100, Default: 1},
 	}
-	for _, zone := range d.zones() {
+	for _, zone := range d.placesOf(s) {
 		t.Places = append(t.Places, zone.Name)
 	}
 	for _, k := range s.Kinds {
--- a/internal/demo/events.go
+++ b/internal/demo/events.go
@@ -71,12 +71,14 @@
 		r.stopVM(ctx, r.vm(e.Target))
 	case ActionKillRegion:
 		r.killRegion()
+	case ActionBounceRegion:
+		r.bounceRegion(ctx, e.For)
 	case ActionRestartAll:
 		r.restartAll(ctx)
 	case ActionSilence:
-		r.eachThird(func(s *backendServer) { s.server.Silence() })
+		r.eachThird(func(s *backendServer) { s.server().Silence() })
 	case ActionMislead:
-		r.eachThird(func(s *backendServer) { s.server.Mislead(func(float64) float64 { return 0 }) })
+		r.eachThird(func(s *backendServer) { s.server().Mislead(func(float64) float64 { return 0 }) })
 	case ActionStopReports:
 		r.stopReports()
 	case ActionStoreDown:
@@ -135,6 +137,34 @@
 	}
 }
 
+// bounceRegion kills the last region and replaces all of it after a while.
+func (r *run) bounceRegion(ctx context.Context, period time.Duration) {
+	r.killRegion()
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(period):
+	}
+	region := r.options.Deployment.Regions[len(r.options.Deployment.Regions)-1]
+	if err := r.fleet.replaceServers(region); err != nil {
+		r.events.add(time.Since(r.started), "not replaced: "+err.Error())
+		return
+	}
+	for _, vm := range r.fleet.order {
+		if e := r.fleet.entries[vm]; e.region == region {
+			r.replace(ctx, e)
+		}
+	}
+}
+
+func (r *run) replace(ctx context.Context, e *entryVM) {
+	if err := r.fleet.startEntry(ctx, e); err != nil {
+		r.events.add(time.Since(r.started), "not replaced: "+err.Error())
+		return
+	}
+	r.events.add(time.Since(r.started), "replaced "+string(e.slot.VM))
+}
+
 // restartAll stops each entry VM in turn and starts a replacement.
 func (r *run) restartAll(ctx context.Context) {
 	for _, vm := range r.fleet.order {
@@ -142,11 +172,7 @@
 			return
 		}
 		r.stopVM(ctx, vm)
-		if err := r.fleet.startEntry(ctx, r.fleet.entries[vm]); err != nil {
-			r.events.add(time.Since(r.started), "not restarted: "+err.Error())
-			return
-		}
-		r.events.add(time.Since(r.started), "replaced "+string(vm))
+		r.replace(ctx, r.fleet.entries[vm])
 	}
 }
 
@@ -160,7 +186,7 @@
 
 func (r *run) stopReports() {
 	for _, s := range r.fleet.servers {
-		s.server.StopReports()
+		s.server().StopReports()
 	}
 }
 
@@ -227,7 +253,7 @@
 	r.events.mu.Lock()
 	defer r.events.mu.Unlock()
 	for _, s := range servers {
-		r.events.drains = append(r.events.drains, drainWatch{server: s, started: s.server.Counts().Started})
+		r.events.drains = append(r.events.drains, drainWatch{server: s, started: s.server().Counts().Started})
 	}
 }
 
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fuchsiaspar/internal/backend/standin"
@@ -77,8 +78,31 @@
 	id      model.ServerID
 	service Service
 	zone    model.Zone
-	server  *standin.Server
-	dead    bool
+	current atomic.Pointer[standin.Server]
+	// gone holds the servers that ran here before and died.
+	gone []*standin.Server
+	dead bool
+}
+
+// server returns the process that runs here now.
+func (s *backendServer) server() *standin.Server { return s.current.Load() }
+
+// row is the server's row of the platform's list.
+func (s *backendServer) row() platform.VM {
+	return platform.VM{
+		ID: string(s.id), Role: platform.RoleBackend, Zone: s.zone,
+		Address: s.server().Address(), Service: s.service.Name, State: platform.VMLive,
+	}
+}
+
+// runs adds up how often each order was started, by all processes that ran
+// here.
+func (s *backendServer) runs(into map[string]int) {
+	for _, server := range append(s.gone, s.server()) {
+		for order, n := range server.Orders() {
+			into[order] += n
+		}
+	}
 }
 
 // listener returns the listener of the slot's next process.
@@ -153,14 +177,14 @@
 }
 
 func (f *fleet) startServers() error {
-	zones := f.deployment.zones()
 	n := 0
 	for _, service := range f.deployment.Services {
+		zones := f.deployment.placesOf(service)
 		for i := range service.Servers {
 			zone := zones[i%len(zones)].Name
-			s, err := f.startServer(service, zone, i, hostOf(hostServer, n))
-			if err != nil {
-				return errors.Wrap(err, "start backend server")
+			s := &backendServer{id: model.ServerID(fmt.Sprintf("%s-%02d", service.Name, i)), service: service, zone: zone}
+			if err := f.startServer(s, hostOf(hostServer, n)); err != nil {
+				return err
 			}
 			f.servers = append(f.servers, s)
 			n++
@@ -169,29 +193,48 @@
 	return nil
 }
 
-func (f *fleet) startServer(service Service, zone model.Zone, i int, host string) (*backendServer, error) {
-	id := model.ServerID(fmt.Sprintf("%s-%02d", service.Name, i))
+// startServer starts the process of a backend server and lists it.
+func (f *fleet) startServer(s *backendServer, host string) error {
 	server, err := standin.Start(standin.Options{
-		ID:          id,
+		ID:          s.id,
 		Address:     net.JoinHostPort(host, "0"),
 		Slots:       slotsPerServer,
-		MaxConns:    service.MaxConns,
+		MaxConns:    s.service.MaxConns,
 		ConnSetup:   connSetup,
-		ServiceTime: service.timeOf,
+		ServiceTime: s.service.timeOf,
 		ColdFactor:  coldFactor,
 		ColdWork:    coldWork,
 		ReportLag:   time.Second,
-		OnStart:     func(order string) { f.onStart(zone, order) },
+		OnStart:     func(order string) { f.onStart(s.zone, order) },
 	})
 	if err != nil {
-		return nil, err
+		return errors.Wrapf(err, "start backend server %s", s.id)
 	}
-	f.net.place(host, zone)
-	f.store.SetVM(platform.VM{
-		ID: string(id), Role: platform.RoleBackend, Zone: zone,
-		Address: server.Address(), Service: service.Name, State: platform.VMLive,
-	})
-	return &backendServer{id: id, service: service, zone: zone, server: server}, nil
+	s.current.Store(server)
+	f.net.place(host, s.zone)
+	f.store.SetVM(s.row())
+	return nil
+}
+
+// replaceServers starts new servers in place of the dead ones of a region.
+func (f *fleet) replaceServers(region model.Region) error {
+	for _, s := range f.servers {
+		if f.net.regions[s.zone] != region || !s.dead {
+			continue
+		}
+		host, _, err := net.SplitHostPort(s.server().Address())
+		if err != nil {
+			return err
+		}
+		f.mu.Lock()
+		s.gone = append(s.gone, s.server())
+		s.dead = false
+		f.mu.Unlock()
+		if err := f.startServer(s, host); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // timeOf returns how long a server of the service works on a path.
@@ -301,7 +344,7 @@
 	s.dead = true
 	f.mu.Unlock()
 	if !dead {
-		s.server.Kill()
+		s.server().Kill()
 	}
 }
 
--- a/internal/demo/observe.go
+++ b/internal/demo/observe.go
@@ -96,7 +96,7 @@
 
 func (r *run) lookAtServers() {
 	for _, s := range r.fleet.servers {
-		r.seen.noteShed(r.fleet.net.regions[s.zone], s.id, s.server.Counts().Shed)
+		r.seen.noteShed(r.fleet.net.regions[s.zone], s.id, s.server().Counts().Shed)
 	}
 }
 
--- a/internal/demo/run.go
+++ b/internal/demo/run.go
@@ -62,6 +62,7 @@
 
 // Run runs a scenario and reports what came of it.
 func Run(ctx context.Context, o Options) (*Report, error) {
+	o.Deployment = o.Deployment.under(o.Scenario)
 	seen := newObservations()
 	r := &run{
 		options:     o,
--- a/internal/demo/scenario.go
+++ b/internal/demo/scenario.go
@@ -1,6 +1,7 @@
 package demo
 
 import (
+	"strings"
 	"time"
 
 	"fuchsiaspar/internal/model"
@@ -34,6 +35,7 @@
 const (
 	ActionKillVM        Action = "kill-vm"
 	ActionKillRegion    Action = "kill-region"
+	ActionBounceRegion  Action = "bounce-region"
 	ActionStopVM        Action = "stop-vm"
 	ActionRestartAll    Action = "rolling-restart"
 	ActionSilence       Action = "silence-server"
@@ -58,6 +60,12 @@
 	Events   []Event
 	// Flood adds to the quiet load of every kind.
 	Flood []Load
+	// ShiftCap and LinkBytes replace the deployment's caps when positive.
+	ShiftCap  int64
+	LinkBytes int64
+	// OnePlace keeps the servers of the second service in the first region, so
+	// that the transfers of the other regions cross links.
+	OnePlace bool
 }
 
 const (
@@ -97,6 +105,9 @@
 			{At: eventAt, Action: ActionKillVM, Target: targetSecondVM},
 		}},
 		one("region-loss", "a region's entry VMs and servers die", Event{Action: ActionKillRegion, Target: targetRegion}),
+		one("region-return", "a region's entry VMs and servers die and are replaced", Event{Action: ActionBounceRegion, For: faultTime}),
+		{Name: "shift-cap", Summary: "a region dies under a cap far below its traffic", ShiftCap: 15, Events: []Event{{At: eventAt, Action: ActionKillRegion}}},
+		{Name: "link-cap", Summary: "large transfers of two regions cross links that carry a third of them", LinkBytes: 8 * mebibyte, OnePlace: true},
 		one("silent", "open connections to a third of the servers go silent", Event{Action: ActionSilence, Target: targetServers}),
 		one("misleading-reports", "a third of the servers report no load and good health while they shed", Event{Action: ActionMislead, Target: targetServers}),
 		one("measurements-stop", "every load report stops", Event{Action: ActionStopReports}),
@@ -121,16 +132,48 @@
 	return Scenario{Name: name, Summary: summary, Events: []Event{e}}
 }
 
+// nameSeparator joins the names of scenarios that are played at once.
+const nameSeparator = "+"
+
 // FindScenario returns the scenario called name with its defaults filled in.
+// Names joined by a plus sign stand for all their events and floods together.
 func FindScenario(name string) (Scenario, bool) {
-	for _, s := range Scenarios() {
-		if s.Name != name {
-			continue
+	joined := Scenario{Name: name, Duration: scenarioTime}
+	var summaries []string
+	for part := range strings.SplitSeq(name, nameSeparator) {
+		s, ok := findOne(part)
+		if !ok {
+			return Scenario{}, false
 		}
-		if s.Duration == 0 {
-			s.Duration = scenarioTime
+		summaries = append(summaries, s.Summary)
+		joined.add(s)
+	}
+	joined.Summary = strings.Join(summaries, "; ")
+	return joined, true
+}
+
+func findOne(name string) (Scenario, bool) {
+	for _, s := range Scenarios() {
+		if s.Name == name {
+			return s, true
 		}
-		return s, true
 	}
 	return Scenario{}, false
 }
+
+// add plays other at the same time. Of two different caps the lower one holds.
+func (s *Scenario) add(other Scenario) {
+	s.Duration = max(s.Duration, other.Duration)
+	s.Events = append(s.Events, other.Events...)
+	s.Flood = append(s.Flood, other.Flood...)
+	s.ShiftCap = lowerCap(s.ShiftCap, other.ShiftCap)
+	s.LinkBytes = lowerCap(s.LinkBytes, other.LinkBytes)
+	s.OnePlace = s.OnePlace || other.OnePlace
+}
+
+func lowerCap(a, b int64) int64 {
+	if a == 0 || b == 0 {
+		return a + b
+	}
+	return min(a, b)
+}
