quota: hold no lock and no second copy of the caps while adopting them

Cause: SetDocument built the caps of all accounts under the lock that grant requests take, and kept a copy of them. A lender added by a new configuration did not know until when the configuration is confirmed. Change: the caps are read before the lock and dropped once ledger and lenders have them; a new agent starts with the confirmed time.

--- a/internal/quota/service.go
+++ b/internal/quota/service.go
@@ -82,13 +82,18 @@
 	// process tells this process from its predecessors at the lenders.
 	process uint64
 
-	mu      sync.Mutex
-	jitter  jitter
-	doc     *deployment
-	agents  map[lenderID]*agent
-	runCtx  context.Context
-	cancel  context.CancelFunc
-	running sync.WaitGroup
+	// adopting serialises SetDocument.
+	adopting sync.Mutex
+
+	mu     sync.Mutex
+	jitter jitter
+	doc    *deployment
+	// confirmed is the latest argument of ConfirmUntil.
+	confirmed time.Time
+	agents    map[lenderID]*agent
+	runCtx    context.Context
+	cancel    context.CancelFunc
+	running   sync.WaitGroup
 }
 
 // NewService returns a service that is not started. It registers its handler
@@ -153,25 +158,39 @@
 
 // SetDocument adopts the caps of a configuration.
 func (s *Service) SetDocument(doc *config.Document) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.doc = readDocument(doc, s.opts.Self)
+	s.adopting.Lock()
+	defer s.adopting.Unlock()
+	d := readDocument(doc, s.opts.Self)
 	now := s.opts.Now()
-	s.ledger.SetCaps(now, s.doc.slots, s.doc.all())
-	for _, id := range s.doc.lenders() {
+	s.ledger.SetCaps(now, d.slots, d.all())
+	for _, a := range s.follow(d) {
+		a.setCaps(now, d)
+	}
+	// Ledger and lenders hold the caps from here on.
+	d.caps = nil
+}
+
+// follow takes over a deployment and returns the agents for its lenders and
+// for earlier ones.
+func (s *Service) follow(d *deployment) []*agent {
+	s.mu.Lock()
+	s.doc = d
+	for _, id := range d.lenders() {
 		if _, ok := s.agents[id]; !ok {
 			s.addAgent(id)
 		}
 	}
-	for _, a := range s.agents {
-		a.setCaps(now, s.doc)
-	}
+	s.mu.Unlock()
+	return s.allAgents()
 }
 
 // ConfirmUntil tells how long the adopted configuration may be trusted to be
 // the newest. After that this VM neither spends nor lends.
 func (s *Service) ConfirmUntil(until time.Time) {
 	s.ledger.ConfirmUntil(until)
+	s.mu.Lock()
+	s.confirmed = until
+	s.mu.Unlock()
 	for _, a := range s.allAgents() {
 		a.confirmUntil(until)
 	}
@@ -180,6 +199,7 @@
 // addAgent begins to watch over the lease of a lender. The caller holds s.mu.
 func (s *Service) addAgent(id lenderID) {
 	a := newAgent(s, id)
+	a.confirmUntil(s.confirmed)
 	s.agents[id] = a
 	if s.runCtx != nil && s.runCtx.Err() == nil {
 		s.startAgent(a)
