quota: keep transfers of each priority moving on a full link

Cause: an urgent flood took a link whole, and urgent answers that began while bulk work filled the link had to wait for units to return. Change: on links urgent work leaves 20 % to demand below it and normal work 10 % to bulk; 4 % stay free for urgent work. Shifts stay strict: the lowest priority is refused first.

--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -182,7 +182,8 @@
 }
 
 // NextAvailable returns when to try again to spend n units at priority p; now
-// means at once. Grants that arrive meanwhile may make it sooner.
+// means at once. Grants that arrive meanwhile may make it sooner. A transfer
+// that is paced by TakeUpToPriority asks for its smallest useful n.
 func (l *Ledger) NextAvailable(now time.Time, key Key, n int64, p model.Priority) time.Time {
 	m := l.meter(key)
 	if m == nil {
--- a/internal/quota/meter.go
+++ b/internal/quota/meter.go
@@ -7,9 +7,30 @@
 	"fuchsiaspar/internal/model"
 )
 
-// reservedPercent bounds the part of an allowance that demand of more urgent
-// priorities keeps from a lower one.
-const reservedPercent = 80
+// division says how priorities divide an allowance, in percent of it.
+type division struct {
+	// most bounds what demand of more urgent priorities keeps from each
+	// priority.
+	most [model.NumPriorities]int64
+	// least is kept for more urgent priorities even without demand.
+	least [model.NumPriorities]int64
+	// below bounds what demand of less urgent priorities keeps from each
+	// priority.
+	below [model.NumPriorities]int64
+}
+
+var (
+	// shiftDivision serves urgent shifts first: only the lowest priorities are
+	// refused.
+	shiftDivision = division{most: [model.NumPriorities]int64{0, 100, 100}}
+	// linkDivision keeps transfers of each priority moving, and some room for
+	// urgent answers that begin while others fill the link.
+	linkDivision = division{
+		most:  [model.NumPriorities]int64{0, 80, 90},
+		least: [model.NumPriorities]int64{0, 4, 4},
+		below: [model.NumPriorities]int64{20, 10, 0},
+	}
+)
 
 // urgentBurst is how many times the even share of a sub-window urgent work may
 // take on a link. Other work is spread evenly.
@@ -84,14 +105,13 @@
 
 // room returns how many units priority p may spend now.
 func (m *meter) room(allowed int64, p model.Priority) int64 {
-	reserved := min(m.window.total.wantedAbove(p), allowed*reservedPercent/100)
+	if m.key.Kind != KindLink {
+		return max(m.window.room(allowed, p, &shiftDivision), 0)
+	}
 	room := min(
-		allowed-m.window.total.spentFrom(0),
-		allowed-reserved-m.window.total.spentFrom(p),
+		m.window.room(allowed, p, &linkDivision),
+		subWindowLimit(allowed, p)-m.window.newest().spentFrom(0),
 	)
-	if m.key.Kind == KindLink {
-		room = min(room, subWindowLimit(allowed, p)-m.window.newest().spentFrom(0))
-	}
 	return max(room, 0)
 }
 
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -187,6 +187,32 @@
 	}
 }
 
+// TestLinkIsDividedByPriority floods a link, the least urgent work first.
+func TestLinkIsDividedByPriority(t *testing.T) {
+	for name, c := range map[string]struct {
+		flooding []model.Priority
+		percent  [model.NumPriorities]int64
+	}{
+		"all":    {[]model.Priority{model.PriorityBulk, model.PriorityNormal, model.PriorityUrgent}, [model.NumPriorities]int64{75, 9, 9}},
+		"urgent": {[]model.Priority{model.PriorityUrgent}, [model.NumPriorities]int64{94, 0, 0}},
+		"bulk":   {[]model.Priority{model.PriorityBulk}, [model.NumPriorities]int64{0, 0, 90}},
+	} {
+		l, now := settledLedger(simKeys[1], 200_000, 1)
+		var got [model.NumPriorities]int64
+		for step := range 1000 {
+			at := now.Add(time.Duration(step) * 10 * time.Millisecond)
+			for _, p := range c.flooding {
+				got[p] += l.TakeUpToPriority(at, simKeys[1], 1<<20, p)
+			}
+		}
+		for p, want := range c.percent {
+			if percent := got[p] / 10 * 100 / 100_000; percent < want {
+				t.Errorf("%s: %s got %d %% of the link, want %d %%", name, model.Priority(p), percent, want)
+			}
+		}
+	}
+}
+
 func TestNextAvailableIsWhenUnitsReturn(t *testing.T) {
 	l, now := settledLedger(simKeys[0], 100, 1)
 	if got := l.TakeUpTo(now, simKeys[0], 100); got != 50 {
--- a/internal/quota/window.go
+++ b/internal/quota/window.go
@@ -45,6 +45,15 @@
 	return sum
 }
 
+// wantedBelow returns the units wanted by priorities less urgent than p.
+func (c *cell) wantedBelow(p model.Priority) int64 {
+	var sum int64
+	for q := int(p) + 1; q < model.NumPriorities; q++ {
+		sum += c.wanted[q]
+	}
+	return sum
+}
+
 // window counts the units of the trailing accounting window. Time that moves
 // backward counts as standing still, which keeps units counted for longer.
 type window struct {
@@ -83,6 +92,18 @@
 	w.total.wanted[p] += n
 }
 
+// room returns how many units p may spend: the sum stays within the allowance,
+// and so do the sums beside what is kept for more and for less urgent work.
+func (w *window) room(allowed int64, p model.Priority, d *division) int64 {
+	above := min(w.total.wantedAbove(p), allowed*d.most[p]/100)
+	above = max(above, allowed*d.least[p]/100)
+	below := min(w.total.wantedBelow(p), allowed*d.below[p]/100)
+	all := w.total.spentFrom(0)
+	fromHere := w.total.spentFrom(p)
+	upToHere := all - w.total.spentFrom(p+1)
+	return min(allowed-all, allowed-above-fromHere, allowed-below-upToHere)
+}
+
 // freedBy returns how many sub-windows from now at least n units of those
 // spent by p and less urgent priorities have left the window.
 func (w *window) freedBy(p model.Priority, n int64) int64 {
