quota: ask lenders less often

Cause: each VM with demand asked its lender every 200 ms, each VM of a hosting region tested it every second, and every VM read all lease records at its start: at 1,400 VMs more than the control traffic that one node may have. Change: a VM asks when half of a grant has passed or a demand grew by a quarter; three VMs test an idle lender; the others read a record only when they have demand. The interval follows the grant's duration.

--- a/internal/quota/agent.go
+++ b/internal/quota/agent.go
@@ -27,6 +27,8 @@
 	backoffStep = firstBackoff / 8
 	// rankDelay separates the VMs that compete for a lease.
 	rankDelay = 100 * time.Millisecond
+	// numWatchers is the count of VMs that watch a lender without demand.
+	numWatchers = 3
 	// maxRankDelay bounds the sum of rank delays.
 	maxRankDelay = 2 * time.Second
 	// foreignDelay is how much longer VMs outside the hosting region wait.
@@ -58,11 +60,14 @@
 	mu     sync.Mutex
 	lender *Lender
 	holder record
-	// host reports that this VM is in the region that hosts the lender.
-	host bool
+	// watcher reports that this VM keeps an eye on the lender without demand.
+	watcher bool
 	// rank is how long this VM waits before it takes a free lease.
 	rank   time.Duration
 	asking bool
+	// served holds what the latest served request asked for, and when.
+	served   []Demand
+	servedAt time.Time
 	// unanswered counts the requests in a row that no lender served.
 	unanswered int
 	askedAt    time.Time
@@ -85,8 +90,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.lender.SetCaps(now, d.slots, d.caps[a.id])
-	a.host = d.hostOf(a.id) == a.service.opts.Region
-	a.rank = rankOf(a.service.opts.Self, a.id, d)
+	a.rank, a.watcher = rankOf(a.service.opts.Self, a.id, d)
+	a.signal()
 }
 
 func (a *agent) confirmUntil(until time.Time) {
@@ -108,13 +113,13 @@
 	return a.holder
 }
 
-// asked ends a request and notes whether a lender served it.
-func (a *agent) asked(served bool) {
+// asked ends a request and notes whether the lender answered it.
+func (a *agent) asked(answered bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.asking = false
 	a.unanswered++
-	if served {
+	if answered {
 		a.unanswered = 0
 	}
 }
@@ -169,15 +174,16 @@
 		}
 		return a.renew(ctx)
 	}
-	if err := a.find(ctx); !errors.Is(err, errNoLease) {
-		if err != nil {
-			return err
-		}
+	if !a.interested() {
 		return a.await(ctx)
 	}
-	if !a.eligible() {
+	err := a.find(ctx)
+	if err == nil {
 		return a.await(ctx)
 	}
+	if !errors.Is(err, errNoLease) {
+		return err
+	}
 	return a.compete(ctx)
 }
 
@@ -205,12 +211,12 @@
 	return min(firstBackoff+time.Duration(a.unanswered)*backoffStep, maxBackoff)
 }
 
-// eligible reports whether this VM may take the lease: always in the hosting
-// region, elsewhere only while it has demand.
-func (a *agent) eligible() bool {
+// interested reports whether this VM looks for the lender and takes a free
+// lease: a watcher always, others only while they have demand.
+func (a *agent) interested() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.host {
+	if a.watcher {
 		return true
 	}
 	return !a.wantedAt.IsZero() && a.service.opts.Now().Sub(a.wantedAt) < checkInterval
--- a/internal/quota/borrow.go
+++ b/internal/quota/borrow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"fuchsiaspar/internal/model"
@@ -9,7 +10,7 @@
 
 // borrow asks the lenders for what the ledger needs, until ctx ends.
 func (s *Service) borrow(ctx context.Context, pace jitter) {
-	for sleep(ctx, pace.around(borrowInterval)) {
+	for sleep(ctx, pace.around(s.opts.Timing.borrowInterval())) {
 		now := s.opts.Now()
 		demands := s.demandsByLender(now)
 		for _, a := range s.allAgents() {
@@ -44,10 +45,7 @@
 	if len(demands) > 0 {
 		a.wantedAt = now
 	}
-	if a.asking {
-		return false
-	}
-	if len(demands) == 0 && (!a.host || now.Sub(a.askedAt) < checkInterval) {
+	if a.asking || !a.needs(now, demands) {
 		return false
 	}
 	if a.holder.Epoch == 0 {
@@ -59,6 +57,30 @@
 	return true
 }
 
+// needs reports whether a request is worth sending: to renew grants at half
+// their duration, to ask for more, or to test the lender. The caller holds a.mu.
+func (a *agent) needs(now time.Time, demands []Demand) bool {
+	if len(demands) == 0 {
+		return a.watcher && now.Sub(a.askedAt) >= checkInterval
+	}
+	if now.Sub(a.servedAt) >= a.service.opts.Timing.GrantTTL/2 {
+		return true
+	}
+	return grown(a.served, demands)
+}
+
+// grown reports whether a demand is new or grew by a quarter. Both lists are in
+// order of key.
+func grown(before, now []Demand) bool {
+	for _, d := range now {
+		at, found := slices.BinarySearchFunc(before, d.Key, func(b Demand, k Key) int { return b.Key.compare(k) })
+		if !found || d.Want > before[at].Want+before[at].Want/4 {
+			return true
+		}
+	}
+	return false
+}
+
 // ask sends one request to the lender and adopts what it lends. Expiries count
 // from before the request was sent.
 func (a *agent) ask(ctx context.Context, demands []Demand) {
@@ -78,15 +100,19 @@
 		return
 	}
 	a.service.metrics.reply(reply.Status)
-	if reply.Status == GrantNotHolder {
+	switch reply.Status {
+	case GrantServed:
+		a.adopt(sent, demands, reply)
+	case GrantNotHolder:
 		a.forget(holder)
-		return
 	}
-	a.adopt(sent, reply)
 }
 
 // adopt adds the loans of a reply to the ledger.
-func (a *agent) adopt(sent time.Time, reply GrantReply) {
+func (a *agent) adopt(sent time.Time, demands []Demand, reply GrantReply) {
+	a.mu.Lock()
+	a.served, a.servedAt = demands, sent
+	a.mu.Unlock()
 	ledger := a.service.ledger
 	for _, loan := range reply.Loans {
 		ledger.AddGrant(a.service.opts.Now(), Grant{
--- a/internal/quota/lease.go
+++ b/internal/quota/lease.go
@@ -105,12 +105,13 @@
 	l.confirmed = false
 }
 
-// rankOf returns how long a VM waits before it takes a free lease: the VMs of
-// the hosting region first, each set in an order that differs by lender.
-func rankOf(self model.VMID, id lenderID, d *deployment) time.Duration {
+// rankOf returns how long a VM waits before it takes a free lease, and whether
+// it watches the lender: the VMs of the hosting region come first, each set in
+// an order that differs by lender.
+func rankOf(self model.VMID, id lenderID, d *deployment) (time.Duration, bool) {
 	host := d.hostOf(id)
 	if at := slices.Index(byHash(d.slotsOf[host], id), self); at >= 0 {
-		return min(time.Duration(at)*rankDelay, maxRankDelay)
+		return min(time.Duration(at)*rankDelay, maxRankDelay), at < numWatchers
 	}
 	var others []model.VMID
 	for region, vms := range d.slotsOf {
@@ -119,7 +120,7 @@
 		}
 	}
 	at := max(slices.Index(byHash(others, id), self), 0)
-	return foreignDelay + min(time.Duration(at)*rankDelay, maxRankDelay)
+	return foreignDelay + min(time.Duration(at)*rankDelay, maxRankDelay), false
 }
 
 // byHash orders VMs by a hash of their name and the lender.
--- a/internal/quota/service.go
+++ b/internal/quota/service.go
@@ -29,9 +29,7 @@
 
 // Intervals of a Service.
 const (
-	// borrowInterval is the mean time between two requests to a lender.
-	borrowInterval = 200 * time.Millisecond
-	// checkInterval is how often an idle VM tests the lender of its region.
+	// checkInterval is how often a watcher without demand tests the lender.
 	checkInterval = time.Second
 	// callTimeout bounds one request to a lender.
 	callTimeout = 400 * time.Millisecond
--- a/internal/quota/timing.go
+++ b/internal/quota/timing.go
@@ -50,6 +50,9 @@
 	return t.GrantTTL + Window
 }
 
+// borrowInterval returns the mean time between two looks at the demands.
+func (t Timing) borrowInterval() time.Duration { return t.GrantTTL / 8 }
+
 // floorShare returns the floor of one slot. Floors never add up past the cap;
 // a cap smaller than the count of slots leaves no floor and is lent whole.
 func floorShare(perSecond int64, slots int) int64 {
