steer: update zone states in place, let one VM take two shares of free slots

With 10 slots in a zone and 7 entry VMs one share of the free slots is a single request, though not all VMs shift at once. Change: an unchanged list of zones only updates states; a VM may take two shares of the free slots between two reports. Owners still admit no more than fits.

--- a/internal/steer/place.go
+++ b/internal/steer/place.go
@@ -97,14 +97,18 @@
 	return fitYes
 }
 
+// roomShares is how many equal parts of the free slots one entry VM may take,
+// since not all of them shift at the same time. Owners refuse what is too much.
+const roomShares = 2
+
 // room returns how many more shifted requests this entry VM may send before
-// the next state. Each entry VM takes an equal part of the free slots.
+// the next state.
 func (p *place) room(entries int) int {
 	free := p.state.Slots - p.state.Busy - p.state.Queued
 	if free <= 0 {
 		return 0
 	}
-	part := max(free/entries, 1)
+	part := min(max(free*roomShares/entries, 1), free)
 	sent := max(p.ramp.shifted-p.shiftedAtUpdate, 0)
 	return part - sent
 }
--- a/internal/steer/router.go
+++ b/internal/steer/router.go
@@ -204,6 +204,12 @@
 }
 
 func (s *serviceRouter) setZones(now time.Time, zones []ZoneState) {
+	if s.sameOrder(zones) {
+		for i, z := range zones {
+			s.order[i].update(now, z, true)
+		}
+		return
+	}
 	previous := s.places
 	s.places = make(map[model.Zone]*place, len(zones))
 	s.order = make([]*place, 0, len(zones))
@@ -223,6 +229,14 @@
 	}
 }
 
+// sameOrder reports that only the states of the zones differ.
+func (s *serviceRouter) sameOrder(zones []ZoneState) bool {
+	return slices.EqualFunc(s.order, zones, func(p *place, z ZoneState) bool {
+		return p.state.Zone == z.Zone && p.state.Region == z.Region
+	})
+}
+
+// regionFirst returns the failover order with the places of a region first.
 func regionFirst(order []*place, region model.Region) []*place {
 	sorted := make([]*place, 0, len(order))
 	for _, p := range order {
--- a/internal/steer/router_test.go
+++ b/internal/steer/router_test.go
@@ -383,6 +383,22 @@
 	})
 }
 
+func BenchmarkSetZones(b *testing.B) {
+	for _, zones := range []int{6, 240} {
+		b.Run(fmt.Sprintf("zones=%d", zones), func(b *testing.B) {
+			r, _ := benchRouter(zones, "home")
+			states := make([]ZoneState, 0, zones)
+			for _, p := range r.Places(routerStart, "s") {
+				states = append(states, p.State)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				r.SetZones(routerStart, "s", states)
+			}
+		})
+	}
+}
+
 func benchRouter(zones int, kind string) (*Router, Request) {
 	r := NewRouter(openBudget{}, RouterOptions{})
 	states := make([]ZoneState, zones)
