Judge a server's latency by medians and against its peers

Cause: one long transfer among short answers raised the mean of recent latencies past the bound, so healthy servers lost slots. Change: the recent latency is a median of 15 answers, it is compared with the median of all servers as well, and long transfers pass no latency. Conclusion: the mix of requests no longer shrinks limits.

--- a/internal/health/server.go
+++ b/internal/health/server.go
@@ -10,13 +10,6 @@
 	decrease = 0.7
 	// minDecreasePause is the least time between two decreases.
 	minDecreasePause = 100 * time.Millisecond
-	// recentWeight and usualWeight are the shares of a new sample in the
-	// recent and in the usual latency.
-	recentWeight = 1.0 / 8
-	usualWeight  = 1.0 / 256
-	// usualMinAnswers is the count of answers from which the usual latency is
-	// known well enough to compare with.
-	usualMinAnswers = 32
 	// coldAnswers is the count of answers for each slot that a cold server
 	// gives before it runs at its full limit.
 	coldAnswers = 20
@@ -52,9 +45,7 @@
 	// limit is the count of requests that may run at once.
 	limit        float64
 	decreasedAt  time.Time
-	recent       mean
-	usual        mean
-	answers      int
+	latency      latency
 	lastAnswer   time.Time
 	answerRun    int
 	failureRun   int
@@ -76,31 +67,24 @@
 }
 
 // answered learns from an answer: the limit grows by one for each round of
-// limit answers, and shrinks while the latency is too far above the usual one.
-func (s *server) answered(now time.Time, latency time.Duration, opts Options) {
+// limit answers, and shrinks while the server is slow. peers is the usual
+// latency of the other servers, or zero.
+func (s *server) answered(now time.Time, took, peers time.Duration, opts Options) {
 	s.lastAnswer = now
-	s.answers++
 	s.answerRun++
 	s.failureRun = 0
 	s.forgive()
 	s.warmUp(now)
-	s.recent.add(latency, recentWeight)
-	s.usual.add(latency, usualWeight)
-	if s.slow(opts) {
+	if took > 0 {
+		s.latency.add(took)
+	}
+	if !s.cold && s.latency.risen(peers, opts.LatencyRatio) {
 		s.shrink(now)
 		return
 	}
 	s.limit = min(float64(s.info.Slots), s.limit+1/max(s.limit, minLimit))
 }
 
-// slow reports whether the recent latency is too far above the usual one.
-func (s *server) slow(opts Options) bool {
-	if s.cold || s.answers < usualMinAnswers {
-		return false
-	}
-	return float64(s.recent.value) > opts.LatencyRatio*float64(s.usual.value)
-}
-
 func (s *server) shed(now time.Time) {
 	s.shrink(now)
 }
@@ -114,7 +98,7 @@
 // shrink lowers the limit, at most once in the time that the effect takes to
 // show.
 func (s *server) shrink(now time.Time) {
-	pause := max(minDecreasePause, s.recent.value)
+	pause := max(minDecreasePause, s.latency.recent)
 	if now.Sub(s.decreasedAt) < pause {
 		return
 	}
@@ -208,16 +192,3 @@
 	}
 	return limit
 }
-
-// mean is an exponentially weighted mean of latencies.
-type mean struct {
-	value time.Duration
-}
-
-func (m *mean) add(sample time.Duration, weight float64) {
-	if m.value == 0 {
-		m.value = sample
-		return
-	}
-	m.value += time.Duration(float64(sample-m.value) * weight)
-}
--- a/internal/health/tracker.go
+++ b/internal/health/tracker.go
@@ -14,6 +14,7 @@
 	servers []*server
 	byID    map[model.ServerID]*server
 	ejected int
+	peers   peerLatency
 	limits  []admit.Server
 }
 
@@ -66,7 +67,9 @@
 	t.servers = kept
 }
 
-// Observe takes in the result of one attempt at a server.
+// Observe takes in the result of one attempt at a server. The latency of an
+// answer counts for the server's speed; pass zero for long transfers, whose
+// time depends on their size.
 func (t *Tracker) Observe(now time.Time, id model.ServerID, class Class, latency time.Duration) {
 	s, ok := t.byID[id]
 	if !ok {
@@ -107,9 +110,10 @@
 	return t.limits
 }
 
-func (t *Tracker) answered(now time.Time, s *server, latency time.Duration) {
+func (t *Tracker) answered(now time.Time, s *server, took time.Duration) {
 	s.endEjection(now)
-	s.answered(now, latency, t.opts)
+	s.answered(now, took, t.peers.value, t.opts)
+	t.peers.refresh(t.servers)
 	if s.state == probing && s.answerRun >= t.opts.ProbeAnswers {
 		s.restore(now)
 		t.countEjected()
