Serve newest first only while refusing, and estimate waits by lane

Cause: a queue that was not empty for 100 ms counted as overloaded, so short bursts were served newest first; and a short request behind its account's long transfers was refused for their wait. Change: a priority counts as overloaded for 1 s after it refused for lack of capacity; queue lengths and intervals are kept by lane.

--- a/internal/admit/account.go
+++ b/internal/admit/account.go
@@ -23,6 +23,7 @@
 // the lane's round.
 type accountLane struct {
 	entries list
+	queued  int
 	// deficit is the count of requests that the account may still start in
 	// this round.
 	deficit    int
@@ -50,12 +51,15 @@
 type ring struct {
 	lane lane
 	head *account
+	// weight is the sum of the accounts' weights.
+	weight int
 }
 
 // add puts a at the end of the round.
 func (r *ring) add(a *account) {
 	at := &a.lanes[r.lane]
 	at.deficit = a.weight
+	r.weight += a.weight
 	if r.head == nil {
 		at.prev, at.next = a, a
 		r.head = a
@@ -70,6 +74,7 @@
 // remove takes a out of the round.
 func (r *ring) remove(a *account) {
 	at := &a.lanes[r.lane]
+	r.weight -= a.weight
 	if at.next == a {
 		r.head = nil
 	} else {
--- a/internal/admit/class.go
+++ b/internal/admit/class.go
@@ -11,7 +11,7 @@
 	priority model.Priority
 	accounts map[model.AccountID]*account
 	longest  indexedHeap[*account]
-	rounds   [numLanes]ring
+	lanes    [numLanes]laneState
 	// arrivals lists the waiting entries, oldest first.
 	arrivals list
 	// cancellable lists the running entries that may be cancelled, oldest
@@ -21,19 +21,24 @@
 	cancelling int
 	queued     int
 	running    int
-	// weight is the sum of the weights of the accounts that wait.
-	weight int
 	// credit is the slot time that the floor still owes the priority.
 	credit time.Duration
-	// standingSince is the time since which requests have been waiting.
-	standingSince time.Time
-	// lastTaken is when an entry last left the queue for a server.
+	// refusedAt is when a request was last refused for lack of capacity.
+	refusedAt time.Time
+	spare     []*account
+}
+
+// laneState is the state of one lane of a priority.
+type laneState struct {
+	round  ring
+	queued int
+	// lastTaken is when an entry last left the queue for a server, or when
+	// the first one joined an empty queue.
 	lastTaken time.Time
-	// interval is the mean time between two such entries.
+	// interval is the mean time between two entries that leave so.
 	interval movingMean
-	service  [numLanes]movingMean
-	rates    [numLanes]arrivalRate
-	spare    []*account
+	service  movingMean
+	arrivals arrivalRate
 }
 
 func (c *class) init(p model.Priority) {
@@ -41,26 +46,28 @@
 	c.accounts = make(map[model.AccountID]*account)
 	c.arrivals.kind = byAge
 	c.cancellable.kind = byAge
-	for l := range c.rounds {
-		c.rounds[l].lane = lane(l)
+	for l := range c.lanes {
+		c.lanes[l].round.lane = lane(l)
 	}
 }
 
 // push adds e to the end of its account's queue.
 func (c *class) push(now time.Time, e *entry, weight int) {
-	if c.queued == 0 {
-		c.standingSince = now
-		c.lastTaken = now
-	}
 	a := c.join(e.item.Account, weight)
-	e.account = a
-	e.enqueued = now
 	l := laneOf(e.item)
-	if a.lanes[l].entries.head == nil {
-		c.rounds[l].add(a)
+	state, own := &c.lanes[l], &a.lanes[l]
+	if state.queued == 0 {
+		state.lastTaken = now
 	}
-	a.lanes[l].entries.pushBack(e)
+	if own.queued == 0 {
+		state.round.add(a)
+	}
+	e.account = a
+	e.enqueued = now
+	own.entries.pushBack(e)
 	c.arrivals.pushBack(e)
+	own.queued++
+	state.queued++
 	a.queued++
 	c.queued++
 	c.longest.fix(a.heapIndex)
@@ -74,7 +81,6 @@
 	a := c.newAccount()
 	a.id = id
 	a.weight = weight
-	c.weight += weight
 	c.accounts[id] = a
 	c.longest.push(a)
 	return a
@@ -98,33 +104,38 @@
 func (c *class) remove(e *entry) {
 	a := e.account
 	l := laneOf(e.item)
-	a.lanes[l].entries.remove(e)
-	if a.lanes[l].entries.head == nil {
-		c.rounds[l].remove(a)
-	}
+	state, own := &c.lanes[l], &a.lanes[l]
+	own.entries.remove(e)
 	c.arrivals.remove(e)
 	e.account = nil
+	own.queued--
+	state.queued--
 	a.queued--
 	c.queued--
+	if own.queued == 0 {
+		state.round.remove(a)
+	}
 	if a.queued > 0 {
 		c.longest.fix(a.heapIndex)
 		return
 	}
 	c.longest.removeAt(a.heapIndex)
 	delete(c.accounts, a.id)
-	c.weight -= a.weight
 	c.spare = append(c.spare, a)
 }
 
 // take removes e because a server runs it, and charges its account.
 func (c *class) take(now time.Time, e *entry) {
-	c.interval.add(now.Sub(c.lastTaken))
-	c.lastTaken = now
-	c.rounds[laneOf(e.item)].charge(e.account)
+	state := &c.lanes[laneOf(e.item)]
+	state.interval.add(now.Sub(state.lastTaken))
+	state.lastTaken = now
+	state.round.charge(e.account)
 	c.remove(e)
 }
 
-// standing reports whether requests have been waiting for long.
-func (c *class) standing(now time.Time) bool {
-	return c.queued > 0 && now.Sub(c.standingSince) > standingAfter
+// overloaded reports whether the priority has had to refuse work lately. It
+// then serves the newest requests first, since the oldest ones would use
+// their slots to answer too late.
+func (c *class) overloaded(now time.Time) bool {
+	return !c.refusedAt.IsZero() && now.Sub(c.refusedAt) < overloadHold
 }
--- a/internal/admit/floor.go
+++ b/internal/admit/floor.go
@@ -39,7 +39,7 @@
 }
 
 func (c *class) maxDebt() time.Duration {
-	return debtServices * max(c.service[laneShort].value, c.service[laneLong].value)
+	return debtServices * max(c.lanes[laneShort].service.value, c.lanes[laneLong].service.value)
 }
 
 // owed reports whether the priority holds less than its floor and is not in
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -132,7 +132,7 @@
 func (q *Queue) admit(now time.Time, item Item) {
 	c := &q.classes[item.Priority]
 	l := laneOf(item)
-	c.rates[l].add(now)
+	c.lanes[l].arrivals.add(now)
 	if !item.Deadline.IsZero() && !item.Deadline.After(now) {
 		q.refuseNew(item, model.ReasonDeadline)
 		return
@@ -210,13 +210,13 @@
 // candidate returns the entry of c to start next: the one that has waited
 // longer of the two lanes' next ones.
 func (q *Queue) candidate(now time.Time, c *class) *entry {
-	newestFirst := c.standing(now)
+	newestFirst := c.overloaded(now)
 	var best *entry
-	for l := range c.rounds {
-		if c.rounds[l].head == nil || !q.mayStart(now, c.priority, lane(l)) {
+	for l := range c.lanes {
+		if c.lanes[l].queued == 0 || !q.mayStart(now, c.priority, lane(l)) {
 			continue
 		}
-		e := q.startable(&c.rounds[l], newestFirst)
+		e := q.startable(&c.lanes[l].round, newestFirst)
 		if e == nil {
 			continue
 		}
@@ -294,7 +294,7 @@
 		c.cancellable.remove(e)
 	}
 	if !e.cancelled {
-		c.service[laneOf(e.item)].add(service)
+		c.lanes[laneOf(e.item)].service.add(service)
 	}
 	q.forget(e)
 }
--- a/internal/admit/reserve.go
+++ b/internal/admit/reserve.go
@@ -37,8 +37,8 @@
 func (q *Queue) shortLoad(now time.Time, p model.Priority) int {
 	var load float64
 	for i := range q.classes[:p+1] {
-		c := &q.classes[i]
-		load += c.rates[laneShort].perSecond(now) * c.service[laneShort].value.Seconds()
+		short := &q.classes[i].lanes[laneShort]
+		load += short.arrivals.perSecond(now) * short.service.value.Seconds()
 	}
 	if load < negligibleLoad {
 		return 0
--- a/internal/admit/shed.go
+++ b/internal/admit/shed.go
@@ -6,11 +6,9 @@
 	"fuchsiaspar/internal/model"
 )
 
-const (
-	// standingAfter is how long requests wait without a break before the
-	// queue counts as overloaded.
-	standingAfter = 100 * time.Millisecond
-)
+// overloadHold is how long after a refusal for lack of capacity a priority
+// counts as overloaded.
+const overloadHold = time.Second
 
 // shed refuses the waiting requests whose deadline or greatest age has come.
 func (q *Queue) shed(now time.Time) {
@@ -19,17 +17,23 @@
 		if e.item.Deadline.After(now) {
 			break
 		}
-		q.refuse(e, model.ReasonDeadline)
+		q.refuseLate(now, e, model.ReasonDeadline)
 	}
 	for p := range q.classes {
 		c := &q.classes[p]
 		limit := q.policy.MaxQueueAge[p]
 		for limit > 0 && c.queued > 0 && now.Sub(c.arrivals.head.enqueued) >= limit {
-			q.refuse(c.arrivals.head, model.ReasonShedByAge)
+			q.refuseLate(now, c.arrivals.head, model.ReasonShedByAge)
 		}
 	}
 }
 
+// refuseLate refuses a waiting entry that its priority had no capacity for.
+func (q *Queue) refuseLate(now time.Time, e *entry, reason model.Reason) {
+	q.classes[e.item.Priority].refusedAt = now
+	q.refuse(e, reason)
+}
+
 // refuse takes a waiting entry out and reports why.
 func (q *Queue) refuse(e *entry, reason model.Reason) {
 	q.dequeue(e)
@@ -63,6 +67,7 @@
 // with the longest queue for its weight pays: either with one of its waiting
 // requests, or with the item itself.
 func (q *Queue) makeRoom(now time.Time, c *class, item Item) bool {
+	c.refusedAt = now
 	longest := c.longest.nodes[0]
 	queued, weight := 0, q.policy.weight(item.Account)
 	if a, ok := c.accounts[item.Account]; ok {
@@ -72,7 +77,7 @@
 		q.refuseNew(item, model.ReasonQueueFull)
 		return false
 	}
-	q.refuse(longest.lastToServe(c.standing(now)), model.ReasonDisplaced)
+	q.refuse(longest.lastToServe(c.overloaded(now)), model.ReasonDisplaced)
 	return true
 }
 
@@ -91,21 +96,25 @@
 	return last
 }
 
-// wait estimates how long an item of an account would wait in c.
+// wait estimates how long an item would wait in its lane of c: until its own
+// account's queue has had its turns among those of the other accounts.
 func (q *Queue) wait(c *class, item Item) time.Duration {
-	if c.queued == 0 {
+	l := laneOf(item)
+	state := &c.lanes[l]
+	if state.queued == 0 {
 		return 0
 	}
 	weight := q.policy.weight(item.Account)
-	total := c.weight
+	total := state.round.weight
 	own := 0
 	if a, ok := c.accounts[item.Account]; ok {
-		own = a.queued
-	} else {
+		own = a.lanes[l].queued
+	}
+	if own == 0 {
 		total += weight
 	}
-	ahead := min(c.queued, own*total/weight+total/weight)
-	return c.interval.value * time.Duration(ahead)
+	ahead := min(state.queued, (own+1)*total/weight)
+	return state.interval.value * time.Duration(ahead)
 }
 
 // tooLate reports whether an item would miss its deadline if it had to wait.
@@ -113,5 +122,9 @@
 	if item.Deadline.IsZero() {
 		return false
 	}
-	return q.wait(c, item) > item.Deadline.Sub(now)
+	if q.wait(c, item) <= item.Deadline.Sub(now) {
+		return false
+	}
+	c.refusedAt = now
+	return true
 }
