--- a/internal/config/fixture_test.go
+++ b/internal/config/fixture_test.go
@@ -67,11 +67,16 @@
 	store *standin.Store
 
 	mu sync.Mutex
-	// cut holds the VMs that reach no other VM.
-	cut   map[model.VMID]bool
+	// side splits the VMs: those of different sides don't reach each other.
+	side  map[model.VMID]int
 	nodes map[model.VMID]*node
 	seed  int64
-	rules rules
+	// rulesOf returns the rules of a VM.
+	rulesOf func(model.VMID) rules
+	// acked records each acknowledgement seen on a link.
+	acked map[attempt]map[model.VMID]bool
+	// retired holds the nodes that were stopped.
+	retired []*node
 }
 
 // node is one process. A restart replaces it.
@@ -88,10 +93,12 @@
 func newFleet(seed int64) *fleet {
 	return &fleet{
 		store: standin.New(standin.Options{}),
-		cut:   make(map[model.VMID]bool),
+		side:  make(map[model.VMID]int),
 		nodes: make(map[model.VMID]*node),
 		seed:  seed,
-		rules: standardRules(),
+		acked: make(map[attempt]map[model.VMID]bool),
+
+		rulesOf: func(model.VMID) rules { return standardRules() },
 	}
 }
 
@@ -114,7 +121,7 @@
 		View:  func() *membership.View { return f.view(slot.VM) },
 		Rand:  rand.New(rand.NewSource(f.seed)),
 	})
-	n.service.rules = f.rules
+	n.service.rules = f.rulesOf(slot.VM)
 	n.service.Subscribe(func(s *Snapshot) {
 		f.mu.Lock()
 		defer f.mu.Unlock()
@@ -131,6 +138,7 @@
 	f.mu.Lock()
 	n := f.nodes[vm]
 	delete(f.nodes, vm)
+	f.retired = append(f.retired, n)
 	f.mu.Unlock()
 	_ = n.service.Stop(context.Background())
 }
@@ -162,11 +170,14 @@
 func (f *fleet) setCut(vm model.VMID, cut bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.cut[vm] = cut
+	f.side[vm] = 0
+	if cut {
+		f.side[vm] = 1 + slices.IndexFunc(testSlots, func(s Slot) bool { return s.VM == vm })
+	}
 }
 
 func (f *fleet) connected(a, b model.VMID) bool {
-	return a == b || (!f.cut[a] && !f.cut[b])
+	return f.side[a] == f.side[b]
 }
 
 // view is what perfect membership would tell vm.
@@ -225,6 +236,7 @@
 	if err != nil {
 		return fmt.Errorf("%w: %v", peer.ErrRemote, err)
 	}
+	n.fleet.recordAcks(kind, data, answer)
 	if reply == nil {
 		return nil
 	}
@@ -258,3 +270,27 @@
 		t.Fatalf("bootstrap: %+v, %v", result, err)
 	}
 }
+
+// recordAcks notes the acknowledgements in an answer to a proposal.
+func (f *fleet) recordAcks(kind peer.Kind, body []byte, answer any) {
+	reply, ok := answer.(*proposeReply)
+	if kind != peer.KindConfigPropose || !ok {
+		return
+	}
+	var req proposeRequest
+	_ = decode(body, &req)
+	for _, a := range reply.Answers {
+		if a.Verdict == verdictAck {
+			f.recordAck(req.attempt(), a.VM)
+		}
+	}
+}
+
+func (f *fleet) recordAck(at attempt, vm model.VMID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.acked[at] == nil {
+		f.acked[at] = make(map[model.VMID]bool)
+	}
+	f.acked[at][vm] = true
+}
--- a/internal/config/follow.go
+++ b/internal/config/follow.go
@@ -101,12 +101,13 @@
 func (s *Service) catchUp(ctx context.Context, head storedHead, at time.Time) error {
 	r := head.headRevision()
 	inForce := s.installed().revision()
-	if r < inForce {
+	higher := s.rules.higher(inForce, r)
+	if r < inForce && !higher {
 		s.scope.Counter("config_store_behind").Inc(1)
 		s.log.Error("store holds a lower revision than the one in force", "store", r, "revision", inForce)
 		return ErrStoreBehind
 	}
-	if r > inForce {
+	if higher {
 		v, err := s.versionFromStore(ctx, head.Head)
 		if err != nil {
 			s.log.Error("configuration not adopted", "revision", r, "err", err)
@@ -195,7 +196,7 @@
 }
 
 func (s *Service) takeOver(ctx context.Context, a peerAnswer) error {
-	if a.reply.Revision > s.installed().revision() {
+	if s.rules.higher(s.installed().revision(), a.reply.Revision) {
 		if !s.trusts(a) {
 			return errStaleSource
 		}
