--- a/internal/peer/envelope.go
+++ b/internal/peer/envelope.go
@@ -69,6 +69,8 @@
 func mustDecoder() cbor.DecMode {
 	mode, err := cbor.DecOptions{
 		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		IndefLength:      cbor.IndefLengthForbidden,
+		TagsMd:           cbor.TagsForbidden,
 		MaxNestedLevels:  maxNestedLevels,
 		MaxArrayElements: maxArrayElements,
 		MaxMapPairs:      maxMapPairs,
