--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -13,6 +13,9 @@
 const (
 	// dialTimeout bounds the set-up of a connection.
 	dialTimeout = 2 * time.Second
+	// keepAliveIdle is how long a connection is quiet before the kernel probes
+	// it. It is long enough to keep the probes of unused connections few.
+	keepAliveIdle = 5 * time.Second
 	// keepAliveProbes is the count of unanswered TCP keep-alive probes after
 	// which the kernel ends a connection.
 	keepAliveProbes = 3
@@ -88,7 +91,7 @@
 		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
-			Idle:     silence,
+			Idle:     max(keepAliveIdle, silence),
 			Interval: silence,
 			Count:    keepAliveProbes,
 		},
--- a/internal/backend/standin/server.go
+++ b/internal/backend/standin/server.go
@@ -132,10 +132,11 @@
 	return backend.Target{ID: s.opts.ID, Address: s.Address(), MaxConns: s.opts.MaxConns}
 }
 
-// Close stops the server after the requests in flight.
+// Close stops the server after the requests in flight, at the latest after
+// Options.DrainGrace.
 func (s *Server) Close() {
 	s.listener.gate.open()
-	ctx, stop := context.WithTimeout(context.Background(), defaultDrainGrace)
+	ctx, stop := context.WithTimeout(context.Background(), s.opts.DrainGrace)
 	defer stop()
 	_ = s.http.Shutdown(ctx)
 	s.Kill()
