Serve clients from their own place, and leave unreachable servers at once

A client whose place does not run the service was sent to the service's entry VMs. Change: look-up answers order entry VMs from the client's own place; answers and uploads of a client in another region wait for the link; a server that accepts no connection gets no work, without a bound on the share of servers. Uploads through a dead region's link now wait for ever, since its floors belong to that region.

--- a/internal/demo/observe.go
+++ b/internal/demo/observe.go
@@ -104,6 +104,9 @@
 	at := int(time.Since(o.started) / step)
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if total < o.lastShed[id] {
+		o.lastShed[id] = 0
+	}
 	o.shed[region] = addAt(o.shed[region], at, int64(total-o.lastShed[id]))
 	o.lastShed[id] = total
 }
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -21,10 +22,11 @@
 
 // answer sends a to the caller. A body that ends early aborts the connection,
 // so that it never looks complete.
-func (s *Server) answer(w http.ResponseWriter, q *request, a *answer) {
+func (s *Server) answer(ctx context.Context, w http.ResponseWriter, q *request, a *answer) {
 	defer a.body.Close()
 	writeHead(w, s.revision(), a)
-	if err := transfer(w, a.body, a.length); err != nil {
+	body := s.paced(ctx, a.body, s.options.Region, q.region, q.priority)
+	if err := transfer(w, body, a.length); err != nil {
 		s.meter.truncated()
 		s.record(q, &Failure{Outcome: model.OutcomeRan, Reason: model.ReasonTruncated, Message: err.Error()})
 		panic(http.ErrAbortHandler)
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -119,20 +119,23 @@
 		slot.Release(owner.Unused)
 		return f
 	}
-	slot.Release(ending(slot.Context, f.Reason))
+	slot.Release(ending(slot.Context, f.Reason, err))
 	return f
 }
 
-func ending(ctx context.Context, r model.Reason) owner.Ending {
+func ending(ctx context.Context, r model.Reason, err error) owner.Ending {
 	switch r {
 	case model.ReasonShed:
 		return owner.Ended(health.Shed)
 	case model.ReasonSilent:
 		return owner.Ended(health.Silent)
 	}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || errors.Is(err, backend.ErrConnLimit) {
 		return owner.Unused
 	}
+	if r == model.ReasonConnect {
+		return owner.Ended(health.Unreachable)
+	}
 	return owner.Ended(health.Failed)
 }
 
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -7,7 +7,6 @@
 	"strconv"
 	"time"
 
-	"fuchsiaspar/internal/config"
 	"fuchsiaspar/internal/explain"
 	"fuchsiaspar/internal/model"
 	"fuchsiaspar/internal/owner"
@@ -42,9 +41,8 @@
 	now := time.Now()
 	s.options.Retries.FirstTry(now, q.service, q.priority)
 	p := &progress{tried: q.state.Drained[q.account]}
-	home := s.home(q)
 	for n := 1; n <= maxAttempts; n++ {
-		target, f := s.choose(q, p, home)
+		target, f := s.choose(q, p)
 		if f != nil {
 			return nil, p.final(f)
 		}
@@ -81,28 +79,19 @@
 	return id + "." + model.AttemptID(strconv.Itoa(n))
 }
 
-// home returns the places of the client in order, own place first.
-func (s *Server) home(q *request) []config.Place {
-	a, ok := q.state.Table.Lookup(q.client, q.account, q.service)
-	if !ok || len(a.Places) == 0 {
-		return []config.Place{{Zone: s.options.Zone, Weight: 1}}
-	}
-	return a.Places
-}
-
 // target is the entry VM and availability zone of one attempt.
 type target struct {
 	zone  model.Zone
 	owner Owner
 }
 
-func (s *Server) choose(q *request, p *progress, home []config.Place) (target, *Failure) {
+func (s *Server) choose(q *request, p *progress) (target, *Failure) {
 	for {
 		choice := s.options.Router.Choose(time.Now(), steer.Request{
 			Account:  q.account,
 			Service:  q.service,
 			Priority: q.priority,
-			Home:     home,
+			Home:     q.home,
 			Tried:    p.tried,
 		})
 		if !choice.OK {
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -59,7 +59,7 @@
 	case once.ClaimJoin:
 		s.join(w, r, q, claim)
 	default:
-		s.replay(w, q, claim.Result)
+		s.replay(w, r, q, claim.Result)
 	}
 }
 
@@ -87,12 +87,12 @@
 		s.fail(w, q, f)
 		return
 	}
-	s.keepAnswer(w, q, id, a)
+	s.keepAnswer(w, r, q, id, a)
 }
 
 // keepAnswer keeps a small answer for repeats before it goes to the caller. A
 // larger one is streamed and only its outcome is kept.
-func (s *Server) keepAnswer(w http.ResponseWriter, q *request, id once.TicketID, a *answer) {
+func (s *Server) keepAnswer(w http.ResponseWriter, r *http.Request, q *request, id once.TicketID, a *answer) {
 	limit := int64(s.options.MaxKeptAnswerBytes)
 	body, err := io.ReadAll(io.LimitReader(a.body, limit+1))
 	result := once.Result{Outcome: model.OutcomeRan, Status: a.status}
@@ -116,7 +116,7 @@
 		a.body = io.NopCloser(bytes.NewReader(body))
 	}
 	s.options.Tickets.Finish(id, result)
-	s.answer(w, q, a)
+	s.answer(r.Context(), w, q, a)
 }
 
 type joinedBody struct {
@@ -133,16 +133,16 @@
 		s.fail(w, q, &Failure{Outcome: model.OutcomeUnknown, Reason: model.ReasonTimeout, Status: http.StatusGatewayTimeout, Message: "an earlier copy is still running; ask again with the same ticket"})
 		return
 	}
-	s.replay(w, q, result)
+	s.replay(w, r, q, result)
 }
 
 // replay answers from the record of an earlier copy.
-func (s *Server) replay(w http.ResponseWriter, q *request, result once.Result) {
+func (s *Server) replay(w http.ResponseWriter, r *http.Request, q *request, result once.Result) {
 	if !result.Kept {
 		s.fail(w, q, keptFailure(result))
 		return
 	}
-	s.answer(w, q, &answer{
+	s.answer(r.Context(), w, q, &answer{
 		status: result.Status,
 		header: result.Header,
 		length: int64(len(result.Body)),
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -145,7 +145,7 @@
 		s.fail(w, q, f)
 		return
 	}
-	s.answer(w, q, a)
+	s.answer(ctx, w, q, a)
 }
 
 func unknownTicket(message string) *Failure {
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -29,6 +29,10 @@
 	priority model.Priority
 	deadline time.Time
 	client   netip.Addr
+	// home lists the places that serve the client, nearest first.
+	home []config.Place
+	// region is where the client is.
+	region model.Region
 	ticket   string
 	method   string
 	// path is the backend server's path with the query.
@@ -95,7 +99,9 @@
 	}
 	q.header = make(http.Header, len(r.Header))
 	header.CopyEndToEnd(q.header, r.Header)
-	q.body = newReplayBody(r.Body, r.ContentLength, s.options.MaxReplayBytes)
+	s.locate(q)
+	body := s.paced(r.Context(), r.Body, q.region, s.options.Region, q.priority)
+	q.body = newReplayBody(body, r.ContentLength, s.options.MaxReplayBytes)
 	return q, nil
 }
 
@@ -110,6 +116,21 @@
 	return n
 }
 
+// locate finds the places that serve the client and the region it is in. A
+// client outside all blocks counts as one of this region.
+func (s *Server) locate(q *request) {
+	q.region = s.options.Region
+	a, ok := q.state.Table.Lookup(q.client, q.account, q.service)
+	if ok && a.Located {
+		q.region = a.Near.Region
+	}
+	if ok && len(a.Places) > 0 {
+		q.home = a.Places
+		return
+	}
+	q.home = []config.Place{{Zone: s.options.Zone, Weight: 1}}
+}
+
 func (q *request) parsePath(r *http.Request) *Failure {
 	rest := strings.TrimPrefix(r.URL.EscapedPath(), RequestPath)
 	service, path, ok := strings.Cut(rest, "/")
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -112,7 +112,7 @@
 		s.fail(w, q, f)
 		return
 	}
-	s.answer(w, q, a)
+	s.answer(ctx, w, q, a)
 }
 
 // fail answers with an outcome and its reason, and records both.
--- a/internal/health/server.go
+++ b/internal/health/server.go
@@ -16,6 +16,10 @@
 	// forgiveAnswers is the count of answers in a row that halves the time of
 	// the next ejection.
 	forgiveAnswers = 200
+	// downBase is the pause after the failed connects that make a server down;
+	// it doubles up to downMax.
+	downBase = 500 * time.Millisecond
+	downMax  = 8 * time.Second
 	// maxDoublings bounds the growth of the time of an ejection.
 	maxDoublings = 16
 )
@@ -43,14 +47,18 @@
 	listed bool
 	state  state
 	// limit is the count of requests that may run at once.
-	limit        float64
-	decreasedAt  time.Time
-	latency      latency
-	lastAnswer   time.Time
-	answerRun    int
-	failureRun   int
-	ejections    int
-	ejectedUntil time.Time
+	limit       float64
+	decreasedAt time.Time
+	latency     latency
+	lastAnswer  time.Time
+	answerRun   int
+	failureRun  int
+	// unreachableRun counts failed connects in a row, and downUntil ends the
+	// time without any work that they cause.
+	unreachableRun int
+	downUntil      time.Time
+	ejections      int
+	ejectedUntil   time.Time
 	// warm is the count of answers since a cold start.
 	cold      bool
 	warm      int
@@ -71,6 +79,7 @@
 // latency of the other servers, or zero.
 func (s *server) answered(now time.Time, took, peers time.Duration, opts Options) {
 	s.lastAnswer = now
+	s.reached()
 	s.answerRun++
 	s.failureRun = 0
 	s.forgive()
@@ -86,6 +95,7 @@
 }
 
 func (s *server) shed(now time.Time) {
+	s.reached()
 	s.shrink(now)
 }
 
@@ -95,6 +105,25 @@
 	s.shrink(now)
 }
 
+// unreachable counts a failed connect. From the run that makes the server down
+// each further one doubles the pause until the next try.
+func (s *server) unreachable(now time.Time, opts Options) {
+	s.unreachableRun++
+	over := s.unreachableRun - opts.UnreachableRun
+	if over < 0 {
+		return
+	}
+	pause := downBase << min(over, maxDoublings)
+	s.downUntil = now.Add(min(pause, downMax))
+	s.limit = minLimit
+}
+
+// reached ends the time without work: the server accepts connections.
+func (s *server) reached() {
+	s.unreachableRun = 0
+	s.downUntil = time.Time{}
+}
+
 // shrink lowers the limit, at most once in the time that the effect takes to
 // show.
 func (s *server) shrink(now time.Time) {
@@ -164,7 +193,7 @@
 
 // current returns the count of requests that the server may run at once now.
 func (s *server) current(now time.Time) int {
-	if s.info.Draining || s.state == ejected || s.info.Slots <= 0 {
+	if s.info.Draining || s.state == ejected || s.info.Slots <= 0 || now.Before(s.downUntil) {
 		return 0
 	}
 	if s.state == probing {
--- a/internal/health/tracker.go
+++ b/internal/health/tracker.go
@@ -82,6 +82,8 @@
 		s.shed(now)
 	case Failed, Silent:
 		t.failed(now, s)
+	case Unreachable:
+		s.unreachable(now, t.opts)
 	}
 }
 
@@ -92,6 +94,7 @@
 	if !ok || r.Age >= t.opts.MaxReportAge {
 		return
 	}
+	s.reached()
 	made := now.Add(-r.Age)
 	if made.Before(s.report.made) {
 		return
@@ -110,6 +113,16 @@
 	return t.limits
 }
 
+// Out appends the servers that get no work because they fail.
+func (t *Tracker) Out(now time.Time, list []model.ServerID) []model.ServerID {
+	for _, s := range t.servers {
+		if s.state == ejected || now.Before(s.downUntil) {
+			list = append(list, s.info.ID)
+		}
+	}
+	return list
+}
+
 func (t *Tracker) answered(now time.Time, s *server, took time.Duration) {
 	s.endEjection(now)
 	s.answered(now, took, t.peers.value, t.opts)
--- a/internal/health/types.go
+++ b/internal/health/types.go
@@ -22,10 +22,12 @@
 	Answered Class = iota
 	// Shed means that the server refused the request because of its load.
 	Shed
-	// Failed means a failed connect, a reset or a timeout.
+	// Failed means a reset or a timeout.
 	Failed
 	// Silent means that the connection showed no progress.
 	Silent
+	// Unreachable means that no connection could be opened.
+	Unreachable
 )
 
 // ServerInfo describes a server that the entry VM owns.
@@ -63,6 +65,11 @@
 	// ProbeAnswers is the count of answers in a row that ends an ejection
 	// whose time has passed.
 	ProbeAnswers int
+	// UnreachableRun is the count of failed connects in a row after which a
+	// server gets no work. This needs no bound on the share of servers: a
+	// server that accepts no connection can't be saved from too much load by
+	// sending it more.
+	UnreachableRun int
 	// LatencyRatio is how far the recent latency may rise over the usual one
 	// before the limit shrinks.
 	LatencyRatio float64
@@ -74,6 +81,7 @@
 const (
 	defaultEjectShare   = 0.34
 	defaultFailureRun   = 4
+	defaultUnreachable  = 2
 	defaultEjectBase    = 2 * time.Second
 	defaultEjectMax     = 30 * time.Second
 	defaultProbeAnswers = 3
@@ -84,12 +92,13 @@
 // DefaultOptions returns the options used where an operator sets none.
 func DefaultOptions() Options {
 	return Options{
-		EjectShare:   defaultEjectShare,
-		FailureRun:   defaultFailureRun,
-		EjectBase:    defaultEjectBase,
-		EjectMax:     defaultEjectMax,
-		ProbeAnswers: defaultProbeAnswers,
-		LatencyRatio: defaultLatencyRatio,
-		MaxReportAge: defaultMaxReportAge,
+		EjectShare:     defaultEjectShare,
+		FailureRun:     defaultFailureRun,
+		UnreachableRun: defaultUnreachable,
+		EjectBase:      defaultEjectBase,
+		EjectMax:       defaultEjectMax,
+		ProbeAnswers:   defaultProbeAnswers,
+		LatencyRatio:   defaultLatencyRatio,
+		MaxReportAge:   defaultMaxReportAge,
 	}
 }
--- a/internal/steer/build.go
+++ b/internal/steer/build.go
@@ -89,41 +89,49 @@
 }
 
 func (b *builder) template(template *config.Template) *templateIndex {
-	t := &templateIndex{lists: make(map[model.Zone]*entryLists, len(template.Places))}
+	t := &templateIndex{lists: make(map[model.Zone]*entryLists, len(b.regions))}
 	for _, zone := range template.Places {
-		t.order = append(t.order, placement{zone: zone, region: b.regions[zone]})
+		t.order = append(t.order, Placement{Zone: zone, Region: b.regions[zone]})
+		t.everywhere = append(t.everywhere, config.Place{Zone: zone, Weight: 1})
 	}
 	byZone := groupByZone(b.open)
-	for _, home := range t.order {
-		lists := newEntryLists(t.groups(home, byZone))
-		t.lists[home.zone] = lists
+	for _, near := range b.nearPlaces(t) {
+		lists := newEntryLists(near, t.groups(near, byZone))
+		t.lists[near.Zone] = lists
 		b.stats.Lists += len(lists.rotations)
 	}
-	fallback := make([]config.Place, 0, len(t.order))
-	for _, at := range t.order {
-		fallback = append(fallback, config.Place{Zone: at.zone, Weight: 1})
-	}
-	t.fallback = t.newRoute(fallback)
+	t.fallback = t.newRoute(t.everywhere)
 	if t.fallback == nil {
 		t.fallback = &route{}
 	}
 	return t
 }
 
-func groupByZone(entries []Entry) map[placement][]Entry {
-	groups := make(map[placement][]Entry)
+// nearPlaces lists every place that a client may be in.
+func (b *builder) nearPlaces(t *templateIndex) []Placement {
+	places := slices.Clone(t.order)
+	for zone, region := range b.regions {
+		if !t.runs(zone) {
+			places = append(places, Placement{Zone: zone, Region: region})
+		}
+	}
+	return places
+}
+
+func groupByZone(entries []Entry) map[Placement][]Entry {
+	groups := make(map[Placement][]Entry)
 	for _, e := range entries {
-		at := placement{zone: e.Zone, region: e.Region}
+		at := Placement{Zone: e.Zone, Region: e.Region}
 		groups[at] = append(groups[at], e)
 	}
 	return groups
 }
 
-// groups orders the zones with entry VMs for a home place: the home, then its
-// region, then the template's order, then zones that the template leaves out.
-func (t *templateIndex) groups(home placement, byZone map[placement][]Entry) [][]Entry {
-	rest := slices.SortedFunc(maps.Keys(byZone), func(a, b placement) int {
-		if a.zone < b.zone {
+// groups orders the zones with entry VMs for a client's own place: that place,
+// then its region, then the template's order, then zones that the template leaves out.
+func (t *templateIndex) groups(near Placement, byZone map[Placement][]Entry) [][]Entry {
+	rest := slices.SortedFunc(maps.Keys(byZone), func(a, b Placement) int {
+		if a.Zone < b.Zone {
 			return -1
 		}
 		return 1
@@ -131,16 +139,16 @@
 	candidates := append(slices.Clone(t.order), rest...)
 	seen := map[model.Zone]bool{}
 	var groups [][]Entry
-	add := func(at placement) {
-		if seen[at.zone] || len(byZone[at]) == 0 {
+	add := func(at Placement) {
+		if seen[at.Zone] || len(byZone[at]) == 0 {
 			return
 		}
-		seen[at.zone] = true
+		seen[at.Zone] = true
 		groups = append(groups, byZone[at])
 	}
-	add(home)
+	add(near)
 	for _, at := range candidates {
-		if at.region == home.region {
+		if at.Region == near.Region {
 			add(at)
 		}
 	}
@@ -152,8 +160,8 @@
 
 // newEntryLists builds one list for each entry VM of the nearest zone, so that
 // clients spread over the VMs of each zone.
-func newEntryLists(groups [][]Entry) *entryLists {
-	lists := &entryLists{}
+func newEntryLists(near Placement, groups [][]Entry) *entryLists {
+	lists := &entryLists{near: near}
 	if len(groups) == 0 {
 		return lists
 	}
--- a/internal/steer/route.go
+++ b/internal/steer/route.go
@@ -13,16 +13,18 @@
 	// are nil.
 	routes   []*route
 	fallback *route
-	// lists holds the entry lists by home zone.
+	// lists holds the entry lists by the client's own zone.
 	lists map[model.Zone]*entryLists
 	// order is the template's places with their regions.
-	order []placement
+	order []Placement
+	// everywhere is all places of the template with equal weights.
+	everywhere []config.Place
 }
 
-// placement is an availability zone with its region.
-type placement struct {
-	zone   model.Zone
-	region model.Region
+// Placement is an availability zone with its region.
+type Placement struct {
+	Zone   model.Zone
+	Region model.Region
 }
 
 // route spreads the clients of one row over its places.
@@ -32,17 +34,20 @@
 	total uint64
 }
 
-// choice is one place that a client may have as its home.
+// choice is one place that a client may have as its own.
 type choice struct {
 	// below is the sum of the weights up to and including this choice.
 	below uint64
-	// places is the row with this choice first.
+	near  Placement
+	// places is the places that serve the client, nearest first.
 	places []config.Place
 	lists  *entryLists
 }
 
-// entryLists holds the answers for one home zone, rotated over its entry VMs.
+// entryLists holds the answers for clients of one place, rotated over the
+// nearest entry VMs.
 type entryLists struct {
+	near      Placement
 	rotations [][]Entry
 }
 
@@ -59,7 +64,7 @@
 	return t.fallback
 }
 
-// choose returns the home place for a client's hash.
+// choose returns the own place for a client's hash.
 func (r *route) choose(h uint64) *choice {
 	if len(r.choices) == 0 {
 		return nil
@@ -81,26 +86,32 @@
 	return l.rotations[(h&0xffff)%uint64(len(l.rotations))]
 }
 
-// newRoute builds the route of one row. Places that the template does not list
-// are left out; a row without any other place has no route.
+// newRoute builds the route of one row. A client of a place that does not run
+// the service keeps that place's entry VMs; its requests are served by the
+// row's other places or, without any, by the template's.
 func (t *templateIndex) newRoute(row []config.Place) *route {
-	places := t.known(row)
-	if len(places) == 0 {
-		return nil
+	served := t.known(row)
+	if len(served) == 0 {
+		served = t.everywhere
 	}
 	r := &route{}
-	for i, p := range places {
-		weight := weightOf(p, places)
-		if weight == 0 {
+	for _, p := range row {
+		weight := weightOf(p, row)
+		lists, ok := t.lists[p.Zone]
+		if weight == 0 || !ok {
 			continue
 		}
 		r.total += weight
 		r.choices = append(r.choices, choice{
 			below:  r.total,
-			places: t.homeFirst(places, i),
-			lists:  t.lists[p.Zone],
+			near:   lists.near,
+			places: t.nearFirst(served, lists.near),
+			lists:  lists,
 		})
 	}
+	if len(r.choices) == 0 {
+		return nil
+	}
 	return r
 }
 
@@ -108,13 +119,22 @@
 func (t *templateIndex) known(row []config.Place) []config.Place {
 	places := make([]config.Place, 0, len(row))
 	for _, p := range row {
-		if _, ok := t.lists[p.Zone]; ok {
+		if t.runs(p.Zone) {
 			places = append(places, p)
 		}
 	}
 	return places
 }
 
+func (t *templateIndex) runs(zone model.Zone) bool {
+	for _, at := range t.order {
+		if at.Zone == zone {
+			return true
+		}
+	}
+	return false
+}
+
 // weightOf returns the share of p. When no place has a positive weight, all
 // have the same share.
 func weightOf(p config.Place, places []config.Place) uint64 {
@@ -129,18 +149,19 @@
 	return 1
 }
 
-// homeFirst orders a row for a client whose home is places[home]: the home,
-// then its region, then the template's order.
-func (t *templateIndex) homeFirst(places []config.Place, home int) []config.Place {
-	region := t.regionOf(places[home].Zone)
+// nearFirst orders places for a client: its own place, then its region, then
+// the template's order.
+func (t *templateIndex) nearFirst(places []config.Place, near Placement) []config.Place {
 	ordered := make([]config.Place, 0, len(places))
-	ordered = append(ordered, places[home])
+	if p, ok := findPlace(places, near.Zone); ok {
+		ordered = append(ordered, p)
+	}
 	for _, inRegion := range []bool{true, false} {
 		for _, at := range t.order {
-			if at.zone == places[home].Zone || (at.region == region) != inRegion {
+			if at.Zone == near.Zone || (at.Region == near.Region) != inRegion {
 				continue
 			}
-			if p, ok := findPlace(places, at.zone); ok {
+			if p, ok := findPlace(places, at.Zone); ok {
 				ordered = append(ordered, p)
 			}
 		}
@@ -148,15 +169,6 @@
 	return ordered
 }
 
-func (t *templateIndex) regionOf(zone model.Zone) model.Region {
-	for _, at := range t.order {
-		if at.zone == zone {
-			return at.region
-		}
-	}
-	return ""
-}
-
 func findPlace(places []config.Place, zone model.Zone) (config.Place, bool) {
 	for _, p := range places {
 		if p.Zone == zone {
--- a/internal/steer/table.go
+++ b/internal/steer/table.go
@@ -52,7 +52,13 @@
 // shared between answers and must not be modified.
 type Answer struct {
 	Entries []Entry
-	// Places starts with the client's home place.
+	// Near is the client's own place, which need not run the service. Entries
+	// are ordered from there.
+	Near Placement
+	// Located says that a block of the account holds the client, so that Near
+	// is where the client is.
+	Located bool
+	// Places starts with the place that serves the client's requests.
 	Places   []config.Place
 	TTL      time.Duration
 	Revision model.Revision
@@ -105,7 +111,8 @@
 	}
 	client = client.Unmap()
 	h := hashAddr(client)
-	choice := template.route(index, client).choose(h)
+	route := template.route(index, client)
+	choice := route.choose(h)
 	if choice == nil {
 		return Answer{}, false
 	}
@@ -113,7 +120,14 @@
 	if len(entries) == 0 {
 		return Answer{}, false
 	}
-	return Answer{Entries: entries, Places: choice.places, TTL: t.ttl, Revision: t.revision}, true
+	return Answer{
+		Entries:  entries,
+		Near:     choice.near,
+		Located:  route != template.fallback,
+		Places:   choice.places,
+		TTL:      t.ttl,
+		Revision: t.revision,
+	}, true
 }
 
 // hashAddr returns a well-mixed hash of a client's address.
