quota: notice a lease that lapsed during a pause

Cause: a holder that slept through the end of its lease went on to be shown as the lender, and a free lease was counted as a failure of the store. Change: the agent ends the term as soon as it runs again; an absent record is no failure. Conclusion: gauge, log and explain ring now follow the lease.

--- a/internal/quota/agent.go
+++ b/internal/quota/agent.go
@@ -174,6 +174,9 @@
 		}
 		return a.renew(ctx)
 	}
+	if a.lease.lapsed() {
+		a.lost(errLeaseLapsed)
+	}
 	if !a.interested() {
 		return a.await(ctx)
 	}
@@ -228,6 +231,9 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	found, err := a.lease.read(ctx)
+	if errors.Is(err, errNoLease) {
+		return err
+	}
 	if err != nil {
 		a.service.metrics.store("get", err)
 		return err
@@ -293,7 +299,7 @@
 		a.service.metrics.store("keep_alive", err)
 	}
 	if !a.lease.held() {
-		a.lost(err)
+		a.lost(errLeaseLapsed)
 		return err
 	}
 	a.mu.Lock()
--- a/internal/quota/lease.go
+++ b/internal/quota/lease.go
@@ -32,6 +32,16 @@
 // held reports whether this VM holds the lease.
 func (l *lease) held() bool { return l.confirmed && l.now().Before(l.until) }
 
+// lapsed reports, once, that a held lease has come to its end unnoticed, as
+// after a pause of the process.
+func (l *lease) lapsed() bool {
+	if !l.confirmed || l.held() {
+		return false
+	}
+	l.drop()
+	return true
+}
+
 // read returns the record in the store, or errNoLease.
 func (l *lease) read(ctx context.Context) (record, error) {
 	entry, err := l.store.Get(ctx, l.key)
