quota: test replaced VMs whose old process lives on

Cause: the platform may replace a VM while its old process is only cut off, and a cut-off holder still lends to itself; neither was simulated. Change: a new event leaves the old process of a slot running, cut off; a holder asks itself without the network.

--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -53,6 +53,8 @@
 			target.cut = w.now + 2*ms
 		case "restart":
 			w.restart(target)
+		case "replace":
+			w.replace(target)
 		case "store down":
 			w.storeDown = w.now + 2*ms
 		case "set cap":
@@ -67,7 +69,7 @@
 }
 
 var eventNames = []string{
-	"run", "run", "run", "pause", "pause holder", "cut", "restart",
+	"run", "run", "run", "pause", "pause holder", "cut", "restart", "replace",
 	"store down", "set cap", "set slots", "appetite",
 }
 
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -41,6 +41,7 @@
 	slowPercent = 5
 	slowest     = 3 * time.Second
 	usual       = 40 * time.Millisecond
+	forever     = 1000 * time.Hour
 )
 
 var (
@@ -69,7 +70,9 @@
 
 // simVM is one entry VM. Its clock differs from the world's by skew.
 type simVM struct {
+	// id is the index in the world, slot that of the provisioned VM.
 	id      int
+	slot    int
 	skew    time.Duration
 	process uint64
 	ledger  *Ledger
@@ -118,7 +121,7 @@
 	w.configs = []simConfig{{at: w.now, perSecond: 120, slots: 4}}
 	w.slotsSetAt = w.now
 	for i := range simVMs {
-		vm := &simVM{id: i, skew: time.Duration(w.rng.Int64N(int64(time.Hour))), hungry: true}
+		vm := &simVM{id: i, slot: i, skew: time.Duration(w.rng.Int64N(int64(time.Hour))), hungry: true}
 		w.vms = append(w.vms, vm)
 		w.restart(vm)
 	}
@@ -130,7 +133,7 @@
 
 // restart replaces a VM's process. Nothing of the old one is kept.
 func (w *world) restart(vm *simVM) {
-	vm.ledger = NewLedger(vmID(vm.id), LedgerOptions{Timing: simTiming})
+	vm.ledger = NewLedger(vmID(vm.slot), LedgerOptions{Timing: simTiming})
 	vm.lender = NewLender(LenderOptions{Timing: simTiming})
 	vm.leaseEpoch = 0
 	vm.paused = 0
@@ -140,6 +143,19 @@
 	w.adopt(vm, len(w.configs)-1)
 }
 
+// replace starts a new process for a slot whose old one lives on, cut off from
+// the store and from the other VMs.
+func (w *world) replace(vm *simVM) {
+	if len(w.vms) == 2*simVMs {
+		return
+	}
+	old := *vm
+	old.id = len(w.vms)
+	old.cut = forever
+	w.vms = append(w.vms, &old)
+	w.restart(vm)
+}
+
 func vmID(i int) model.VMID { return model.VMID(fmt.Sprint("vm-", i)) }
 
 // adopt applies a configuration at one VM.
@@ -149,7 +165,7 @@
 	vm.adoptDelay = time.Duration(w.rng.Int64N(int64(simTiming.Spread)))
 	caps := make([]Cap, 0, len(simKeys))
 	for _, k := range simKeys {
-		caps = append(caps, Cap{Key: k, PerSecond: c.perSecond, NoFloor: vm.id >= c.slots})
+		caps = append(caps, Cap{Key: k, PerSecond: c.perSecond, NoFloor: vm.slot >= c.slots})
 	}
 	vm.ledger.SetCaps(w.clock(vm), c.slots, caps)
 	vm.lender.SetCaps(w.clock(vm), c.slots, caps)
@@ -260,17 +276,25 @@
 // ask sends the VM's demands to every VM that believes to be the lender, so
 // that a paused holder is asked as well as its successor.
 func (w *world) ask(vm *simVM) {
-	if w.now < vm.nextAsk || w.now < vm.cut {
+	if w.now < vm.nextAsk {
 		return
 	}
 	vm.nextAsk = w.now + simAsk
 	demands := vm.ledger.Demands(w.clock(vm))
 	for _, lender := range w.vms {
 		epoch := lender.lender.Epoch()
-		if epoch == 0 || w.now < lender.cut {
+		if epoch == 0 {
 			continue
 		}
 		req := GrantRequest{Epoch: epoch, Process: vm.process, Demands: demands}
+		if lender == vm {
+			reply := vm.lender.Lend(w.clock(vm), vmID(vm.slot), req)
+			w.adoptLoans(vm, simMessage{sent: w.clock(vm), req: req, reply: &reply})
+			continue
+		}
+		if w.now < vm.cut || w.now < lender.cut {
+			continue
+		}
 		w.post(simMessage{from: vm.id, to: lender.id, sent: w.clock(vm), req: req})
 	}
 }
@@ -313,7 +337,7 @@
 	if w.flaw == flawNoWindow {
 		forgetEnded(lender.lender, w.clock(lender))
 	}
-	reply := lender.lender.Lend(w.clock(lender), vmID(m.from), m.req)
+	reply := lender.lender.Lend(w.clock(lender), vmID(w.vms[m.from].slot), m.req)
 	w.post(simMessage{from: lender.id, to: m.from, sent: m.sent, req: m.req, reply: &reply})
 }
 
