quota: start floors anew after a lapse of trust

Change: when ConfirmUntil comes after the trust has ended, floors and lending hold again only after a changeover, as after a start. Lender.Lend answers settling meanwhile.

--- a/internal/quota/agent.go
+++ b/internal/quota/agent.go
@@ -94,10 +94,10 @@
 	a.signal()
 }
 
-func (a *agent) confirmUntil(until time.Time) {
+func (a *agent) confirmUntil(now, until time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.lender.ConfirmUntil(until)
+	a.lender.ConfirmUntil(now, until)
 }
 
 // lend serves a request in the time of its arrival.
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -47,6 +47,8 @@
 	// confirmed is when the adopted configuration stops to be trusted; nil
 	// means never.
 	confirmed atomic.Pointer[time.Time]
+	// rejoined is when the trust was last renewed after it had ended.
+	rejoined atomic.Pointer[time.Time]
 	// start is the origin of sub-windows, set by the first SetCaps.
 	start atomic.Pointer[time.Time]
 	// setMu serialises SetCaps.
@@ -85,11 +87,17 @@
 	l.meters.Store(&next)
 }
 
-// ConfirmUntil tells how long the adopted configuration may be trusted to be
-// the newest; after that nothing may be spent. A VM that confirms its revision
-// at a moment may trust it for Timing.Spread from then on. Before the first
-// call there is no limit.
-func (l *Ledger) ConfirmUntil(until time.Time) { l.confirmed.Store(&until) }
+// ConfirmUntil tells at now how long the adopted configuration may be trusted
+// to be the newest; after that nothing may be spent. A VM that confirms its
+// revision at a moment may trust it for Timing.Spread from then on. Before the
+// first call there is no limit. When the trust had ended before now, the VM may
+// have missed configurations, and its floors hold again after a changeover.
+func (l *Ledger) ConfirmUntil(now, until time.Time) {
+	if !l.trusted(now) {
+		l.rejoined.Store(&now)
+	}
+	l.confirmed.Store(&until)
+}
 
 // trusted reports whether the adopted configuration may be trusted.
 func (l *Ledger) trusted(now time.Time) bool {
@@ -97,13 +105,27 @@
 	return until == nil || now.Before(*until)
 }
 
+// rejoining reports whether the VM has too short a history for its floors.
+func (l *Ledger) rejoining(now time.Time) bool {
+	since := l.rejoined.Load()
+	return since != nil && now.Before(since.Add(l.timing.Changeover()))
+}
+
+// floor returns the floor of m that holds now. The caller holds m.mu.
+func (l *Ledger) floor(m *meter, now time.Time) int64 {
+	if l.rejoining(now) {
+		return 0
+	}
+	return m.floor.lowest(now, l.timing.Changeover())
+}
+
 // allowance returns the units that m may spend in one Window that ends now.
 // The caller holds m.mu.
 func (l *Ledger) allowance(m *meter, now time.Time) int64 {
 	if !l.trusted(now) {
 		return 0
 	}
-	return m.allowance(now, l.timing.Changeover())
+	return min(l.floor(m, now)+m.granted(now), m.cap.current)
 }
 
 // retire keeps the meters of removed caps until their values no longer count.
@@ -286,8 +308,7 @@
 		l.deactivate(m)
 		return Demand{}, false
 	}
-	changeover := l.timing.Changeover()
-	want := min(m.demand(), m.cap.current) - m.floor.lowest(now, changeover)
+	want := min(m.demand(), m.cap.current) - l.floor(m, now)
 	return Demand{Key: m.key, Want: want}, true
 }
 
--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -69,6 +69,8 @@
 	// confirmed is when the adopted configuration stops to be trusted; zero
 	// means never.
 	confirmed time.Time
+	// rejoined is when the trust was last renewed after it had ended.
+	rejoined time.Time
 	// from and until bound the term; until is zero without a lease.
 	from, until time.Time
 }
@@ -125,16 +127,27 @@
 // Lost ends the term.
 func (l *Lender) Lost() { l.until = time.Time{} }
 
-// ConfirmUntil tells how long the adopted configuration may be trusted to be
-// the newest; after that nothing is lent. It follows Ledger.ConfirmUntil.
-func (l *Lender) ConfirmUntil(until time.Time) { l.confirmed = until }
+// ConfirmUntil tells at now how long the adopted configuration may be trusted
+// to be the newest; after that nothing is lent. When the trust had ended before
+// now, lending starts again after a changeover. It follows Ledger.ConfirmUntil.
+func (l *Lender) ConfirmUntil(now, until time.Time) {
+	if !l.trusted(now) {
+		l.rejoined = now
+	}
+	l.confirmed = until
+}
+
+// rejoining reports whether the lender has too short a history to lend.
+func (l *Lender) rejoining(now time.Time) bool {
+	return !l.rejoined.IsZero() && now.Before(l.rejoined.Add(l.timing.Changeover()))
+}
 
 // Holds reports whether the term lasts at now.
 func (l *Lender) Holds(now time.Time) bool { return now.Before(l.until) }
 
 // Lends reports whether the lender lends at now.
 func (l *Lender) Lends(now time.Time) bool {
-	return l.Holds(now) && !now.Before(l.from) && l.trusted(now)
+	return l.Holds(now) && !now.Before(l.from) && l.trusted(now) && !l.rejoining(now)
 }
 
 // trusted reports whether the adopted configuration may be trusted.
@@ -151,7 +164,7 @@
 	if !l.Holds(now) || req.Epoch != l.epoch {
 		return reply
 	}
-	if now.Before(l.from) {
+	if now.Before(l.from) || l.rejoining(now) {
 		reply.Status = GrantSettling
 		return reply
 	}
--- a/internal/quota/meter.go
+++ b/internal/quota/meter.go
@@ -65,12 +65,6 @@
 	return m.latest
 }
 
-// allowance returns the units that may be spent in one Window that ends now.
-func (m *meter) allowance(now time.Time, changeover time.Duration) int64 {
-	allowed := m.floor.lowest(now, changeover) + m.granted(now)
-	return min(allowed, m.cap.current)
-}
-
 // granted returns the largest live grant.
 func (m *meter) granted(now time.Time) int64 {
 	for len(m.grants) > 0 && !now.Before(m.grants[0].expires) {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -138,6 +138,33 @@
 	}
 }
 
+// TestMissedConfigurationKeepsTheCap lets vm-0 sleep while the slots grow from
+// three to six, and wake when they shrink to three again. Its floor of before
+// must not meet those of the slots that have yet to go.
+func TestMissedConfigurationKeepsTheCap(t *testing.T) {
+	w := newWorld(1, flawNone)
+	w.configs[0].slots = 3
+	for _, vm := range w.vms {
+		w.restart(vm)
+	}
+	late := simTiming.Spread - 2*simStep
+	run := func(d time.Duration) {
+		if err := w.run(d); err != nil {
+			t.Fatal(err)
+		}
+	}
+	run(2 * simTiming.Changeover())
+	w.vms[0].paused = w.now + 4*simTiming.Changeover() + simStep
+	w.commit(120, 6)
+	run(4 * simTiming.Changeover())
+	for _, vm := range w.vms {
+		vm.adoptDelay = late
+	}
+	w.vms[0].adoptDelay = 0
+	w.commit(120, 3)
+	run(2 * simTiming.Changeover())
+}
+
 func TestFloorsNeverPassTheCap(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 1))
 	for range 10000 {
--- a/internal/quota/service.go
+++ b/internal/quota/service.go
@@ -183,21 +183,23 @@
 }
 
 // ConfirmUntil tells how long the adopted configuration may be trusted to be
-// the newest. After that this VM neither spends nor lends.
+// the newest. After that this VM neither spends nor lends, and when it is
+// renewed later, its floors and lenders start anew.
 func (s *Service) ConfirmUntil(until time.Time) {
-	s.ledger.ConfirmUntil(until)
+	now := s.opts.Now()
+	s.ledger.ConfirmUntil(now, until)
 	s.mu.Lock()
 	s.confirmed = until
 	s.mu.Unlock()
 	for _, a := range s.allAgents() {
-		a.confirmUntil(until)
+		a.confirmUntil(now, until)
 	}
 }
 
 // addAgent begins to watch over the lease of a lender. The caller holds s.mu.
 func (s *Service) addAgent(id lenderID) {
 	a := newAgent(s, id)
-	a.confirmUntil(s.confirmed)
+	a.confirmUntil(s.opts.Now(), s.confirmed)
 	s.agents[id] = a
 	if s.runCtx != nil && s.runCtx.Err() == nil {
 		s.startAgent(a)
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -182,8 +182,8 @@
 		return
 	}
 	until := w.clock(vm).Add(simTiming.Spread)
-	vm.ledger.ConfirmUntil(until)
-	vm.lender.ConfirmUntil(until)
+	vm.ledger.ConfirmUntil(w.clock(vm), until)
+	vm.lender.ConfirmUntil(w.clock(vm), until)
 }
 
 // run lets the world go on for a while.
--- a/internal/quota/status.go
+++ b/internal/quota/status.go
@@ -52,7 +52,7 @@
 		Cap:     m.cap.current,
 		InForce: inForce,
 		Pending: pending,
-		Floor:   m.floor.lowest(now, changeover),
+		Floor:   l.floor(m, now),
 		Granted: m.granted(now),
 	}
 	if m.window != nil {
