--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -119,6 +119,7 @@
 }
 
 func TestCapsHold(t *testing.T) {
+	t.Parallel()
 	result := capsHold(flawNone, *histories)
 	if !result.Passed() {
 		t.Fatalf("seed %d: %v %v\n%v", *seed, result.Status, result.Labels, result.Args)
@@ -129,6 +130,7 @@
 func TestOracleCatchesFlaws(t *testing.T) {
 	for _, f := range allFlaws {
 		t.Run(string(f), func(t *testing.T) {
+			t.Parallel()
 			result := capsHold(f, 300)
 			if result.Passed() {
 				t.Fatal("the oracle accepts a flawed system")
