--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -53,6 +53,8 @@
 			target.cut = w.now + 2*ms
 		case "restart":
 			w.restart(target)
+		case "replace":
+			w.replace(target)
 		case "store down":
 			w.storeDown = w.now + 2*ms
 		case "set cap":
@@ -67,7 +69,7 @@
 }
 
 var eventNames = []string{
-	"run", "run", "run", "pause", "pause holder", "cut", "restart",
+	"run", "run", "run", "pause", "pause holder", "cut", "restart", "replace",
 	"store down", "set cap", "set slots", "appetite",
 }
 
@@ -117,6 +119,7 @@
 }
 
 func TestCapsHold(t *testing.T) {
+	t.Parallel()
 	result := capsHold(flawNone, *histories)
 	if !result.Passed() {
 		t.Fatalf("seed %d: %v %v\n%v", *seed, result.Status, result.Labels, result.Args)
@@ -127,6 +130,7 @@
 func TestOracleCatchesFlaws(t *testing.T) {
 	for _, f := range allFlaws {
 		t.Run(string(f), func(t *testing.T) {
+			t.Parallel()
 			result := capsHold(f, 300)
 			if result.Passed() {
 				t.Fatal("the oracle accepts a flawed system")
@@ -136,6 +140,33 @@
 	}
 }
 
+// TestMissedConfigurationKeepsTheCap lets vm-0 sleep while the slots grow from
+// three to six, and wake when they shrink to three again. Its floor of before
+// must not meet those of the slots that have yet to go.
+func TestMissedConfigurationKeepsTheCap(t *testing.T) {
+	w := newWorld(1, flawNone)
+	w.configs[0].slots = 3
+	for _, vm := range w.vms {
+		w.restart(vm)
+	}
+	late := simTiming.Spread - 2*simStep
+	run := func(d time.Duration) {
+		if err := w.run(d); err != nil {
+			t.Fatal(err)
+		}
+	}
+	run(2 * simTiming.Changeover())
+	w.vms[0].paused = w.now + 4*simTiming.Changeover() + simStep
+	w.commit(120, 6)
+	run(4 * simTiming.Changeover())
+	for _, vm := range w.vms {
+		vm.adoptDelay = late
+	}
+	w.vms[0].adoptDelay = 0
+	w.commit(120, 3)
+	run(2 * simTiming.Changeover())
+}
+
 func TestFloorsNeverPassTheCap(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 1))
 	for range 10000 {
