Divide links between senders and readers, and redirect without a budget

Cause: after a region's entry VMs died, uploads of its clients waited for floors that only those VMs had; bytes outside transfers pushed a full link 0.4 % over its cap; retries over budget refused requests that had only been sent to a VM that no longer owned the server. Change: 80 % of a link is for the entry VMs that send on it, 16 % for those at its far end that read from callers and servers, 4 % for control and heads; an attempt that reached no server is redirected without spending the retry budget; a server without connections gets no work until it answers a question.

--- a/internal/daemon/caps.go
+++ b/internal/daemon/caps.go
@@ -12,18 +12,26 @@
 // linkCaps gives each link between regions one waiter over the ledger.
 type linkCaps struct {
 	ledger *quota.Ledger
+	region model.Region
 
 	mu      sync.Mutex
 	waiters map[quota.Key]*pace.Waiter
 }
 
-func newLinkCaps(ledger *quota.Ledger) *linkCaps {
-	return &linkCaps{ledger: ledger, waiters: make(map[quota.Key]*pace.Waiter)}
+func newLinkCaps(ledger *quota.Ledger, region model.Region) *linkCaps {
+	return &linkCaps{ledger: ledger, region: region, waiters: make(map[quota.Key]*pace.Waiter)}
 }
 
-// Waiter returns the waiter of the link from one region to another.
+// Waiter returns the waiter of the link from one region to another, one of
+// which is this VM's own, or nil when no link between them is configured.
 func (c *linkCaps) Waiter(from, to model.Region) *pace.Waiter {
 	key := quota.LinkKey(from, to)
+	if from != c.region {
+		key = quota.InboundKey(from, to)
+	}
+	if !c.ledger.Capped(key) {
+		return nil
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w, ok := c.waiters[key]
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -349,7 +349,7 @@
 		}),
 		Retries: retry.NewBudget(retryPercent),
 		Links:   b.mesh,
-		Caps:    newLinkCaps(b.limits.Ledger()),
+		Caps:    newLinkCaps(b.limits.Ledger(), vm.Region),
 		Explain: b.ring,
 		Scope:   b.metrics.Scope,
 		Logger:  b.deps.Logger.WithPrefix("entry"),
--- a/internal/demo/caller.go
+++ b/internal/demo/caller.go
@@ -236,6 +236,9 @@
 	}
 	if err != nil {
 		r.outcome, r.reason = model.OutcomeUnknown, reasonConnection
+		if time.Now().After(o.deadline) {
+			r.reason = model.ReasonTimeout
+		}
 		return true
 	}
 	r.whole = true
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -78,12 +78,13 @@
 		slot.Release(owner.Unused)
 		return nil, refuse(http.StatusServiceUnavailable, model.ReasonMalformed, err.Error())
 	}
+	region := s.zoneRegion(j.key.Zone)
 	response, err := s.options.Backends.Do(slot.Context, slot.Target, &backend.Request{
 		Attempt:       j.attempt,
 		Method:        j.method,
 		Path:          j.path,
 		Header:        j.header,
-		Body:          body,
+		Body:          s.paced(ctx, body, s.options.Region, region, j.work.Priority),
 		ContentLength: length,
 		Deadline:      j.deadline,
 		Idempotent:    j.work.Idempotent,
@@ -97,10 +98,29 @@
 		header: response.Header,
 		length: response.ContentLength,
 		server: slot.Target.ID,
-		body:   &slotBody{ReadCloser: response.Body, slot: slot},
+		body:   s.serverBody(ctx, j, region, response.Body, slot),
 	}, nil
 }
 
+// serverBody reads an answer at the pace of the link when the server is in
+// another region, and gives the slot back at its end.
+func (s *Server) serverBody(ctx context.Context, j *job, from model.Region, body io.ReadCloser, slot *owner.Slot) io.ReadCloser {
+	reader := s.paced(ctx, body, from, s.options.Region, j.work.Priority)
+	return &slotBody{ReadCloser: joinedBody{Reader: reader, Closer: body}, slot: slot}
+}
+
+// zoneRegion returns the region of a zone, this VM's own when not known.
+func (s *Server) zoneRegion(zone model.Zone) model.Region {
+	state := s.source.State()
+	if state == nil || state.Config == nil {
+		return s.options.Region
+	}
+	if region, ok := state.Config.ZoneRegion(zone); ok {
+		return region
+	}
+	return s.options.Region
+}
+
 func admissionFailure(err error) *Failure {
 	var r *owner.Refusal
 	if errors.As(err, &r) {
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -9,6 +9,7 @@
 
 	"fuchsiaspar/internal/explain"
 	"fuchsiaspar/internal/model"
+	"fuchsiaspar/internal/once"
 	"fuchsiaspar/internal/owner"
 	"fuchsiaspar/internal/retry"
 	"fuchsiaspar/internal/steer"
@@ -176,6 +177,17 @@
 	}
 }
 
+// redirect reports whether an attempt ended before it could load any server
+// because this VM's picture of the owners was old. Going elsewhere is then no
+// retry and needs no budget.
+func redirect(r model.Reason) bool {
+	switch r {
+	case model.ReasonNotOwner, model.ReasonNoServer, model.ReasonPeerUnreachable, once.ReasonStaleToken:
+		return true
+	}
+	return false
+}
+
 func (s *Server) mayRetry(ctx context.Context, q *request, f *Failure) bool {
 	if !retry.Retryable(q.class.Idempotent, f.Outcome, f.Reason) || !q.body.replayable() {
 		return false
@@ -184,6 +196,10 @@
 	if ctx.Err() != nil || !retry.Worth(now, q.deadline, minAttemptTime) {
 		return false
 	}
+	if redirect(f.Reason) {
+		s.meter.redirected(f.Reason)
+		return true
+	}
 	if !s.options.Retries.Take(now, q.service, q.priority) {
 		s.meter.retryRefused()
 		return false
--- a/internal/entry/meter.go
+++ b/internal/entry/meter.go
@@ -55,6 +55,10 @@
 	m.scope.Tagged(map[string]string{"reason": string(r)}).Counter("retries").Inc(1)
 }
 
+func (m *meter) redirected(r model.Reason) {
+	m.scope.Tagged(map[string]string{"reason": string(r)}).Counter("redirects").Inc(1)
+}
+
 func (m *meter) failed(f *Failure) {
 	tags := map[string]string{"reason": string(f.Reason), "outcome": f.Outcome.String()}
 	m.scope.Tagged(tags).Counter("failed_requests").Inc(1)
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -33,8 +33,8 @@
 	home []config.Place
 	// region is where the client is.
 	region model.Region
-	ticket   string
-	method   string
+	ticket string
+	method string
 	// path is the backend server's path with the query.
 	path   string
 	header http.Header
--- a/internal/health/server.go
+++ b/internal/health/server.go
@@ -16,10 +16,9 @@
 	// forgiveAnswers is the count of answers in a row that halves the time of
 	// the next ejection.
 	forgiveAnswers = 200
-	// downBase is the pause after the failed connects that make a server down;
-	// it doubles up to downMax.
-	downBase = 500 * time.Millisecond
-	downMax  = 8 * time.Second
+	// downTime is how long a server that accepts no connection gets no work
+	// when it is asked nothing else.
+	downTime = 8 * time.Second
 	// maxDoublings bounds the growth of the time of an ejection.
 	maxDoublings = 16
 )
@@ -105,16 +104,14 @@
 	s.shrink(now)
 }
 
-// unreachable counts a failed connect. From the run that makes the server down
-// each further one doubles the pause until the next try.
+// unreachable counts a failed connect. A run of them gives the server no work
+// until it answers a question, or for downTime when none is asked.
 func (s *server) unreachable(now time.Time, opts Options) {
 	s.unreachableRun++
-	over := s.unreachableRun - opts.UnreachableRun
-	if over < 0 {
+	if s.unreachableRun < opts.UnreachableRun {
 		return
 	}
-	pause := downBase << min(over, maxDoublings)
-	s.downUntil = now.Add(min(pause, downMax))
+	s.downUntil = now.Add(downTime)
 	s.limit = minLimit
 }
 
--- a/internal/quota/caps.go
+++ b/internal/quota/caps.go
@@ -87,11 +87,14 @@
 	d.caps[id] = append(d.caps[id], c)
 }
 
-// lenderOf returns the lender of a cap: that of the region which a link or a
-// shift leaves.
+// lenderOf returns the lender of a cap: that of the region whose entry VMs
+// spend it, or which a shift leaves.
 func (d *deployment) lenderOf(key Key) lenderID {
-	if key.Kind == KindLink {
+	switch key.Kind {
+	case KindLink:
 		return lenderID{Kind: KindLink, Region: key.From}
+	case KindInbound:
+		return lenderID{Kind: KindLink, Region: key.To}
 	}
 	return lenderID{Kind: KindShift, Region: d.regionOf[key.Zone]}
 }
@@ -117,8 +120,21 @@
 	return id.Region
 }
 
-// addLinks adds the links' caps. Their floors belong to the slots of the
-// region that a link leaves, since its entry VMs send on it.
+const (
+	// controlPercent is the part of a link that is left to control messages,
+	// heads and other bytes that no transfer accounts for.
+	controlPercent = 4
+	// inboundPercent is the part of a link that the entry VMs at its far end
+	// may cause by reading from processes at its near end.
+	inboundPercent = 16
+	// outboundPercent is the part that the entry VMs at its near end may send.
+	outboundPercent = 100 - controlPercent - inboundPercent
+)
+
+// addLinks adds the links' caps. Each link is divided for good between the
+// entry VMs at its near end, which send, and those at its far end, which read
+// from callers and backend servers at the near end. Either go on when no entry
+// VM is left at the other end.
 func (d *deployment) addLinks(doc *config.Document, home model.Region) {
 	for _, l := range doc.Links {
 		if l.From == l.To {
@@ -126,13 +142,21 @@
 		}
 		d.add(Cap{
 			Key:       LinkKey(l.From, l.To),
-			PerSecond: l.BytesPerSecond,
+			PerSecond: percent(l.BytesPerSecond, outboundPercent),
 			Slots:     len(d.slotsOf[l.From]),
 			NoFloor:   !d.provisioned || l.From != home,
 		})
+		d.add(Cap{
+			Key:       InboundKey(l.From, l.To),
+			PerSecond: percent(l.BytesPerSecond, inboundPercent),
+			Slots:     len(d.slotsOf[l.To]),
+			NoFloor:   !d.provisioned || l.To != home,
+		})
 	}
 }
 
+func percent(n, share int64) int64 { return n/100*share + n%100*share/100 }
+
 // addShifts adds one cap for each account, service and place.
 func (d *deployment) addShifts(doc *config.Document) {
 	templates := make(map[string]*config.Template, len(doc.Templates))
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -257,6 +257,9 @@
 	m.addGrant(now, held{value: g.Value, expires: g.Expires})
 }
 
+// Capped reports whether the adopted configuration caps key.
+func (l *Ledger) Capped(key Key) bool { return l.meter(key) != nil }
+
 // Allowance returns the units that key may be spent on in one Window now.
 func (l *Ledger) Allowance(now time.Time, key Key) int64 {
 	m := l.meter(key)
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -18,8 +18,12 @@
 	// KindShift caps requests a second of one account and service that leave
 	// one availability zone for others.
 	KindShift Kind = iota + 1
-	// KindLink caps bytes a second from one region to another.
+	// KindLink caps bytes a second that the entry VMs of one region send to
+	// another region.
 	KindLink
+	// KindInbound caps bytes a second that the entry VMs of one region read
+	// from processes of another region: callers and backend servers.
+	KindInbound
 )
 
 // Key names one cap. It is comparable.
@@ -44,6 +48,12 @@
 	return Key{Kind: KindLink, From: from, To: to}
 }
 
+// InboundKey names the cap on what the entry VMs of region to read from
+// processes of region from.
+func InboundKey(from, to model.Region) Key {
+	return Key{Kind: KindInbound, From: from, To: to}
+}
+
 // Cap is the bound on one key, in units a second, for the whole deployment.
 type Cap struct {
 	Key       Key
