Never leave a connection that serves another attempt

Cause: a silence probe that ended after its attempt could close a connection that another attempt had taken over, which made that one unknown. Change: an ended attempt forgets its connection; an answer that was not kept always says so. Conclusion: a probe can only close the connection of its own attempt.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -125,6 +125,18 @@
 	}
 }
 
+func (ex *exchange) currentConn() *trackedConn {
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	return ex.conn
+}
+
+func (ex *exchange) forgetConn() {
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	ex.conn = nil
+}
+
 func (ex *exchange) sentTo() string {
 	ex.mu.Lock()
 	defer ex.mu.Unlock()
@@ -252,9 +264,11 @@
 	return errNoLength
 }
 
-// finish releases what the attempt holds.
+// finish releases what the attempt holds. Its connection may serve another
+// attempt from now on.
 func (ex *exchange) finish() {
 	ex.end.Do(func() {
+		ex.forgetConn()
 		ex.watch.stop()
 		if ex.upload != nil {
 			ex.upload.stop()
--- a/internal/backend/silence.go
+++ b/internal/backend/silence.go
@@ -152,15 +152,12 @@
 	return err
 }
 
-func (ex *exchange) currentConn() *trackedConn {
-	ex.mu.Lock()
-	defer ex.mu.Unlock()
-	return ex.conn
-}
-
 // silent leaves the connection of the attempt for good, along with the unused
 // connections to the same server, which may have gone silent too.
 func (ex *exchange) silent(cause error) {
+	if ex.currentConn() == nil {
+		return // ended while the server was asked
+	}
 	ex.client.metrics.silent.Inc(1)
 	ex.client.opts.Logger.Warn("silent connection", "server", ex.pool.target.ID,
 		"attempt", ex.req.Attempt, "cause", cause)
--- a/internal/once/expiry.go
+++ b/internal/once/expiry.go
@@ -137,11 +137,13 @@
 func (r *Registry) keep(rec *record, result Result) {
 	size := result.size()
 	if result.Kept && size > min(r.opts.MaxAnswerBytes, r.opts.MaxKeptBytes) {
-		result = result.outcomeOnly()
-		result.Reason = model.ReasonAnswerTooBig
+		result.Kept = false
 	}
 	if !result.Kept {
 		rec.result = result.outcomeOnly()
+		if result.Outcome == model.OutcomeRan {
+			rec.result.Reason = model.ReasonAnswerTooBig
+		}
 		return
 	}
 	rec.result = result
