Copy answers through 32 KB buffers

Cause: an open transfer is to take less than 128 KB on an entry VM, of which the copy buffer was half. Change: copyBufferBytes from 64 to 32 KB.

--- a/internal/backend/body.go
+++ b/internal/backend/body.go
@@ -12,7 +12,7 @@
 )
 
 // copyBufferBytes is the size of the buffers that answers are copied through.
-const copyBufferBytes = 64 << 10
+const copyBufferBytes = 32 << 10
 
 var copyBuffers = sync.Pool{
 	New: func() any {
