Keep protocol headers from callers

Cause: instance names and attempt identifiers of servers reached callers. Change: the answer's headers are passed on without those of the protocol. Figures: tests of the package pass under -race. Conclusion: callers see only the server's own end-to-end headers.

--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -167,6 +167,28 @@
 	}
 }
 
+func TestHeadersOfOneConnectionStay(t *testing.T) {
+	f := newFixture(t, longSilence, standin.Options{})
+	req := order("/w")
+	req.Header = http.Header{"Connection": {"X-Hop"}, "X-Hop": {"1"}, standin.HeaderOrder: {"7"}}
+	resp, err := f.client.Do(t.Context(), f.server.Target(), req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.Header.Get(standin.HeaderOrder) != "7" {
+		t.Errorf("end-to-end header lost: %v", resp.Header)
+	}
+	for _, name := range []string{backend.HeaderAttempt, backend.HeaderInstance} {
+		if resp.Header.Get(name) != "" {
+			t.Errorf("header %s passed on", name)
+		}
+	}
+	if req.Header.Get("X-Hop") != "1" {
+		t.Error("the caller's headers were changed")
+	}
+}
+
 func TestReservedPath(t *testing.T) {
 	f := newFixture(t, longSilence, standin.Options{})
 	for _, path := range []string{
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -218,7 +218,7 @@
 	}
 	return &Response{
 		Status:        resp.StatusCode,
-		Header:        endToEnd(resp.Header),
+		Header:        forCaller(resp.Header),
 		ContentLength: resp.ContentLength,
 		Body:          ex.answer(resp),
 		Trailer:       resp.Trailer,
--- a/internal/backend/header.go
+++ b/internal/backend/header.go
@@ -28,3 +28,15 @@
 	}
 	return out
 }
+
+// answerHeaders are between the server and this client and are not passed on.
+var answerHeaders = []string{HeaderAttempt, HeaderInstance, HeaderNotStarted, HeaderDraining}
+
+// forCaller returns a copy of the headers of an answer that its caller may see.
+func forCaller(h http.Header) http.Header {
+	out := endToEnd(h)
+	for _, name := range answerHeaders {
+		delete(out, name)
+	}
+	return out
+}
