--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -125,6 +125,18 @@
 	}
 }
 
+func (ex *exchange) currentConn() *trackedConn {
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	return ex.conn
+}
+
+func (ex *exchange) forgetConn() {
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	ex.conn = nil
+}
+
 func (ex *exchange) sentTo() string {
 	ex.mu.Lock()
 	defer ex.mu.Unlock()
@@ -206,7 +218,7 @@
 	}
 	return &Response{
 		Status:        resp.StatusCode,
-		Header:        endToEnd(resp.Header),
+		Header:        forCaller(resp.Header),
 		ContentLength: resp.ContentLength,
 		Body:          ex.answer(resp),
 		Trailer:       resp.Trailer,
@@ -257,9 +269,11 @@
 	return errNoLength
 }
 
-// finish releases what the attempt holds.
+// finish releases what the attempt holds. Its connection may serve another
+// attempt from now on.
 func (ex *exchange) finish() {
 	ex.end.Do(func() {
+		ex.forgetConn()
 		ex.watch.stop()
 		if ex.upload != nil {
 			ex.upload.stop()
