Use the token store of package once and drop expired records in time

Cause: the data path kept relay tokens in a map of its own beside the store that package once has, and nothing dropped expired records on a quiet VM. Change: one token store; a service expires tickets and attempts every second and reports their counts. Before and after: two stores, now one; records lived until the next request, now at most a second past their time. Conclusion: none beyond that.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -49,12 +49,13 @@
 	NamePoller     = "backend.poller"
 	NameControl    = "control.state"
 	NameEntry      = "entry.path"
+	NameExpiry     = "once.expiry"
 	NameFleet      = "operator.fleet"
 	NameHTTP       = "entry.http"
 	explainEntries = 4096
 	retryPercent   = 10
 	tokenValidity  = 15 * time.Second
-	maxAttempts    = 200_000
+	maxAttempts    = 65_536
 	// keptAnswers is the count of whole kept answers that fit in memory.
 	keptAnswers = 256
 )
@@ -327,6 +328,12 @@
 		MaxAnswerBytes: limits.MaxKeptAnswerBytes,
 		Rand:           crand.Reader,
 	})
+	attempts := once.NewAttempts(once.AttemptOptions{
+		Incarnation:   b.incarnation,
+		TokenValidity: tokenValidity,
+		MaxAccepted:   maxAttempts,
+		MaxSealed:     maxAttempts,
+	})
 	b.daemon.entry = entry.NewServer(entry.Options{
 		Self:               vm.Name,
 		Zone:               vm.Zone,
@@ -341,21 +348,19 @@
 		Backends:           b.backends,
 		Relays:             b.relays,
 		Tickets:            b.daemon.tickets,
-		Attempts: once.NewAttempts(once.AttemptOptions{
-			Incarnation:   b.incarnation,
-			TokenValidity: tokenValidity,
-			MaxAccepted:   maxAttempts,
-			MaxSealed:     maxAttempts,
-		}),
-		Retries: retry.NewBudget(retryPercent),
-		Links:   b.mesh,
-		Caps:    newLinkCaps(b.limits.Ledger(), vm.Region),
-		Explain: b.ring,
-		Scope:   b.metrics.Scope,
-		Logger:  b.deps.Logger.WithPrefix("entry"),
+		Attempts:           attempts,
+		Retries:            retry.NewBudget(retryPercent),
+		Links:              b.mesh,
+		Caps:               newLinkCaps(b.limits.Ledger(), vm.Region),
+		Explain:            b.ring,
+		Scope:              b.metrics.Scope,
+		Logger:             b.deps.Logger.WithPrefix("entry"),
 	})
 	b.daemon.control.CountActive(b.daemon.entry.Active)
-	return b.add(NameEntry, b.daemon.entry)
+	if err := b.add(NameEntry, b.daemon.entry); err != nil {
+		return err
+	}
+	return b.add(NameExpiry, &expiry{tickets: b.daemon.tickets, attempts: attempts, scope: b.metrics.Scope})
 }
 
 // LiveMembers lists the entry VMs that this one holds for alive, itself
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -5,7 +5,6 @@
 	"crypto/rand"
 	"io"
 	"net/http"
-	"time"
 
 	"fuchsiaspar/internal/backend"
 	"fuchsiaspar/internal/header"
@@ -31,13 +30,12 @@
 		if f == nil || f.Reason != once.ReasonStaleToken || !q.body.replayable() {
 			return a, f
 		}
-		s.tokens.drop(t.owner.VM)
 	}
 	return nil, f
 }
 
 func (s *Server) relayOnce(ctx context.Context, q *request, t target, exclude model.ServerID) (*answer, *Failure) {
-	token, err := s.token(ctx, t.owner.VM)
+	token, err := s.token(ctx, t.owner.VM, !q.body.whole)
 	if err != nil {
 		return nil, refuse(http.StatusServiceUnavailable, model.ReasonPeerUnreachable, err.Error())
 	}
@@ -49,7 +47,6 @@
 	if err != nil {
 		return nil, refuse(http.StatusServiceUnavailable, model.ReasonMalformed, err.Error())
 	}
-	sent := time.Now()
 	response, err := s.options.Relays.Do(ctx, relayTarget(t.owner.VM, t.owner.Address), &backend.Request{
 		Attempt:       id,
 		Method:        q.method,
@@ -61,9 +58,9 @@
 		Idempotent:    q.class.Idempotent,
 	})
 	if err != nil {
-		return nil, s.relayFailure(sent, t.owner.VM, err)
+		return nil, s.relayFailure(t.owner.VM, err)
 	}
-	s.noteToken(sent, t.owner.VM, response.Header)
+	s.noteToken(t.owner.VM, response.Header)
 	return relayAnswer(response)
 }
 
@@ -73,7 +70,7 @@
 
 // relayFailure turns the error of a relay into a Failure. A refusal of the far
 // side carries its own reason.
-func (s *Server) relayFailure(sent time.Time, vm model.VMID, err error) *Failure {
+func (s *Server) relayFailure(vm model.VMID, err error) *Failure {
 	f := backendFailure(err)
 	var e *backend.Error
 	if !errors.As(err, &e) || e.Header == nil {
@@ -85,7 +82,7 @@
 		}
 		return f
 	}
-	s.noteToken(sent, vm, e.Header)
+	s.noteToken(vm, e.Header)
 	if reason := e.Header.Get(header.Reason); reason != "" {
 		f.Reason = model.Reason(reason)
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -59,7 +59,7 @@
 	source  Source
 	meter   meter
 	active  activity
-	tokens  *tokens
+	tokens  once.Tokens
 }
 
 // NewServer returns a data path with the given parts.
@@ -68,7 +68,6 @@
 		options: o,
 		source:  o.Source,
 		meter:   newMeter(o.Scope),
-		tokens:  newTokens(),
 	}
 	o.Links.Handle(peer.KindToken, s.giveToken)
 	o.Links.Handle(peer.KindSeal, s.sealForPeer)
