Never let time alone close an acknowledgement

Change: an acknowledgement is closed by its withdrawal, by a higher revision, or by knowing that nothing newer was committed before an instant after the attempt's end; the same holds for what a restarted process forgot. A test brings the case about by itself.

--- a/internal/config/acks.go
+++ b/internal/config/acks.go
@@ -10,9 +10,9 @@
 	// proposalLife bounds the time from the start of an attempt to commit a
 	// change until its last write of the head is sent.
 	proposalLife = 10 * time.Second
-	// ackLife is how long an acknowledgement stays open when nothing is heard
-	// of its attempt. It exceeds proposalLife by the longest time that a write
-	// may be under way.
+	// ackLife is how long after an acknowledgement its attempt may still be
+	// committed. It exceeds proposalLife by the longest time that a write may
+	// be under way.
 	ackLife = 30 * time.Second
 	// maxOpenAcks bounds the acknowledgements that one entry VM holds open.
 	maxOpenAcks = 64
@@ -25,14 +25,17 @@
 }
 
 // acks are this entry VM's acknowledgements whose outcome it does not know.
+// Time alone closes none: the attempt may have been committed without this
+// entry VM being told.
 type acks struct {
-	// started is when this process started. Acknowledgements of the process
-	// before it are forgotten, so that none can be ruled out for ackLife.
+	// started is when this process started. It has forgotten what the process
+	// before it acknowledged.
 	started time.Time
 	open    map[attempt]openAck
 }
 
 type openAck struct {
+	// expires is when the attempt has been committed or never will be.
 	expires time.Time
 	// prepared is what the attempt would put in force.
 	prepared *version
@@ -44,7 +47,6 @@
 
 // add opens an acknowledgement. It returns false when too many are open.
 func (a *acks) add(at attempt, prepared *version, now time.Time) bool {
-	a.expire(now)
 	if _, known := a.open[at]; !known && len(a.open) >= maxOpenAcks {
 		return false
 	}
@@ -64,23 +66,26 @@
 	}
 }
 
+// resolve closes the acknowledgements whose attempts ended before currentAt,
+// the instant before which nothing above the revision in force was committed.
+func (a *acks) resolve(currentAt time.Time) {
+	for at, ack := range a.open {
+		if !currentAt.Before(ack.expires) {
+			delete(a.open, at)
+		}
+	}
+}
+
 // prepared returns what the attempt would put in force, if it is open.
 func (a *acks) prepared(at attempt) (*version, bool) {
 	ack, ok := a.open[at]
 	return ack.prepared, ok
 }
 
-// clean reports whether no acknowledged change can be committed without this
-// entry VM knowing.
-func (a *acks) clean(now time.Time) bool {
-	a.expire(now)
-	return len(a.open) == 0 && now.Sub(a.started) >= ackLife
-}
-
-func (a *acks) expire(now time.Time) {
-	for at, ack := range a.open {
-		if !now.Before(ack.expires) {
-			delete(a.open, at)
-		}
-	}
+// clean reports whether nothing that this entry VM ever acknowledged can have
+// been committed above the revision in force. currentAt is as in resolve; it
+// rules out what the process before this one acknowledged.
+func (a *acks) clean(currentAt time.Time) bool {
+	a.resolve(currentAt)
+	return len(a.open) == 0 && !currentAt.Before(a.started.Add(ackLife))
 }
--- a/internal/config/currency.go
+++ b/internal/config/currency.go
@@ -63,7 +63,7 @@
 		}
 		out = append(out, report{VM: vm, Revision: e.revision, Age: age})
 	}
-	if s.acks.clean(now) {
+	if s.acks.clean(s.fresh.currentAt) {
 		out = append(out, report{VM: s.self, Revision: s.inForce.revision()})
 	}
 	return out
@@ -75,7 +75,7 @@
 	defer s.mu.Unlock()
 	return fetchRequest{
 		Revision: s.inForce.revision(),
-		Clean:    s.acks.clean(s.now()),
+		Clean:    s.acks.clean(s.fresh.currentAt),
 		Echo:     s.echoes[to],
 	}
 }
@@ -120,7 +120,7 @@
 	known := make(map[model.VMID]evidence, len(s.others)+len(s.reports)+1)
 	maps.Copy(known, s.others)
 	maps.Copy(known, s.reports)
-	if s.acks.clean(now) {
+	if s.acks.clean(s.fresh.currentAt) {
 		known[s.self] = evidence{revision: s.fresh.inForce, at: now}
 	}
 	at, ok := majorityInstant(s.inForce.doc.Slots, known, s.fresh.inForce)
--- a/internal/config/service_test.go
+++ b/internal/config/service_test.go
@@ -171,3 +171,37 @@
 		}
 	})
 }
+
+// The VMs that acknowledged a change and were cut off before they heard of its
+// commit are more than half of the slots, yet must not confirm each other.
+func TestCutOffAfterAcknowledgingStaysIsolated(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		time.Sleep(time.Minute)
+		f.store.Slow("vm6", 10*time.Millisecond)
+		committed := make(chan error)
+		go func() {
+			_, err := f.service("vm6").Propose(context.Background(), setCap("c", 1, "acct0", 9))
+			committed <- err
+		}()
+		time.Sleep(20 * time.Millisecond)
+		f.setCut("vm6", true)
+		for _, slot := range testSlots[:6] {
+			f.store.Cut(string(slot.VM), true)
+		}
+		if err := <-committed; err != nil {
+			t.Fatalf("not committed: %v", err)
+		}
+		time.Sleep(confirmFor)
+		for range 60 {
+			time.Sleep(5 * time.Second)
+			for _, slot := range testSlots[:6] {
+				if f.service(slot.VM).Confirmed(time.Now()) {
+					t.Fatalf("%s is confirmed on revision %d", slot.VM, f.service(slot.VM).Current().Revision())
+				}
+			}
+		}
+		if !f.service("vm6").Confirmed(time.Now()) {
+			t.Error("the VM that reaches the store is not confirmed")
+		}
+	})
+}
