--- a/internal/config/fixture_test.go
+++ b/internal/config/fixture_test.go
@@ -77,6 +77,11 @@
 	acked map[attempt]map[model.VMID]bool
 	// retired holds the nodes that were stopped.
 	retired []*node
+	slots   []Slot
+	// views caches the view of each side until a node or side changes.
+	views map[int]*membership.View
+	// bytes counts the bytes that each VM sent or received.
+	bytes map[model.VMID]int
 }
 
 // node is one process. A restart replaces it.
@@ -97,13 +102,16 @@
 		nodes: make(map[model.VMID]*node),
 		seed:  seed,
 		acked: make(map[attempt]map[model.VMID]bool),
+		slots: testSlots,
+		views: make(map[int]*membership.View),
+		bytes: make(map[model.VMID]int),
 
 		rulesOf: func(model.VMID) rules { return standardRules() },
 	}
 }
 
 func (f *fleet) startAll() {
-	for _, slot := range testSlots {
+	for _, slot := range f.slots {
 		f.start(slot)
 	}
 }
@@ -130,6 +138,7 @@
 	})
 	f.mu.Lock()
 	f.nodes[slot.VM] = n
+	clear(f.views)
 	f.mu.Unlock()
 	_ = n.service.Start(context.Background())
 }
@@ -139,6 +148,7 @@
 	n := f.nodes[vm]
 	delete(f.nodes, vm)
 	f.retired = append(f.retired, n)
+	clear(f.views)
 	f.mu.Unlock()
 	_ = n.service.Stop(context.Background())
 }
@@ -170,10 +180,17 @@
 func (f *fleet) setCut(vm model.VMID, cut bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.side[vm] = 0
+	side := 0
 	if cut {
-		f.side[vm] = 1 + slices.IndexFunc(testSlots, func(s Slot) bool { return s.VM == vm })
+		side = 1 + slices.IndexFunc(f.slots, func(s Slot) bool { return s.VM == vm })
 	}
+	f.setSide(vm, side)
+}
+
+// setSide puts a VM on a side. The caller holds the lock.
+func (f *fleet) setSide(vm model.VMID, side int) {
+	f.side[vm] = side
+	clear(f.views)
 }
 
 func (f *fleet) connected(a, b model.VMID) bool {
@@ -184,8 +201,12 @@
 func (f *fleet) view(vm model.VMID) *membership.View {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	v := &membership.View{Self: vm}
-	for _, slot := range testSlots {
+	if v := f.views[f.side[vm]]; v != nil {
+		return v
+	}
+	v := &membership.View{}
+	f.views[f.side[vm]] = v
+	for _, slot := range f.slots {
 		state := membership.StateDead
 		if f.nodes[slot.VM] != nil && f.connected(vm, slot.VM) {
 			state = membership.StateAlive
@@ -244,6 +265,7 @@
 	if err != nil {
 		return err
 	}
+	n.fleet.countBytes(n.slot.VM, to, len(data)+len(encoded))
 	return decode(encoded, reply)
 }
 
@@ -294,3 +316,10 @@
 	}
 	f.acked[at][vm] = true
 }
+
+func (f *fleet) countBytes(from, to model.VMID, count int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.bytes[from] += count
+	f.bytes[to] += count
+}
--- a/internal/config/history_test.go
+++ b/internal/config/history_test.go
@@ -284,7 +284,7 @@
 	for i, slot := range testSlots {
 		side := mask >> i & 1
 		w.fleet.mu.Lock()
-		w.side[slot.VM] = side
+		w.setSide(slot.VM, side)
 		w.fleet.mu.Unlock()
 		w.store.Cut(string(slot.VM), side != stored%2)
 	}
