--- a/internal/config/service_test.go
+++ b/internal/config/service_test.go
@@ -33,6 +33,10 @@
 	return value
 }
 
+// settled is the time after which a VM has ruled out what the process before it
+// may have acknowledged, a few looks at the store included.
+const settled = ackLife + 4*pullEvery
+
 func TestCommitIsInForceEverywhere(t *testing.T) {
 	inFleet(t, func(t *testing.T, f *fleet) {
 		result, err := f.service("vm4").Propose(context.Background(), setCap("c1", 1, "acct0", 77))
@@ -130,7 +134,7 @@
 
 func TestStoreOutageKeepsMajorityConfirmed(t *testing.T) {
 	inFleet(t, func(t *testing.T, f *fleet) {
-		time.Sleep(ackLife)
+		time.Sleep(settled)
 		f.store.Down(standin.AllClients, true)
 		f.setCut("vm6", true)
 		time.Sleep(time.Minute)
@@ -148,7 +152,7 @@
 
 func TestRestartDuringStoreOutageAdoptsFromPeers(t *testing.T) {
 	inFleet(t, func(t *testing.T, f *fleet) {
-		time.Sleep(ackLife)
+		time.Sleep(settled)
 		f.store.Down(standin.AllClients, true)
 		f.stop("vm3")
 		f.start(testSlots[3])
@@ -171,3 +175,37 @@
 		}
 	})
 }
+
+// The VMs that acknowledged a change and were cut off before they heard of its
+// commit are more than half of the slots, yet must not confirm each other.
+func TestCutOffAfterAcknowledgingStaysIsolated(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		time.Sleep(time.Minute)
+		f.store.Slow("vm6", 10*time.Millisecond)
+		committed := make(chan error)
+		go func() {
+			_, err := f.service("vm6").Propose(context.Background(), setCap("c", 1, "acct0", 9))
+			committed <- err
+		}()
+		time.Sleep(20 * time.Millisecond)
+		f.setCut("vm6", true)
+		for _, slot := range testSlots[:6] {
+			f.store.Cut(string(slot.VM), true)
+		}
+		if err := <-committed; err != nil {
+			t.Fatalf("not committed: %v", err)
+		}
+		time.Sleep(confirmFor)
+		for range 60 {
+			time.Sleep(5 * time.Second)
+			for _, slot := range testSlots[:6] {
+				if f.service(slot.VM).Confirmed(time.Now()) {
+					t.Fatalf("%s is confirmed on revision %d", slot.VM, f.service(slot.VM).Current().Revision())
+				}
+			}
+		}
+		if !f.service("vm6").Confirmed(time.Now()) {
+			t.Error("the VM that reaches the store is not confirmed")
+		}
+	})
+}
