Publish views without the lock that guards start

Cause: Start held the mutex that publishing the first view took again, so no Service ever started; the first test over sockets hung. Change: subscribers have a mutex of their own.

--- a/internal/membership/publish.go
+++ b/internal/membership/publish.go
@@ -48,9 +48,9 @@
 	old := s.view.Swap(view)
 	s.metrics.views.Inc(1)
 	s.noteChanges(old, view)
-	s.mu.Lock()
+	s.subscribersMu.Lock()
 	subscribers := slices.Clone(s.subscribers)
-	s.mu.Unlock()
+	s.subscribersMu.Unlock()
 	for _, f := range subscribers {
 		f(view)
 	}
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -53,11 +53,14 @@
 	local    atomic.Pointer[LocalUpdated]
 	leave    atomic.Bool
 
-	mu          sync.Mutex
-	subscribers []func(*View)
-	ctx         context.Context
-	cancel      context.CancelFunc
-	wg          sync.WaitGroup
+	subscribersMu sync.Mutex
+	subscribers   []func(*View)
+
+	// mu guards the start and stop of the Service.
+	mu     sync.Mutex
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
 }
 
 // NewService returns a Service and registers its handlers with the links.
@@ -163,8 +166,8 @@
 // Subscribe calls f with each new view, on the control goroutine. f must not
 // block. Views published before are not repeated.
 func (s *Service) Subscribe(f func(*View)) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.subscribersMu.Lock()
+	defer s.subscribersMu.Unlock()
 	s.subscribers = append(s.subscribers, f)
 }
 
