Let a lone VM write its zone's record

Cause: the search for other VMs and the zone's record shared one call slot, so a VM without peers kept searching and never wrote; no newcomer could find it. Change: separate call slots; tests of the Service over sockets, with the store down, a leave, a replacement and first contact by zone records.

--- a/internal/membership/duty.go
+++ b/internal/membership/duty.go
@@ -42,7 +42,9 @@
 	renewing   time.Time
 	leaseCall  retry
 	recordCall retry
-	listCall   retry
+	// contactCall reads all zones' records, listCall the VM list.
+	contactCall retry
+	listCall    retry
 	// version and stored are the zone's record in the store, where known.
 	known   bool
 	version uint64
@@ -73,8 +75,8 @@
 
 // firstContact looks for other VMs in the store and in the VM list.
 func (n *Node) firstContact() {
-	if n.duty.recordCall.ready(n.now) {
-		n.duty.recordCall.pending = true
+	if n.duty.contactCall.ready(n.now) {
+		n.duty.contactCall.pending = true
 		n.do(ReadZoneRecords{})
 	}
 	n.readVMList()
@@ -210,13 +212,10 @@
 
 func (e ZoneRecordsRead) apply(n *Node) {
 	d := &n.duty
-	pause := time.Duration(0)
 	if e.Zone == "" {
-		pause = n.pace.StoreRetryMax
-	}
-	d.recordCall.ended(n, e.Failed, pause)
-	if n.joined || e.Zone != "" {
-		d.recordCall.due = minTime(d.recordCall.due, n.now.Add(n.pace.StoreRetryMax))
+		d.contactCall.ended(n, e.Failed, n.pace.StoreRetryMax)
+	} else {
+		d.recordCall.ended(n, e.Failed, 0)
 	}
 	for _, stored := range e.Records {
 		n.takeStored(stored)
@@ -268,10 +267,3 @@
 	d.version = e.Version
 	d.stored = d.writing
 }
-
-func minTime(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
--- /dev/null
+++ b/internal/membership/service_test.go
@@ -0,0 +1,260 @@
+package membership
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"fuchsiaspar/internal/explain"
+	"fuchsiaspar/internal/model"
+	"fuchsiaspar/internal/peer"
+	"fuchsiaspar/internal/platform"
+
+	"go.uber.org/goleak"
+)
+
+// testLimit only ends a test that hangs.
+const testLimit = 30 * time.Second
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fakeStore is a store that can be down, without watches.
+type fakeStore struct {
+	platform.Store
+	mu      sync.Mutex
+	down    bool
+	entries map[string]platform.Entry
+	leases  map[platform.LeaseID]string
+	next    platform.LeaseID
+	puts    int
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{entries: map[string]platform.Entry{}, leases: map[platform.LeaseID]string{}}
+}
+
+func (f *fakeStore) use() (func(), error) {
+	f.mu.Lock()
+	if f.down {
+		f.mu.Unlock()
+		return nil, platform.ErrUnavailable
+	}
+	return f.mu.Unlock, nil
+}
+
+func (f *fakeStore) setDown(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down = down
+}
+
+func (f *fakeStore) Get(_ context.Context, key string) (platform.Entry, error) {
+	done, err := f.use()
+	if err != nil {
+		return platform.Entry{}, err
+	}
+	defer done()
+	e, ok := f.entries[key]
+	if !ok {
+		return platform.Entry{}, platform.ErrNotFound
+	}
+	return e, nil
+}
+
+func (f *fakeStore) List(_ context.Context, prefix string) ([]platform.Entry, error) {
+	done, err := f.use()
+	if err != nil {
+		return nil, err
+	}
+	defer done()
+	var found []platform.Entry
+	for _, key := range sortedKeys(f.entries) {
+		if strings.HasPrefix(key, prefix) {
+			found = append(found, f.entries[key])
+		}
+	}
+	return found, nil
+}
+
+func (f *fakeStore) Put(_ context.Context, key string, value []byte, expect uint64, lease platform.LeaseID) (uint64, error) {
+	done, err := f.use()
+	if err != nil {
+		return 0, err
+	}
+	defer done()
+	if f.entries[key].Version != expect {
+		return 0, platform.ErrConflict
+	}
+	f.puts++
+	f.leases[lease] = key
+	f.entries[key] = platform.Entry{Key: key, Value: value, Version: expect + 1}
+	return expect + 1, nil
+}
+
+func (f *fakeStore) Grant(context.Context, time.Duration) (platform.LeaseID, error) {
+	done, err := f.use()
+	if err != nil {
+		return 0, err
+	}
+	defer done()
+	f.next++
+	return f.next, nil
+}
+
+func (f *fakeStore) KeepAlive(context.Context, platform.LeaseID) error {
+	done, err := f.use()
+	if err != nil {
+		return err
+	}
+	done()
+	return nil
+}
+
+func (f *fakeStore) Revoke(_ context.Context, lease platform.LeaseID) error {
+	done, err := f.use()
+	if err != nil {
+		return err
+	}
+	defer done()
+	delete(f.entries, f.leases[lease])
+	return nil
+}
+
+func (f *fakeStore) VMs(context.Context) ([]platform.VM, error) { return nil, platform.ErrUnavailable }
+
+// daemon is one VM with real links.
+type daemon struct {
+	self    Self
+	mesh    *peer.Mesh
+	server  *httptest.Server
+	service *Service
+	ring    *explain.Ring
+}
+
+func startDaemon(t *testing.T, slot Self, incarnation model.Incarnation, store *fakeStore, seeds []Seed) *daemon {
+	t.Helper()
+	d := &daemon{self: slot, ring: explain.NewRing(64)}
+	d.mesh = peer.New(peer.Options{Self: slot.VM, Incarnation: incarnation})
+	d.server = httptest.NewServer(d.mesh)
+	d.self.Incarnation = incarnation
+	d.self.Address = strings.TrimPrefix(d.server.URL, "http://")
+	d.service = NewService(ServiceOptions{
+		Self: d.self, Seeds: seeds, Store: store, VMs: store, Links: d.mesh, Explain: d.ring,
+	})
+	if err := d.mesh.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if err := d.service.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { d.stop(t) })
+	return d
+}
+
+func (d *daemon) stop(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	defer cancel()
+	if err := d.service.Stop(ctx); err != nil {
+		t.Error(err)
+	}
+	if err := d.mesh.Stop(ctx); err != nil {
+		t.Error(err)
+	}
+	d.server.Close()
+}
+
+// await polls until every daemon's view satisfies ok.
+func await(t *testing.T, what string, daemons []*daemon, ok func(*View) bool) {
+	t.Helper()
+	deadline := time.Now().Add(testLimit)
+	for _, d := range daemons {
+		for !ok(d.service.View()) {
+			if time.Now().After(deadline) {
+				t.Fatalf("%s: %s still sees %+v", what, d.self.VM, d.service.View().Members)
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+}
+
+func countState(v *View, state State) int {
+	count := 0
+	for _, m := range v.Members {
+		if m.State == state {
+			count++
+		}
+	}
+	return count
+}
+
+func startSeven(t *testing.T, store *fakeStore) []*daemon {
+	var daemons []*daemon
+	var seeds []Seed
+	for i, slot := range simSlots(7, 6, 3) {
+		d := startDaemon(t, slot, model.Incarnation(i+1), store, seeds)
+		daemons = append(daemons, d)
+		seeds = append(seeds, Seed{VM: d.self.VM, Address: d.self.Address})
+	}
+	await(t, "boot", daemons, func(v *View) bool { return countState(v, StateAlive) == 7 })
+	return daemons
+}
+
+func TestServiceOverSockets(t *testing.T) {
+	store := newFakeStore()
+	daemons := startSeven(t, store)
+	for i, d := range daemons {
+		d.service.SetLocal(4, []ServiceLoad{{Service: "order-desk", Slots: 10 + i, Busy: i}})
+	}
+	await(t, "load and revision", daemons, func(v *View) bool {
+		for i, d := range daemons {
+			m, _ := v.Find(d.self.VM)
+			if m.Revision != 4 || len(m.Load) != 1 || m.Load[0].Slots != 10+i {
+				return false
+			}
+		}
+		return len(v.Leaders) == 6
+	})
+	store.setDown(true)
+	leaving, rest := daemons[2], append(daemons[:2:2], daemons[3:]...)
+	leaving.service.Leave()
+	await(t, "leave", rest, func(v *View) bool {
+		m, _ := v.Find(leaving.self.VM)
+		return m.State == StateLeaving
+	})
+	leaving.stop(t)
+	await(t, "left", rest, func(v *View) bool {
+		m, _ := v.Find(leaving.self.VM)
+		return m.State == StateDead
+	})
+	next := startDaemon(t, leaving.self, 99, store, []Seed{{VM: rest[0].self.VM, Address: rest[0].self.Address}})
+	await(t, "replacement", append(rest, next), func(v *View) bool {
+		m, _ := v.Find(leaving.self.VM)
+		return m.State == StateAlive && m.Incarnation == 99
+	})
+	if len(rest[0].ring.Find(explain.Filter{Kind: explain.KindMember})) == 0 {
+		t.Error("no membership decision was recorded")
+	}
+}
+
+func TestZoneRecordsLeadToFirstContact(t *testing.T) {
+	store := newFakeStore()
+	first := startDaemon(t, simSlots(1, 1, 1)[0], 1, store, nil)
+	for written := false; !written; time.Sleep(10 * time.Millisecond) {
+		entry, err := store.Get(t.Context(), recordKey(first.self.Zone))
+		written = err == nil && len(entry.Value) > 0
+	}
+	second := simSlots(2, 2, 1)[1]
+	other := startDaemon(t, second, 2, store, nil)
+	await(t, "contact", []*daemon{first, other}, func(v *View) bool { return countState(v, StateAlive) == 2 })
+}
+
+func ExampleView_Find() {
+	view := &View{Members: []Member{{VM: "vm-1", State: StateAlive}, {VM: "vm-2", State: StateDead}}}
+	m, ok := view.Find("vm-2")
+	fmt.Println(m.State, ok)
+	// Output: dead true
+}
