--- a/internal/membership/capacity_test.go
+++ b/internal/membership/capacity_test.go
@@ -13,9 +13,6 @@
 	capacityZones   = 23
 	capacityRegions = 8
 	measuredFor     = 20 * time.Second
-	// changeEvery is the time between two changes of configuration at 2,100 a
-	// day.
-	changeEvery = 41 * time.Second
 )
 
 // BenchmarkFleet reports what membership costs one VM, against the count of
