Cut what membership sends at scale

Cause: at 700 VMs in 23 zones the busiest leader sent and received 5,028 B/s, over the budget of 4 KB/s, and half of the processor time built views. Change: relay trees whose root sends once, wider gaps between load messages, four watched zones instead of six in large fleets, verdicts sent at once, at most one view in 50 ms, exchanges also with members that are no neighbours.

--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -94,6 +94,9 @@
 	n.source = ""
 	event.apply(n)
 	n.flood()
+	if n.spread.urgent {
+		n.spread.flushSummaries(n)
+	}
 	n.publishIfDue()
 	return n.actions
 }
--- a/internal/membership/spread.go
+++ b/internal/membership/spread.go
@@ -13,6 +13,8 @@
 type spreader struct {
 	learned   []model.VMID
 	summaries map[model.VMID][]model.Zone
+	// urgent sends the queued summaries with this step.
+	urgent bool
 	// differs is since when a VM's digest is another than this VM's.
 	differs  map[model.VMID]time.Time
 	nextSync time.Time
@@ -113,7 +115,18 @@
 	}
 	n.spread.nextSync = n.now.Add(n.pace.Sync + n.jitter(n.pace.Sync))
 	delete(n.spread.differs, from)
-	n.do(SendDelta{To: from, Delta: Delta{Digests: n.digests(), Exchange: true}})
+	n.do(SendDelta{To: n.syncPartner(from), Delta: Delta{Digests: n.digests(), Exchange: true}})
+}
+
+// syncPartner is the VM whose digest differs, or by chance another member of
+// the zone: exchanges between neighbours alone cross a large zone slowly.
+func (n *Node) syncPartner(from model.VMID) model.VMID {
+	ring := n.table.present(n.self.Zone)
+	vm := ring[n.rng.Intn(len(ring))]
+	if vm == n.self.VM || n.rng.Intn(2) == 0 {
+		return from
+	}
+	return vm
 }
 
 func (n *Node) digests() []ZoneDigest {
@@ -195,4 +208,5 @@
 		n.do(SendDelta{To: to, Delta: Delta{Summaries: batch}})
 	}
 	clear(s.summaries)
+	s.urgent = false
 }
--- a/internal/membership/summary.go
+++ b/internal/membership/summary.go
@@ -14,7 +14,9 @@
 	// minLoadGap and loadGapPerZone space summaries that only bring new load,
 	// so that the bytes a VM receives do not grow with the count of zones.
 	minLoadGap     = 500 * time.Millisecond
-	loadGapPerZone = 100 * time.Millisecond
+	loadGapPerZone = 150 * time.Millisecond
+	// loadGapPerMember spaces the reports that a leader receives.
+	loadGapPerMember = 60 * time.Millisecond
 	// minSummaryGap spaces summaries that bring new revisions.
 	minSummaryGap = 300 * time.Millisecond
 	// materialPercent is the change of a load that is worth a message.
@@ -72,6 +74,12 @@
 	return max(minLoadGap, time.Duration(len(n.table.names))*loadGapPerZone)
 }
 
+// reportGap is the shortest time between two reports that bring only load.
+func (n *Node) reportGap() time.Duration {
+	members := len(n.table.present(n.self.Zone))
+	return max(n.loadGap(), time.Duration(members)*loadGapPerMember)
+}
+
 // tickSummary tells the zone's leader, or as leader the other zones, what has
 // changed at this VM or in this zone.
 func (n *Node) tickSummary() {
@@ -97,7 +105,7 @@
 	due := leader != l.reportedTo ||
 		report.Revision != l.reported.Revision ||
 		age >= n.pace.Refresh ||
-		age >= n.loadGap() && material(report.Load, l.reported.Load)
+		age >= n.reportGap() && material(report.Load, l.reported.Load)
 	if !due {
 		return
 	}
@@ -129,6 +137,7 @@
 	n.passSummary(s)
 }
 
+// summary returns what this zone's next summary says.
 func (n *Node) summary(old Summary) Summary {
 	members := n.table.present(n.self.Zone)
 	s := Summary{
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -11,6 +11,7 @@
 	records map[model.VMID]Record
 	zones   map[model.Zone]*zoneTable
 	names   []model.Zone
+	vms     []model.VMID
 	digest  uint32
 }
 
@@ -45,8 +46,8 @@
 	if known {
 		t.fold(z, old.hash())
 	} else {
-		at, _ := slices.BinarySearch(z.all, r.VM)
-		z.all = slices.Insert(z.all, at, r.VM)
+		z.all = insertSorted(z.all, r.VM)
+		t.vms = insertSorted(t.vms, r.VM)
 	}
 	t.fold(z, r.hash())
 	z.stale = true
@@ -55,9 +56,8 @@
 
 func (t *table) remove(r Record) {
 	z := t.zones[r.Zone]
-	if at, ok := slices.BinarySearch(z.all, r.VM); ok {
-		z.all = slices.Delete(z.all, at, at+1)
-	}
+	z.all = deleteSorted(z.all, r.VM)
+	t.vms = deleteSorted(t.vms, r.VM)
 	t.fold(z, r.hash())
 	z.stale = true
 	delete(t.records, r.VM)
@@ -74,8 +74,7 @@
 	if !ok {
 		z = &zoneTable{}
 		t.zones[name] = z
-		at, _ := slices.BinarySearch(t.names, name)
-		t.names = slices.Insert(t.names, at, name)
+		t.names = insertSorted(t.names, name)
 	}
 	return z
 }
@@ -149,8 +148,9 @@
 	return found
 }
 
-// treeChildren returns the children of self in the binary tree over a sorted
-// ring whose root is root. Every item but the root has exactly one parent.
+// treeChildren returns the children of self in the tree over a sorted ring
+// whose root is root. The root has one child, so that a leader that relays for
+// its zone sends each message once; every other item has up to two.
 func treeChildren[T ~string](ring []T, root, self T) []T {
 	rootAt, rootKnown := slices.BinarySearch(ring, root)
 	selfAt, selfKnown := slices.BinarySearch(ring, self)
@@ -158,13 +158,30 @@
 		return nil
 	}
 	position := (selfAt - rootAt + len(ring)) % len(ring)
+	first, last := 2*position, 2*position+1
+	if position == 0 {
+		first = 1
+	}
 	var found []T
-	for child := 2*position + 1; child <= 2*position+2 && child < len(ring); child++ {
+	for child := first; child <= last && child < len(ring); child++ {
 		found = append(found, ring[(rootAt+child)%len(ring)])
 	}
 	return found
 }
 
+func insertSorted[T ~string](items []T, item T) []T {
+	at, _ := slices.BinarySearch(items, item)
+	return slices.Insert(items, at, item)
+}
+
+func deleteSorted[T ~string](items []T, item T) []T {
+	at, ok := slices.BinarySearch(items, item)
+	if !ok {
+		return items
+	}
+	return slices.Delete(items, at, at+1)
+}
+
 func without[T comparable](items []T, unwanted T) []T {
 	var kept []T
 	for _, item := range items {
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -6,13 +6,17 @@
 	"fuchsiaspar/internal/model"
 )
 
-// loadPublishGap spaces views that only bring new load.
-const loadPublishGap = 500 * time.Millisecond
+const (
+	// viewGap spaces views while many members change at once.
+	viewGap = 50 * time.Millisecond
+	// loadViewGap spaces views that only bring new load.
+	loadViewGap = 500 * time.Millisecond
+)
 
 // viewState tracks what the next view would change.
 type viewState struct {
 	version uint64
-	// dirty asks for a view now, loadDirty for one within loadPublishGap.
+	// dirty asks for a view within viewGap, loadDirty for one within loadViewGap.
 	dirty     bool
 	loadDirty bool
 	published time.Time
@@ -20,8 +24,10 @@
 
 func (n *Node) publishIfDue() {
 	v := &n.views
-	loadDue := v.loadDirty && n.now.Sub(v.published) >= loadPublishGap
-	if !v.dirty && !loadDue {
+	age := n.now.Sub(v.published)
+	due := v.dirty && (age >= viewGap || n.stopped)
+	loadDue := v.loadDirty && age >= loadViewGap
+	if !due && !loadDue {
 		return
 	}
 	v.dirty = false
@@ -38,7 +44,7 @@
 		Members: make([]Member, 0, len(n.table.records)),
 		Zones:   make([]ZoneStatus, 0, len(n.table.names)),
 	}
-	for _, vm := range sortedKeys(n.table.records) {
+	for _, vm := range n.table.vms {
 		view.Members = append(view.Members, n.member(vm))
 	}
 	for _, zone := range n.table.names {
--- a/internal/membership/zones.go
+++ b/internal/membership/zones.go
@@ -9,7 +9,9 @@
 
 const (
 	// zoneRingWidth is the count of zones on each side that a leader watches.
-	zoneRingWidth = 3
+	zoneRingWidth = 2
+	// smallFleet is the largest count of zones that all watch one another.
+	smallFleet = 8
 	// zoneCandidates is the count of members tried when a zone's leader is
 	// silent, besides that leader.
 	zoneCandidates = 2
@@ -59,7 +61,7 @@
 // watchedZones returns the zones that this VM, as its zone's leader, watches.
 func (n *Node) watchedZones() []model.Zone {
 	ring := n.zoneRing()
-	if n.now.Before(n.zones.wideUntil) {
+	if len(ring) <= smallFleet || n.now.Before(n.zones.wideUntil) {
 		return without(ring, n.self.Zone)
 	}
 	watched := ringNeighbours(ring, n.self.Zone, zoneRingWidth)
@@ -136,6 +138,7 @@
 		return
 	}
 	n.views.dirty = true
+	n.spread.urgent = true
 	n.local.verdictChanged = true
 	if reachable {
 		delete(n.zones.unreachable, zone)
@@ -160,6 +163,7 @@
 			continue
 		}
 		n.views.dirty = true
+		n.spread.urgent = true
 		if !cut {
 			delete(n.zones.unreachable, zone)
 			continue
