Do not cancel lower work under lasting urgent overload

Cause: under an urgent flood cancels hit the long transfers that the floors had just let in. Change: no cancels while urgent work is overloaded; the default patience is 50 ms instead of 20 ms. Conclusion: cancels bridge short rises and leave the floors alone.

--- a/internal/admit/cancel.go
+++ b/internal/admit/cancel.go
@@ -35,11 +35,16 @@
 }
 
 // urgentLate reports whether more urgent requests wait than running cancels
-// will make room for, and the oldest one has run out of patience.
+// will make room for, and the oldest one has run out of patience. Cancels
+// bridge a short rise of urgent work. Under lasting overload they would only
+// throw away what the floors keep for lower priorities.
 func (q *Queue) urgentLate(now time.Time, urgent *class) bool {
 	if q.policy.CancelBudget.Count == 0 || urgent.queued <= q.cancelling {
 		return false
 	}
+	if urgent.overloaded(now) {
+		return false
+	}
 	waited := now.Sub(urgent.arrivals.head.enqueued)
 	return waited >= q.policy.CancelBudget.After
 }
--- a/internal/admit/policy.go
+++ b/internal/admit/policy.go
@@ -51,7 +51,7 @@
 	defaultBulkAge      = 15 * time.Second
 	defaultCancelCount  = 4
 	defaultCancelWindow = time.Second
-	defaultCancelAfter  = 20 * time.Millisecond
+	defaultCancelAfter  = 50 * time.Millisecond
 )
 
 // DefaultPolicy returns the settings used where an operator sets none.
--- a/internal/admit/wake.go
+++ b/internal/admit/wake.go
@@ -40,6 +40,9 @@
 		return
 	}
 	at := urgent.arrivals.head.enqueued.Add(budget.After)
+	if urgent.overloaded(q.last) {
+		at = later(at, urgent.refusedAt.Add(overloadHold))
+	}
 	if q.cancels.used >= budget.Count {
 		at = later(at, q.cancels.start.Add(budget.Window))
 	}
