Simulate floods against a random-server baseline

Cause: the policy was tuned by hand only. Change: a discrete-event simulation over the queue and the tracker, with the targets for floods of low, of urgent and of one account's work as tests.

--- /dev/null
+++ b/internal/admit/flood_test.go
@@ -0,0 +1,121 @@
+package admit_test
+
+import (
+	"flag"
+	"slices"
+	"testing"
+	"time"
+
+	"fuchsiaspar/internal/admit"
+	"fuchsiaspar/internal/model"
+)
+
+var (
+	simServers = flag.Int("servers", 3, "servers of three slots in the flood simulation")
+	simSeed    = flag.Int64("sim-seed", 1, "seed of the flood simulation")
+)
+
+const ms = time.Millisecond
+
+// The names of the streams that the targets are about.
+const (
+	urgent   = "urgent"
+	normal   = "normal"
+	bulk     = "bulk"
+	bulkLong = "bulk-long"
+)
+
+// quiet loads slots to 70 %.
+func quiet(slots float64) []stream {
+	return []stream{
+		{urgent, "a", model.PriorityUrgent, false, 0.30 * slots, 20 * ms, 500 * ms},
+		{normal, "a", model.PriorityNormal, false, 0.15 * slots, 20 * ms, 1000 * ms},
+		{"normal-long", "b", model.PriorityNormal, true, 0.10 * slots, 200 * ms, 4000 * ms},
+		{bulk, "c", model.PriorityBulk, false, 0.10 * slots, 40 * ms, 5000 * ms},
+		{bulkLong, "c", model.PriorityBulk, true, 0.05 * slots, 300 * ms, 8000 * ms},
+	}
+}
+
+// flood returns streams with the load of one of them replaced.
+func flood(streams []stream, name string, erlangs float64) []stream {
+	streams = slices.Clone(streams)
+	for i := range streams {
+		if streams[i].name == name {
+			streams[i].erlangs = erlangs
+		}
+	}
+	return streams
+}
+
+// compare runs streams through the queue and through the baseline, logs both
+// and returns the queue's outcomes by stream.
+func compare(t *testing.T, title string, streams []stream) map[string]*outcome {
+	t.Helper()
+	outcomes := simulate(*simSeed, streams, newFullFleet(*simServers, admit.DefaultPolicy()))
+	report(t, title+" full", streams, outcomes)
+	report(t, title+" baseline", streams, simulate(*simSeed, streams, newRandomFleet(*simServers)))
+	byName := make(map[string]*outcome)
+	for i := range outcomes {
+		byName[streams[i].name] = &outcomes[i]
+	}
+	return byName
+}
+
+func report(t *testing.T, title string, streams []stream, outcomes []outcome) {
+	t.Helper()
+	for i := range outcomes {
+		o := &outcomes[i]
+		t.Logf("%-24s %-12s offered %6d answered %5.1f %% slots %4.1f %% p50 %4d ms p99 %4d ms",
+			title, streams[i].name, o.offered, 100*o.share(), 100*o.slotShare(),
+			o.quantile(0.5).Milliseconds(), o.quantile(0.99).Milliseconds())
+	}
+}
+
+// slotShare returns the share of all slot time that the stream held.
+func (o *outcome) slotShare() float64 {
+	return o.busy.Seconds() / simDuration.Seconds() / simSlots()
+}
+
+func simSlots() float64 { return float64(*simServers * serverSlots) }
+
+func atLeast(t *testing.T, what string, got, want float64) {
+	t.Helper()
+	if got < want {
+		t.Errorf("%s: %.3f, want at least %.3f", what, got, want)
+	}
+}
+
+func TestFloodOfLowPriority(t *testing.T) {
+	base := quiet(simSlots())
+	calm := compare(t, "quiet", base)[urgent].quantile(0.99)
+	for _, name := range []string{bulk, bulkLong} {
+		got := compare(t, "flood "+name, flood(base, name, 10*simSlots()))[urgent]
+		atLeast(t, "urgent answered", got.share(), 0.99)
+		atLeast(t, "twice the quiet p99 over p99", float64(2*calm)/float64(got.quantile(0.99)), 1)
+	}
+}
+
+func TestFloodOfUrgent(t *testing.T) {
+	got := compare(t, "flood urgent", flood(quiet(simSlots()), urgent, 10*simSlots()))
+	lanes := func(short, long string) float64 { return got[short].slotShare() + got[long].slotShare() }
+	normalShare, bulkShare := lanes(normal, "normal-long"), lanes(bulk, bulkLong)
+	floors := admit.DefaultPolicy().Floors
+	atLeast(t, "normal's slots", normalShare, 0.95*float64(floors[model.PriorityNormal])/100)
+	atLeast(t, "bulk's slots", bulkShare, 0.95*float64(floors[model.PriorityBulk])/100)
+	atLeast(t, "long transfers answered", got["normal-long"].share(), 0.9)
+	left := 1 - normalShare - bulkShare
+	useful := float64(got[urgent].answered) * (20 * ms).Seconds() / simDuration.Seconds() / simSlots()
+	atLeast(t, "urgent goodput of what is left", useful/left, 0.9)
+}
+
+func TestFloodOfOneAccount(t *testing.T) {
+	one := func(name string, account model.AccountID, load float64) stream {
+		return stream{name, account, model.PriorityNormal, false, load * simSlots(), 20 * ms, 1000 * ms}
+	}
+	streams := []stream{one("a", "a", 0.035), one("b", "b", 0.20), one("c", "c", 0.20), one("d", "d", 0.20)}
+	calm := compare(t, "accounts", streams)
+	got := compare(t, "flood account", flood(streams, "a", 20*0.035*simSlots()))
+	for _, name := range []string{"b", "c", "d"} {
+		atLeast(t, "answered against quiet", got[name].share()/calm[name].share(), 0.95)
+	}
+}
