--- a/internal/admit/class.go
+++ b/internal/admit/class.go
@@ -115,6 +115,9 @@
 	if own.queued == 0 {
 		state.round.remove(a)
 	}
+	if c.queued == 0 {
+		c.credit = min(c.credit, 0)
+	}
 	if a.queued > 0 {
 		c.longest.fix(a.heapIndex)
 		return
--- a/internal/admit/floor.go
+++ b/internal/admit/floor.go
@@ -42,12 +42,15 @@
 	return debtServices * max(c.lanes[laneShort].service.value, c.lanes[laneLong].service.value)
 }
 
-// owed reports whether the priority holds less than its floor and is not in
-// debt for earlier work.
+// owed reports whether the priority is due a slot: it holds less than its
+// floor and is not in debt for earlier work, or it holds no more than its floor
+// and has credit. It never holds more than one slot beyond the floor by right,
+// so that a credit does not take many slots at once.
 func (q *Queue) owed(c *class) bool {
+	held := c.running * percentBase
+	floor := q.policy.Floors[c.priority] * q.fleet.slots
 	if c.credit > 0 {
-		return true
+		return held < floor+percentBase
 	}
-	floor := q.policy.Floors[c.priority] * q.fleet.slots
-	return c.credit == 0 && c.running*percentBase < floor
+	return c.credit == 0 && held < floor
 }
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -48,13 +48,20 @@
 
 // Offer asks for a slot. The item starts, waits or is refused. An ID that the
 // queue holds already is ignored.
+//
+// Since the last call only slots kept back from long transfers can have become
+// free to use. A short item may take such a slot ahead of waiting long ones; a
+// long item comes after them.
 func (q *Queue) Offer(now time.Time, item Item) Result {
 	q.begin(now)
 	if _, known := q.entries[item.ID]; known {
 		return q.finish(now)
 	}
-	q.dispatch(now)
+	if item.Long {
+		q.dispatch(now)
+	}
 	q.admit(now, item)
+	q.dispatch(now)
 	return q.finish(now)
 }
 
@@ -70,15 +77,15 @@
 	return q.finish(now)
 }
 
-// Abandon withdraws a waiting request whose caller is gone. A running request
-// keeps its slot until Done.
+// Abandon withdraws a waiting request whose caller is gone; the result does
+// not mention it. A running request keeps its slot until Done.
 func (q *Queue) Abandon(now time.Time, id uint64) Result {
-	q.begin(now)
 	e, ok := q.entries[id]
 	if ok && !e.running() {
 		q.dequeue(e)
 		q.forget(e)
 	}
+	q.begin(now)
 	q.dispatch(now)
 	return q.finish(now)
 }
