--- /dev/null
+++ b/internal/admit/oracle_test.go
@@ -0,0 +1,291 @@
+package admit_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"fuchsiaspar/internal/admit"
+	"fuchsiaspar/internal/model"
+)
+
+// subject is what the oracle drives: the queue or a broken variant.
+type subject interface {
+	Offer(now time.Time, item admit.Item) admit.Result
+	Done(now time.Time, id uint64, service time.Duration) admit.Result
+	Abandon(now time.Time, id uint64) admit.Result
+	SetServers(now time.Time, servers []admit.Server) admit.Result
+	Tick(now time.Time) admit.Result
+	Stats() admit.Stats
+}
+
+var oraclePolicy = admit.Policy{
+	Floors:       [model.NumPriorities]int{50, 20, 5},
+	QueueLimit:   4,
+	LongShare:    50,
+	MaxQueueAge:  [model.NumPriorities]time.Duration{200 * ms, 300 * ms, 400 * ms},
+	CancelBudget: admit.CancelBudget{Count: 2, Window: 100 * ms, After: 10 * ms},
+}
+
+// held is a request that the oracle knows to wait or run.
+type held struct {
+	item      admit.Item
+	since     time.Time
+	server    model.ServerID
+	cancelled bool
+	// due marks a request whose priority had a floor to catch up on when it
+	// started.
+	due bool
+}
+
+// oracle follows a queue by its results alone and states the first promise
+// that it broke.
+type oracle struct {
+	queue            subject
+	now              time.Time
+	lastID           uint64
+	limits           map[model.ServerID]int
+	waiting, running map[uint64]*held
+	// owed is the slot time, in percent, that the floors owe at most.
+	owed    [model.NumPriorities]time.Duration
+	cancels []time.Time
+	err     error
+}
+
+func newOracle(q subject) *oracle {
+	return &oracle{queue: q, now: simStart, limits: map[model.ServerID]int{},
+		waiting: map[uint64]*held{}, running: map[uint64]*held{}}
+}
+
+func (o *oracle) failf(format string, args ...any) {
+	if o.err == nil {
+		o.err = fmt.Errorf(format, args...)
+	}
+}
+
+func (o *oracle) advance(d time.Duration) {
+	o.now = o.now.Add(d)
+	for p := range o.owed {
+		if o.countWaiting(func(h *held) bool { return int(h.item.Priority) == p }) == 0 {
+			o.owed[p] = 0
+			continue
+		}
+		o.owed[p] += d * time.Duration(oraclePolicy.Floors[p]*o.slots()-100*o.runningOf(model.Priority(p)))
+		o.owed[p] = max(0, o.owed[p])
+	}
+}
+
+func (o *oracle) offer(item admit.Item) {
+	o.lastID++
+	item.ID = o.lastID
+	rivals := o.countWaiting(func(h *held) bool { return h.item.Priority == item.Priority })
+	o.waiting[item.ID] = &held{item: item, since: o.now}
+	result := o.queue.Offer(o.now, item)
+	for _, r := range result.Refusals {
+		early := r.ID == item.ID && r.Reason == model.ReasonDeadline && item.Deadline.After(o.now)
+		if early && rivals == 0 {
+			o.failf("request %d refused early though none of its priority waits", r.ID)
+		}
+	}
+	o.check(result)
+}
+
+func (o *oracle) done(k int) {
+	id, ok := nth(o.running, k)
+	if !ok {
+		return
+	}
+	service := o.now.Sub(o.running[id].since)
+	delete(o.running, id)
+	o.check(o.queue.Done(o.now, id, service))
+}
+
+func (o *oracle) abandon(k int) {
+	id, ok := nth(o.waiting, k)
+	if !ok {
+		return
+	}
+	delete(o.waiting, id)
+	o.check(o.queue.Abandon(o.now, id))
+}
+
+func (o *oracle) setServers(servers []admit.Server) {
+	clear(o.limits)
+	for _, s := range servers {
+		o.limits[s.ID] = s.Limit
+	}
+	o.check(o.queue.SetServers(o.now, servers))
+}
+
+// check compares a result and the counts after it with what was promised.
+func (o *oracle) check(result admit.Result) {
+	for _, r := range result.Refusals {
+		o.checkRefusal(r)
+	}
+	var started []*held
+	for _, s := range result.Starts {
+		started = append(started, o.checkStart(s))
+	}
+	for _, id := range result.Cancels {
+		o.checkCancel(id)
+	}
+	for _, s := range started {
+		o.checkOrder(s)
+	}
+	o.checkWaiting()
+	o.checkStats()
+}
+
+func (o *oracle) checkRefusal(r admit.Refusal) {
+	h, ok := o.waiting[r.ID]
+	if !ok {
+		o.failf("refusal of %d, which does not wait", r.ID)
+		return
+	}
+	if r.Reason == model.ReasonDisplaced || r.Reason == model.ReasonQueueFull {
+		own := o.ofAccount(h.item.Priority, h.item.Account)
+		for _, h2 := range o.waiting {
+			if o.ofAccount(h.item.Priority, h2.item.Account) > own {
+				o.failf("request %d of a shorter account queue pays for a full queue", r.ID)
+			}
+		}
+	}
+	delete(o.waiting, r.ID)
+}
+
+func (o *oracle) checkStart(s admit.Start) *held {
+	h, ok := o.waiting[s.ID]
+	if !ok {
+		o.failf("start of %d, which does not wait", s.ID)
+		return nil
+	}
+	if h.item.Exclude == s.Server {
+		o.failf("request %d starts on the server that it excludes", s.ID)
+	}
+	if !h.item.Deadline.IsZero() && !h.item.Deadline.After(o.now) {
+		o.failf("request %d starts after its deadline", s.ID)
+	}
+	if o.busy(s.Server) >= o.limits[s.Server] {
+		o.failf("request %d starts beyond the limit of %s", s.ID, s.Server)
+	}
+	if h.item.Long && o.slots() > 1 && o.long() >= o.slots()-1 {
+		o.failf("long request %d takes the last slot", s.ID)
+	}
+	delete(o.waiting, s.ID)
+	o.running[s.ID] = &held{item: h.item, since: o.now, server: s.Server, due: o.due(h.item.Priority)}
+	return o.running[s.ID]
+}
+
+// checkOrder demands that a start ahead of a more urgent request that could
+// have had the slot was owed to a floor.
+func (o *oracle) checkOrder(s *held) {
+	if s == nil {
+		return
+	}
+	p := s.item.Priority
+	passed := o.countWaiting(func(h *held) bool {
+		return h.item.Priority < p && !h.item.Long && h.item.Exclude != s.server
+	})
+	if passed > 0 && !s.due {
+		o.failf("request %d starts ahead of more urgent ones", s.item.ID)
+	}
+}
+
+// due reports whether a priority holds less than its floor, or is owed slot
+// time and holds less than one slot more.
+func (o *oracle) due(p model.Priority) bool {
+	held, floor := 100*o.runningOf(p), oraclePolicy.Floors[p]*o.slots()
+	return held < floor || o.owed[p] > 0 && held < floor+100
+}
+
+func (o *oracle) checkCancel(id uint64) {
+	h, ok := o.running[id]
+	if !ok || h.cancelled || !h.item.Idempotent || !h.item.Long || h.item.Priority == model.PriorityUrgent {
+		o.failf("cancel of %d, which must not be cancelled", id)
+		return
+	}
+	h.cancelled = true
+	budget := oraclePolicy.CancelBudget
+	o.cancels = append(o.cancels, o.now)
+	if n := len(o.cancels) - 1 - 2*budget.Count; n >= 0 && o.now.Sub(o.cancels[n]) < budget.Window {
+		o.failf("more cancels than two windows' budgets within one window")
+	}
+}
+
+// checkWaiting demands that nothing waits which is out of time or could run.
+func (o *oracle) checkWaiting() {
+	reserve := max(1, o.slots()*(100-oraclePolicy.LongShare)/100)
+	for id, h := range o.waiting {
+		if !h.item.Deadline.IsZero() && !h.item.Deadline.After(o.now) {
+			o.failf("request %d waits beyond its deadline", id)
+		}
+		if o.now.Sub(h.since) >= oraclePolicy.MaxQueueAge[h.item.Priority] {
+			o.failf("request %d waits beyond its age", id)
+		}
+		if h.item.Long && o.long() >= o.slots()-reserve {
+			continue
+		}
+		for server, limit := range o.limits {
+			if server != h.item.Exclude && o.busy(server) < limit {
+				o.failf("request %d waits though %s is idle", id, server)
+			}
+		}
+	}
+}
+
+func (o *oracle) checkStats() {
+	var want admit.Stats
+	for _, h := range o.waiting {
+		want.Queued[h.item.Priority]++
+	}
+	for _, h := range o.running {
+		want.Running[h.item.Priority]++
+	}
+	got := o.queue.Stats()
+	if got.Queued != want.Queued || got.Running != want.Running {
+		o.failf("queue holds %v and runs %v, want %v and %v", got.Queued, got.Running, want.Queued, want.Running)
+	}
+}
+
+func (o *oracle) slots() int {
+	total := 0
+	for _, limit := range o.limits {
+		total += limit
+	}
+	return total
+}
+
+func (o *oracle) countWaiting(match func(*held) bool) int { return count(o.waiting, match) }
+
+func (o *oracle) runningOf(p model.Priority) int {
+	return count(o.running, func(h *held) bool { return h.item.Priority == p })
+}
+
+func (o *oracle) busy(s model.ServerID) int {
+	return count(o.running, func(h *held) bool { return h.server == s })
+}
+
+func (o *oracle) long() int { return count(o.running, func(h *held) bool { return h.item.Long }) }
+
+func (o *oracle) ofAccount(p model.Priority, a model.AccountID) int {
+	return o.countWaiting(func(h *held) bool { return h.item.Priority == p && h.item.Account == a })
+}
+
+func count(held map[uint64]*held, match func(*held) bool) int {
+	n := 0
+	for _, h := range held {
+		if match(h) {
+			n++
+		}
+	}
+	return n
+}
+
+// nth returns the key at position k, modulo the length, in ascending order.
+func nth(held map[uint64]*held, k int) (uint64, bool) {
+	if len(held) == 0 {
+		return 0, false
+	}
+	return slices.Sorted(maps.Keys(held))[k%len(held)], true
+}
--- /dev/null
+++ b/internal/admit/saturate_test.go
@@ -0,0 +1,152 @@
+package admit_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"fuchsiaspar/internal/admit"
+	"fuchsiaspar/internal/model"
+)
+
+// The accounts of a saturated queue with their weights.
+var accountWeights = map[model.AccountID]int{"one": 1, "two": 2, "three": 3}
+
+const (
+	saturatedTime = 10 * time.Second
+	// saturatedQueue is the count of requests that each account has waiting or
+	// running: enough to wait with all slots in its hands.
+	saturatedQueue = 20
+)
+
+func saturatedPolicy() admit.Policy {
+	p := admit.DefaultPolicy()
+	p.MaxQueueAge = [model.NumPriorities]time.Duration{}
+	p.Weight = func(a model.AccountID) int { return accountWeights[a] }
+	return p
+}
+
+// usage is what each priority and account got of a saturated queue.
+type usage struct {
+	busy   [model.NumPriorities]time.Duration
+	starts [model.NumPriorities]map[model.AccountID]int
+}
+
+// saturate keeps every account of every priority waiting while slots run work
+// of a service time for each priority.
+func saturate(policy admit.Policy, slots int, service [model.NumPriorities]time.Duration) usage {
+	var u usage
+	var id uint64
+	q := admit.New(policy)
+	items := make(map[uint64]admit.Item)
+	ends := make(map[uint64]time.Time)
+	now := simStart
+	apply := func(r admit.Result) {
+		for _, s := range r.Starts {
+			item := items[s.ID]
+			u.starts[item.Priority][item.Account]++
+			ends[s.ID] = now.Add(service[item.Priority])
+		}
+	}
+	offer := func(p model.Priority, a model.AccountID) {
+		id++
+		items[id] = admit.Item{ID: id, Account: a, Priority: p}
+		apply(q.Offer(now, items[id]))
+	}
+	q.SetServers(now, []admit.Server{{ID: "s", Limit: slots}})
+	for p := range u.starts {
+		u.starts[p] = make(map[model.AccountID]int)
+		for range saturatedQueue {
+			for _, a := range []model.AccountID{"one", "two", "three"} {
+				offer(model.Priority(p), a)
+			}
+		}
+	}
+	for p := range u.starts {
+		clear(u.starts[p])
+	}
+	for now.Sub(simStart) < saturatedTime {
+		next := uint64(0)
+		for i, at := range ends {
+			if next == 0 || at.Before(ends[next]) || at.Equal(ends[next]) && i < next {
+				next = i
+			}
+		}
+		item := items[next]
+		now = ends[next]
+		delete(ends, next)
+		delete(items, next)
+		u.busy[item.Priority] += service[item.Priority]
+		offer(item.Priority, item.Account)
+		apply(q.Done(now, next, service[item.Priority]))
+	}
+	return u
+}
+
+// keepsFloors reports whether each priority got its floor, less one slot's
+// work at the edges.
+func keepsFloors(u usage, slots int) bool {
+	for p, floor := range admit.DefaultPolicy().Floors {
+		due := saturatedTime * time.Duration(floor*slots) / 100
+		if u.busy[p] < due*95/100-100*ms {
+			return false
+		}
+	}
+	return true
+}
+
+// isFair reports whether the accounts of each priority got starts in
+// proportion to their weights, give or take two rounds. The starts into the
+// first idle slots do not count.
+func isFair(u usage) bool {
+	for p := range u.starts {
+		one := u.starts[p]["one"]
+		for account, weight := range accountWeights {
+			if off := u.starts[p][account] - one*weight; off > 2*weight || off < -2*weight {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func checkSaturated(policy admit.Policy, holds func(u usage, slots int) bool) *gopter.TestResult {
+	params := gopter.DefaultTestParametersWithSeed(*seed)
+	params.MinSuccessfulTests = max(1, *histories/10)
+	service := gen.Int64Range(5, 60)
+	return prop.ForAll(func(slots int, urgent, normal, bulk int64) bool {
+		times := [model.NumPriorities]time.Duration{
+			time.Duration(urgent) * ms, time.Duration(normal) * ms, time.Duration(bulk) * ms,
+		}
+		return holds(saturate(policy, slots, times), slots)
+	}, gen.IntRange(1, 12), service, service, service).Check(params)
+}
+
+func TestSaturatedQueueKeepsFloorsAndWeights(t *testing.T) {
+	result := checkSaturated(saturatedPolicy(), func(u usage, slots int) bool {
+		return keepsFloors(u, slots) && isFair(u)
+	})
+	if !result.Passed() {
+		t.Errorf("seed %d: %v", *seed, result)
+	}
+}
+
+func TestSaturationCatchesLostFloors(t *testing.T) {
+	policy := saturatedPolicy()
+	policy.Floors = [model.NumPriorities]int{}
+	if checkSaturated(policy, keepsFloors).Passed() {
+		t.Error("the check did not notice")
+	}
+}
+
+func TestSaturationCatchesLostWeights(t *testing.T) {
+	policy := saturatedPolicy()
+	policy.Weight = nil
+	fair := func(u usage, _ int) bool { return isFair(u) }
+	if checkSaturated(policy, fair).Passed() {
+		t.Error("the check did not notice")
+	}
+}
