Benchmark admission against waiting accounts

Cause: the cost of admitting and refusing was unknown. Change: benchmarks of refusals, displacements, admissions and SetServers.

--- /dev/null
+++ b/internal/admit/bench_test.go
@@ -0,0 +1,140 @@
+package admit_test
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	"fuchsiaspar/internal/admit"
+	"fuchsiaspar/internal/model"
+)
+
+// benchServers is the count of servers of one owner.
+const benchServers = 3
+
+// benchmarkQueue returns a queue whose slots are busy and in which requests
+// requests wait, spread over accounts.
+func benchmarkQueue(accounts, requests, limit int) *admit.Queue {
+	policy := admit.DefaultPolicy()
+	policy.QueueLimit = limit
+	q := admit.New(policy)
+	var servers []admit.Server
+	for i := range benchServers {
+		servers = append(servers, admit.Server{ID: serverID(i), Limit: serverSlots})
+	}
+	q.SetServers(simStart, servers)
+	for i := range benchServers*serverSlots + requests {
+		q.Offer(simStart, benchItem(i, accounts))
+	}
+	return q
+}
+
+func benchItem(i, accounts int) admit.Item {
+	return admit.Item{
+		ID:       uint64(i),
+		Account:  model.AccountID("account-" + strconv.Itoa(i%accounts)),
+		Priority: model.PriorityNormal,
+		Deadline: simStart.Add(time.Hour),
+	}
+}
+
+// perAccounts runs a benchmark with several counts of accounts, each with one
+// waiting request and the queue full when full is set.
+func perAccounts(b *testing.B, full bool, run func(b *testing.B, q *admit.Queue, accounts int)) {
+	for _, accounts := range []int{1, 10, 100, 1000} {
+		b.Run(fmt.Sprint("accounts=", accounts), func(b *testing.B) {
+			limit := accounts
+			if !full {
+				limit *= 2
+			}
+			q := benchmarkQueue(accounts, accounts, limit)
+			b.ReportAllocs()
+			b.ResetTimer()
+			run(b, q, accounts)
+		})
+	}
+}
+
+// BenchmarkRefuse offers to a full queue in which the item's account is among
+// those with the longest queue.
+func BenchmarkRefuse(b *testing.B) {
+	perAccounts(b, true, func(b *testing.B, q *admit.Queue, _ int) {
+		item := benchItem(0, 1)
+		item.ID = 1 << 40
+		for b.Loop() {
+			if len(q.Offer(simStart, item).Refusals) != 1 {
+				b.Fatal("not refused")
+			}
+		}
+	})
+}
+
+// BenchmarkDisplace offers to a full queue in which the account with two
+// waiting requests pays, then restores the queue: two offers and an abandon.
+func BenchmarkDisplace(b *testing.B) {
+	for _, accounts := range []int{1, 10, 100, 1000} {
+		b.Run(fmt.Sprint("accounts=", accounts), func(b *testing.B) {
+			q := benchmarkQueue(accounts, accounts+1, accounts+1)
+			flooder := benchItem(benchServers*serverSlots, accounts)
+			newcomer := flooder
+			newcomer.Account = "newcomer"
+			newcomer.ID = 1 << 40
+			b.ReportAllocs()
+			for b.Loop() {
+				displaced := q.Offer(simStart, newcomer).Refusals
+				if len(displaced) != 1 || displaced[0].ID == newcomer.ID {
+					b.Fatal("not displaced")
+				}
+				flooder.ID = displaced[0].ID
+				q.Abandon(simStart, newcomer.ID)
+				q.Offer(simStart, flooder)
+			}
+		})
+	}
+}
+
+// BenchmarkAdmit offers a request that waits and ends one that runs, so that
+// each iteration queues one and starts one.
+func BenchmarkAdmit(b *testing.B) {
+	perAccounts(b, false, func(b *testing.B, q *admit.Queue, accounts int) {
+		accountIDs := make([]model.AccountID, accounts)
+		for i := range accountIDs {
+			accountIDs[i] = benchItem(i, accounts).Account
+		}
+		running := make([]uint64, 0, benchServers*serverSlots)
+		for i := range benchServers * serverSlots {
+			running = append(running, uint64(i))
+		}
+		now := simStart
+		item := benchItem(0, accounts)
+		item.ID = 1 << 40
+		i := 0
+		for b.Loop() {
+			now = now.Add(time.Microsecond)
+			item.ID++
+			item.Account = accountIDs[i%accounts]
+			q.Offer(now, item)
+			slot := i % len(running)
+			running[slot] = q.Done(now, running[slot], 20*ms).Starts[0].ID
+			i++
+		}
+	})
+}
+
+// BenchmarkSetServers replaces the limits of a fleet.
+func BenchmarkSetServers(b *testing.B) {
+	for _, n := range []int{3, 20, 240} {
+		b.Run(fmt.Sprint("servers=", n), func(b *testing.B) {
+			servers := make([]admit.Server, n)
+			for i := range servers {
+				servers[i] = admit.Server{ID: serverID(i), Limit: serverSlots}
+			}
+			q := admit.New(admit.DefaultPolicy())
+			b.ReportAllocs()
+			for b.Loop() {
+				q.SetServers(simStart, servers)
+			}
+		})
+	}
+}
