Pause failing servers beyond the eject share and check the tracker

Cause: an owner of two or three servers may eject none or one, and a further dead server would draw all work by failing fast. Change: one of two or more servers may always be ejected; a failing server beyond the share gets no work for 100 ms after a failure while another one answers; draining servers no longer count. Random histories against an oracle with five faulty trackers, and examples of limits after traffic and reports. Conclusion: the share of long ejections stays bounded and no server draws work by failing.

--- /dev/null
+++ b/internal/health/health_test.go
@@ -0,0 +1,302 @@
+package health_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/commands"
+	"github.com/leanovate/gopter/gen"
+
+	"fuchsiaspar/internal/admit"
+	"fuchsiaspar/internal/health"
+	"fuchsiaspar/internal/model"
+)
+
+var (
+	histories = flag.Int("histories", 100, "histories per oracle")
+	seed      = flag.Int64("seed", 1, "seed of the histories")
+)
+
+const (
+	ms            = time.Millisecond
+	historyLength = 150
+	// longestPause is how long a server may get no work without being ejected.
+	longestPause = 100 * ms
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+// subject is a tracker with the faults that a broken variant adds.
+type subject struct {
+	*health.Tracker
+	info  func(*health.ServerInfo)
+	limit func(*admit.Server)
+}
+
+// fleet follows the servers and states the first promise that was broken.
+type fleet struct {
+	subject
+	now     time.Time
+	infos   []health.ServerInfo
+	answers map[model.ServerID]int
+	zeroAt  map[model.ServerID]time.Time
+	err     error
+}
+
+func (f *fleet) setServers(infos []health.ServerInfo) {
+	f.infos = infos
+	given := append([]health.ServerInfo(nil), infos...)
+	for i := range given {
+		if f.info != nil {
+			f.info(&given[i])
+		}
+	}
+	f.SetServers(f.now, given)
+}
+
+func (f *fleet) failf(format string, args ...any) {
+	if f.err == nil {
+		f.err = fmt.Errorf(format, args...)
+	}
+}
+
+// check compares the limits with what the fleet's state allows.
+func (f *fleet) check() {
+	limits := f.Limits(f.now)
+	if len(limits) != len(f.infos) {
+		f.failf("%d limits for %d servers", len(limits), len(f.infos))
+		return
+	}
+	inUse, idle, ejected := 0, 0, 0
+	for i, info := range f.infos {
+		got := limits[i]
+		if f.limit != nil {
+			f.limit(&got)
+		}
+		if got.ID != info.ID || got.Limit < 0 || got.Limit > info.Slots {
+			f.failf("limit %v for %v", got, info)
+		}
+		if info.Draining && got.Limit != 0 {
+			f.failf("%s drains and gets work", info.ID)
+		}
+		if info.Cold && got.Limit > 1+f.answers[info.ID]/10 {
+			f.failf("%s is cold and gets %d after %d answers", info.ID, got.Limit, f.answers[info.ID])
+		}
+		if !info.Draining {
+			inUse++
+		}
+		if info.Draining || got.Limit > 0 {
+			delete(f.zeroAt, info.ID)
+			continue
+		}
+		idle++
+		if _, known := f.zeroAt[info.ID]; !known {
+			f.zeroAt[info.ID] = f.now
+		}
+		if f.now.Sub(f.zeroAt[info.ID]) > longestPause {
+			ejected++
+		}
+		if f.now.Sub(f.zeroAt[info.ID]) > health.DefaultOptions().EjectMax {
+			f.failf("%s is ejected for too long", info.ID)
+		}
+	}
+	if inUse > 0 && idle == inUse {
+		f.failf("no server gets work")
+	}
+	if ejected > max(1, int(0.34*float64(inUse))) {
+		f.failf("%d of %d servers are ejected", ejected, inUse)
+	}
+}
+
+// step is one command, drawn as bits so that any history is valid.
+type step struct{ bits uint64 }
+
+func (s *step) take(n uint64) int {
+	v := s.bits % n
+	s.bits /= n
+	return int(v)
+}
+
+func (s step) Run(sut commands.SystemUnderTest) commands.Result {
+	f := sut.(*fleet)
+	f.now = f.now.Add([]time.Duration{0, 20 * ms, 300 * ms, 5 * time.Second}[s.take(4)])
+	f.check()
+	id := f.infos[s.take(uint64(len(f.infos)))].ID
+	switch s.take(10) {
+	case 0:
+		f.setServers(s.servers(f.infos))
+	case 1:
+		f.Report(f.now, id, health.Report{Load: float64(s.take(3)), Ready: s.take(2) == 0, Age: time.Duration(s.take(3)) * time.Second})
+	case 2, 3, 4:
+		f.answers[id]++
+		f.Observe(f.now, id, health.Answered, time.Duration(1+s.take(400))*ms)
+	default:
+		// A burst, so that runs of failures are common.
+		class := health.Class(1 + s.take(3))
+		for range 1 + s.take(6) {
+			f.Observe(f.now, id, class, 0)
+		}
+	}
+	f.check()
+	return f.err
+}
+
+// servers changes one server and keeps between three and eight.
+func (s *step) servers(old []health.ServerInfo) []health.ServerInfo {
+	infos := append([]health.ServerInfo(nil), old...)
+	if n := 3 + s.take(6); n < len(infos) {
+		infos = infos[:n]
+	}
+	at := s.take(uint64(len(infos)))
+	infos[at].Draining = s.take(2) == 0
+	infos[at].Slots = 1 + s.take(4)
+	return infos
+}
+
+func (s step) NextState(state commands.State) commands.State { return state }
+func (s step) PreCondition(commands.State) bool              { return true }
+func (s step) String() string                                { return fmt.Sprint(s.bits) }
+
+func (s step) PostCondition(_ commands.State, result commands.Result) *gopter.PropResult {
+	if err, _ := result.(error); err != nil {
+		return &gopter.PropResult{Status: gopter.PropFalse, Labels: []string{err.Error()}}
+	}
+	return &gopter.PropResult{Status: gopter.PropTrue}
+}
+
+func checkHistories(opts health.Options, variant subject) *gopter.TestResult {
+	params := gopter.DefaultTestParametersWithSeed(*seed)
+	params.MinSuccessfulTests = *histories
+	params.MaxSize = historyLength
+	return commands.Prop(&commands.ProtoCommands{
+		InitialStateGen: gen.Const(0),
+		NewSystemUnderTestFunc: func(commands.State) commands.SystemUnderTest {
+			f := &fleet{subject: variant, now: epoch, answers: map[model.ServerID]int{}, zeroAt: map[model.ServerID]time.Time{}}
+			f.Tracker = health.NewTracker(opts)
+			f.setServers(servers(8))
+			return f
+		},
+		GenCommandFunc: func(commands.State) gopter.Gen {
+			return gen.UInt64().Map(func(bits uint64) commands.Command { return step{bits} })
+		},
+	}).Check(params)
+}
+
+// servers returns n servers of three slots, the last of them cold.
+func servers(n int) []health.ServerInfo {
+	infos := make([]health.ServerInfo, n)
+	for i := range infos {
+		infos[i] = health.ServerInfo{ID: model.ServerID(fmt.Sprint("s", i)), Slots: 3, ColdStart: time.Second, Cold: i == n-1}
+	}
+	return infos
+}
+
+func TestTrackerKeepsPromises(t *testing.T) {
+	if result := checkHistories(health.DefaultOptions(), subject{}); !result.Passed() {
+		t.Errorf("seed %d: %v", *seed, result)
+	}
+}
+
+func TestOracleCatchesBrokenTrackers(t *testing.T) {
+	all, forever := health.DefaultOptions(), health.DefaultOptions()
+	all.EjectShare = 1
+	forever.EjectBase, forever.EjectMax = time.Hour, time.Hour
+	faults := map[string]*gopter.TestResult{
+		"ejects all":       checkHistories(all, subject{}),
+		"ejects for hours": checkHistories(forever, subject{}),
+		"exceeds slots":    checkHistories(health.DefaultOptions(), subject{limit: func(s *admit.Server) { s.Limit++ }}),
+		"ignores drains":   checkHistories(health.DefaultOptions(), subject{info: func(i *health.ServerInfo) { i.Draining = false }}),
+		"ignores cold":     checkHistories(health.DefaultOptions(), subject{info: func(i *health.ServerInfo) { i.Cold = false }}),
+	}
+	for name, result := range faults {
+		if result.Passed() {
+			t.Errorf("the oracle did not notice a tracker that %s", name)
+		}
+	}
+}
+
+// scenario drives a tracker of four warm servers of three slots.
+type scenario struct {
+	*health.Tracker
+	now time.Time
+}
+
+func newScenario() *scenario {
+	s := &scenario{health.NewTracker(health.DefaultOptions()), epoch}
+	s.SetServers(epoch, servers(5)[:4])
+	return s
+}
+
+// answers gives each server n answers; server 0 takes first, the others rest.
+func (s *scenario) answers(n int, first, rest time.Duration) {
+	for range n {
+		s.now = s.now.Add(50 * ms)
+		for i, l := range s.Limits(s.now) {
+			took := rest
+			if i == 0 {
+				took = first
+			}
+			s.Observe(s.now, l.ID, health.Answered, took)
+		}
+	}
+}
+
+func (s *scenario) want(t *testing.T, what string, limits ...int) {
+	t.Helper()
+	for i, l := range s.Limits(s.now) {
+		if l.Limit != limits[i] {
+			t.Errorf("%s: server %d has limit %d, want %d", what, i, l.Limit, limits[i])
+		}
+	}
+}
+
+func TestLimitsFollowTraffic(t *testing.T) {
+	s := newScenario()
+	s.answers(100, 20*ms, 20*ms)
+	s.want(t, "quiet", 3, 3, 3, 3)
+	s.Report(s.now.Add(-time.Second), "s1", health.Report{Ready: false})
+	s.want(t, "report that later traffic contradicts", 3, 3, 3, 3)
+	s.now = s.now.Add(ms)
+	s.Report(s.now, "s1", health.Report{Ready: false})
+	s.want(t, "report without traffic since", 3, 1, 3, 3)
+	s.answers(1, 20*ms, 20*ms)
+	s.want(t, "answer after the report", 3, 3, 3, 3)
+	s.answers(40, 100*ms, 20*ms)
+	s.want(t, "one slow server", 1, 3, 3, 3)
+	s.answers(40, 20*ms, 20*ms)
+	s.answers(40, 100*ms, 100*ms)
+	s.want(t, "all slow alike", 3, 3, 3, 3)
+	for range 3 {
+		s.now = s.now.Add(200 * ms)
+		s.Observe(s.now, "s2", health.Shed, 0)
+	}
+	s.want(t, "shedding", 3, 3, 1, 3)
+	for range 8 {
+		s.Observe(s.now, "s0", health.Failed, 0)
+		s.Observe(s.now, "s3", health.Silent, 0)
+	}
+	s.want(t, "two of four failing", 0, 3, 1, 0)
+	s.now = s.now.Add(longestPause)
+	s.want(t, "two of four failing, after a pause", 0, 3, 1, 2)
+}
+
+func BenchmarkObserveAndLimits(b *testing.B) {
+	for _, n := range []int{3, 20, 240} {
+		b.Run(fmt.Sprint("servers=", n), func(b *testing.B) {
+			tracker := health.NewTracker(health.DefaultOptions())
+			infos := servers(n)
+			tracker.SetServers(epoch, infos)
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				i++
+				now := epoch.Add(time.Duration(i) * ms)
+				tracker.Observe(now, infos[i%n].ID, health.Answered, 20*ms)
+				tracker.Limits(now)
+			}
+		})
+	}
+}
--- a/internal/health/server.go
+++ b/internal/health/server.go
@@ -10,6 +10,9 @@
 	decrease = 0.7
 	// minDecreasePause is the least time between two decreases.
 	minDecreasePause = 100 * time.Millisecond
+	// failurePause is how long a failing server that may not be ejected gets
+	// no work after a failure.
+	failurePause = 100 * time.Millisecond
 	// coldAnswers is the count of answers for each slot that a cold server
 	// gives before it runs at its full limit.
 	coldAnswers = 20
@@ -51,6 +54,7 @@
 	failureRun   int
 	ejections    int
 	ejectedUntil time.Time
+	pausedUntil  time.Time
 	// warm is the count of answers since a cold start.
 	cold      bool
 	warm      int
@@ -73,6 +77,7 @@
 	s.lastAnswer = now
 	s.answerRun++
 	s.failureRun = 0
+	s.pausedUntil = time.Time{}
 	s.forgive()
 	s.warmUp(now)
 	if took > 0 {
@@ -123,6 +128,10 @@
 	s.answerRun = 0
 }
 
+// outOfUse reports whether the server counts against the share of ejected
+// ones.
+func (s *server) outOfUse() bool { return s.state != healthy && !s.info.Draining }
+
 // endEjection starts the probation of a server whose ejection has run out.
 func (s *server) endEjection(now time.Time) {
 	if s.state == ejected && !now.Before(s.ejectedUntil) {
@@ -167,6 +176,9 @@
 	if s.info.Draining || s.state == ejected || s.info.Slots <= 0 {
 		return 0
 	}
+	if now.Before(s.pausedUntil) {
+		return 0
+	}
 	if s.state == probing {
 		return minLimit
 	}
--- a/internal/health/tracker.go
+++ b/internal/health/tracker.go
@@ -7,6 +7,9 @@
 	"fuchsiaspar/internal/model"
 )
 
+// LimitsInterval is how often to ask for the limits when nothing else happens.
+const LimitsInterval = 50 * time.Millisecond
+
 // Tracker holds the state of the owned servers. It is not safe for concurrent
 // use.
 type Tracker struct {
@@ -40,6 +43,7 @@
 	for t.ejected > t.maxEjected() {
 		t.restoreOne(now)
 	}
+	t.endPausesIfIdle(now)
 }
 
 func (t *Tracker) set(now time.Time, info ServerInfo) {
@@ -99,8 +103,9 @@
 	s.report = report{Report: r, made: made, expires: made.Add(t.opts.MaxReportAge)}
 }
 
-// Limits returns how many requests each server may run at once now. The slice
-// is a buffer that the next call overwrites.
+// Limits returns how many requests each server may run at once now. Limits
+// also change with time alone; ask again after LimitsInterval. The
+// slice is a buffer that the next call overwrites.
 func (t *Tracker) Limits(now time.Time) []admit.Server {
 	t.limits = t.limits[:0]
 	for _, s := range t.servers {
@@ -120,8 +125,9 @@
 	}
 }
 
-// failed counts a failure and ejects the server after a run of them, unless
-// the share of ejected servers is used up.
+// failed counts a failure. After a run of them it ejects the server, or, when
+// the share of ejected servers is used up, pauses it after each failure as long
+// as another server answers.
 func (t *Tracker) failed(now time.Time, s *server) {
 	s.endEjection(now)
 	s.failed(now)
@@ -129,40 +135,85 @@
 	case ejected:
 		return
 	case probing:
-		s.eject(now, t.opts)
+		t.eject(now, s)
 		return
 	}
 	if s.failureRun < t.opts.FailureRun {
 		return
 	}
-	if t.ejected >= t.maxEjected() {
+	if t.ejected < t.maxEjected() {
+		t.eject(now, s)
 		return
 	}
+	if !now.Before(s.pausedUntil) && t.othersAnswer(now, s) {
+		s.pausedUntil = now.Add(failurePause)
+	}
+}
+
+func (t *Tracker) eject(now time.Time, s *server) {
 	s.eject(now, t.opts)
 	t.countEjected()
+	t.endPausesIfIdle(now)
+}
+
+// endPausesIfIdle ends all pauses when no server gets work.
+func (t *Tracker) endPausesIfIdle(now time.Time) {
+	for _, s := range t.servers {
+		if s.current(now) > 0 {
+			return
+		}
+	}
+	for _, s := range t.servers {
+		s.pausedUntil = time.Time{}
+	}
 }
 
-// maxEjected returns how many servers may be ejected at once.
+// maxEjected returns how many servers may be ejected at once: the configured
+// share, but always one of two or more, since a single dead server would
+// otherwise draw work by failing fast.
 func (t *Tracker) maxEjected() int {
-	return int(float64(len(t.servers)) * t.opts.EjectShare)
+	inUse := 0
+	for _, s := range t.servers {
+		if !s.info.Draining {
+			inUse++
+		}
+	}
+	if inUse < 2 {
+		return 0
+	}
+	return max(1, int(float64(inUse)*t.opts.EjectShare))
 }
 
 // countEjected counts the servers that are ejected or on probation.
 func (t *Tracker) countEjected() {
 	t.ejected = 0
 	for _, s := range t.servers {
-		if s.state != healthy {
+		if s.outOfUse() {
 			t.ejected++
 		}
 	}
 }
 
+// othersAnswer reports whether a server other than s is in use and not
+// failing.
+func (t *Tracker) othersAnswer(now time.Time, s *server) bool {
+	for _, other := range t.servers {
+		if other == s || other.failureRun >= t.opts.FailureRun {
+			continue
+		}
+		if other.state == healthy && other.current(now) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // restoreOne ends the ejection that would end first, because the set of
 // servers has shrunk.
 func (t *Tracker) restoreOne(now time.Time) {
 	var first *server
 	for _, s := range t.servers {
-		if s.state == healthy {
+		if !s.outOfUse() {
 			continue
 		}
 		if first == nil || s.ejectedUntil.Before(first.ejectedUntil) {
--- a/internal/health/types.go
+++ b/internal/health/types.go
@@ -52,7 +52,8 @@
 
 // Options are the settings of a Tracker.
 type Options struct {
-	// EjectShare is the largest share of servers ejected at once.
+	// EjectShare is the largest share of servers ejected at once; one of two
+	// or more may always be.
 	EjectShare float64
 	// FailureRun is the count of failures in a row that ejects a server.
 	FailureRun int
