Check retry budgets with random histories

Cause: nothing showed that the budgets hold. Change: gopter histories of first tries and retries against a ledger, two faulty budgets that must be caught, tables for classification and hedging. Conclusion: retries stay within the share of first tries and the quiet minimum.

--- /dev/null
+++ b/internal/retry/retry_test.go
@@ -0,0 +1,190 @@
+package retry_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/commands"
+	"github.com/leanovate/gopter/gen"
+
+	"fuchsiaspar/internal/model"
+	"fuchsiaspar/internal/retry"
+)
+
+var (
+	histories = flag.Int("histories", 100, "histories per oracle")
+	seed      = flag.Int64("seed", 1, "seed of the histories")
+)
+
+const (
+	ms            = time.Millisecond
+	historyLength = 200
+	percent       = 10
+	service       = model.ServiceName("lease-desk")
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+// ledger counts the tries of each priority and what they allow.
+type ledger struct {
+	budget       *retry.Budget
+	take         func(b *retry.Budget, now time.Time, p model.Priority) bool
+	now          time.Time
+	first, again [model.NumPriorities]int
+	err          error
+}
+
+func (l *ledger) check() {
+	total, totalFirst := 0, 0
+	seconds := l.now.Sub(epoch).Seconds()
+	for p := range l.first {
+		total += l.again[p]
+		totalFirst += l.first[p]
+		allowed := float64(l.first[p])*percent/100 + 3 + seconds
+		if float64(l.again[p]) > allowed {
+			l.err = fmt.Errorf("%d retries after %d first tries in %.1f s", l.again[p], l.first[p], seconds)
+		}
+	}
+	if float64(total) > float64(totalFirst)*20/100+20+seconds {
+		l.err = fmt.Errorf("%d retries after %d first tries over all", total, totalFirst)
+	}
+}
+
+// step is one command, drawn as bits so that any history is valid.
+type step struct{ bits uint64 }
+
+func (s *step) take(n uint64) int {
+	v := s.bits % n
+	s.bits /= n
+	return int(v)
+}
+
+func (s step) Run(sut commands.SystemUnderTest) commands.Result {
+	l := sut.(*ledger)
+	l.now = l.now.Add(time.Duration(s.take(8)) * 10 * ms)
+	p := model.Priority(s.take(model.NumPriorities))
+	for range s.take(20) {
+		if s.take(2) == 0 {
+			l.first[p]++
+			l.budget.FirstTry(l.now, service, p)
+		} else if l.take(l.budget, l.now, p) {
+			l.again[p]++
+		}
+		l.check()
+	}
+	return l.err
+}
+
+func (s step) NextState(state commands.State) commands.State { return state }
+func (s step) PreCondition(commands.State) bool              { return true }
+func (s step) String() string                                { return fmt.Sprint(s.bits) }
+
+func (s step) PostCondition(_ commands.State, result commands.Result) *gopter.PropResult {
+	if err, _ := result.(error); err != nil {
+		return &gopter.PropResult{Status: gopter.PropFalse, Labels: []string{err.Error()}}
+	}
+	return &gopter.PropResult{Status: gopter.PropTrue}
+}
+
+func checkHistories(given int, take func(*retry.Budget, time.Time, model.Priority) bool) *gopter.TestResult {
+	params := gopter.DefaultTestParametersWithSeed(*seed)
+	params.MinSuccessfulTests = *histories
+	params.MaxSize = historyLength
+	return commands.Prop(&commands.ProtoCommands{
+		InitialStateGen: gen.Const(0),
+		NewSystemUnderTestFunc: func(commands.State) commands.SystemUnderTest {
+			return &ledger{budget: retry.NewBudget(given), take: take, now: epoch}
+		},
+		GenCommandFunc: func(commands.State) gopter.Gen {
+			return gen.UInt64().Map(func(bits uint64) commands.Command { return step{bits} })
+		},
+	}).Check(params)
+}
+
+func takeOne(b *retry.Budget, now time.Time, p model.Priority) bool { return b.Take(now, service, p) }
+
+func TestBudgetIsKept(t *testing.T) {
+	if result := checkHistories(percent, takeOne); !result.Passed() {
+		t.Errorf("seed %d: %v", *seed, result)
+	}
+}
+
+func TestOracleCatchesBrokenBudgets(t *testing.T) {
+	free := func(b *retry.Budget, now time.Time, p model.Priority) bool { return b.Take(now, service, p) || p == 2 }
+	if checkHistories(percent, free).Passed() {
+		t.Error("the oracle did not notice free retries")
+	}
+	if checkHistories(3*percent, takeOne).Passed() {
+		t.Error("the oracle did not notice a budget that is too large")
+	}
+}
+
+func TestStormGuardSpansServices(t *testing.T) {
+	b := retry.NewBudget(percent)
+	granted := 0
+	for i := range 1000 {
+		if b.Take(epoch, model.ServiceName(fmt.Sprint("service-", i)), model.PriorityUrgent) {
+			granted++
+		}
+	}
+	if granted != 20 {
+		t.Errorf("%d retries without first tries, want 20", granted)
+	}
+}
+
+func TestRetryable(t *testing.T) {
+	tests := []struct {
+		idempotent bool
+		outcome    model.Outcome
+		reason     model.Reason
+		want       bool
+	}{
+		{true, model.OutcomeRan, model.ReasonTruncated, false},
+		{false, model.OutcomeNotRun, model.ReasonConnect, true},
+		{false, model.OutcomeNotRun, model.ReasonShed, true},
+		{false, model.OutcomeUnknown, model.ReasonReset, false},
+		{false, model.OutcomeUnknown, model.ReasonTimeout, false},
+		{true, model.OutcomeUnknown, model.ReasonReset, true},
+		{true, model.OutcomeUnknown, model.ReasonSilent, true},
+		{true, model.OutcomeNotRun, model.ReasonQueueFull, false},
+		{true, model.OutcomeNotRun, model.ReasonTicketSealed, false},
+		{true, model.OutcomeNotRun, model.ReasonCallerGone, false},
+		{true, model.OutcomeNotRun, model.ReasonNotOwner, true},
+	}
+	for _, tt := range tests {
+		if got := retry.Retryable(tt.idempotent, tt.outcome, tt.reason); got != tt.want {
+			t.Errorf("Retryable(%v, %v, %v) = %v", tt.idempotent, tt.outcome, tt.reason, got)
+		}
+	}
+}
+
+func TestHedgeDelay(t *testing.T) {
+	h := retry.NewHedgeTimer()
+	if _, ok := h.Delay(epoch, time.Time{}); ok {
+		t.Error("hedges without samples")
+	}
+	for i := range 100 {
+		h.Observe(time.Duration(i+1) * ms)
+	}
+	delay, ok := h.Delay(epoch, epoch.Add(time.Second))
+	if !ok || delay < 85*ms || delay > 96*ms {
+		t.Errorf("delay %v, %v", delay, ok)
+	}
+	if _, ok := h.Delay(epoch, epoch.Add(delay)); ok {
+		t.Error("hedges without time for an answer")
+	}
+}
+
+func BenchmarkBudget(b *testing.B) {
+	budget := retry.NewBudget(percent)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			budget.FirstTry(epoch, service, model.PriorityUrgent)
+			budget.Take(epoch, service, model.PriorityUrgent)
+		}
+	})
+}
