Share the running of random histories between packages

Cause: three packages repeated the same command boilerplate. Change: internal/histories holds it; a history is drawn as plain numbers that are valid in every state, so shrinking always gives a valid history. Conclusion: a package needs only its oracle.

--- a/internal/admit/history_test.go
+++ b/internal/admit/history_test.go
@@ -7,102 +7,72 @@
 	"time"
 
 	"github.com/leanovate/gopter"
-	"github.com/leanovate/gopter/commands"
-	"github.com/leanovate/gopter/gen"
 
 	"fuchsiaspar/internal/admit"
+	"fuchsiaspar/internal/histories"
 	"fuchsiaspar/internal/model"
 )
 
 var (
-	histories = flag.Int("histories", 100, "histories per oracle")
-	seed      = flag.Int64("seed", 1, "seed of the histories")
+	historyCount = flag.Int("histories", 100, "histories per oracle")
+	seed         = flag.Int64("seed", 1, "seed of the histories")
 )
 
 // historyLength is the count of commands in one history.
 const historyLength = 150
 
-// step is one command, drawn as bits so that any history is valid.
-type step struct{ bits uint64 }
-
-// take draws a number below n from the bits.
-func (s *step) take(n uint64) int {
-	v := s.bits % n
-	s.bits /= n
-	return int(v)
-}
-
-func (s step) Run(sut commands.SystemUnderTest) commands.Result {
-	o := sut.(*oracle)
-	o.advance(time.Duration(s.take(4)) * 5 * ms)
-	switch s.take(12) {
+// Apply makes time pass and runs the drawn command.
+func (o *oracle) Apply(d histories.Draw) error {
+	o.advance(time.Duration(d.Take(4)) * 5 * ms)
+	switch d.Take(12) {
 	case 0, 1, 2, 3, 4, 5:
-		o.offer(s.item(o.now))
+		o.offer(drawItem(&d, o.now))
 	case 6, 7, 8:
-		o.done(s.take(64))
+		o.done(d.Take(64))
 	case 9:
-		o.abandon(s.take(64))
+		o.abandon(d.Take(64))
 	case 10:
-		o.setServers(s.servers())
+		o.setServers(drawServers(&d))
 	default:
 		o.check(o.queue.Tick(o.now))
 	}
 	return o.err
 }
 
-func (s *step) item(now time.Time) admit.Item {
+func drawItem(d *histories.Draw, now time.Time) admit.Item {
 	item := admit.Item{
-		Account:    model.AccountID(fmt.Sprint("a", s.take(3))),
-		Priority:   model.Priority(s.take(model.NumPriorities)),
-		Idempotent: s.take(2) == 0,
-		Long:       s.take(4) == 0,
+		Account:    model.AccountID(fmt.Sprint("a", d.Take(3))),
+		Priority:   model.Priority(d.Take(model.NumPriorities)),
+		Idempotent: d.Take(2) == 0,
+		Long:       d.Take(4) == 0,
 	}
-	if s.take(4) > 0 {
-		item.Deadline = now.Add(time.Duration(s.take(40)-1) * 5 * ms)
+	if d.Take(4) > 0 {
+		item.Deadline = now.Add(time.Duration(d.Take(40)-1) * 5 * ms)
 	}
-	if s.take(6) == 0 {
-		item.Exclude = serverID(s.take(3))
+	if d.Take(6) == 0 {
+		item.Exclude = serverID(d.Take(3))
 	}
 	return item
 }
 
-func (s *step) servers() []admit.Server {
+func drawServers(d *histories.Draw) []admit.Server {
 	var servers []admit.Server
 	for i := range 3 {
-		if limit := s.take(6) - 1; limit >= 0 {
+		if limit := d.Take(6) - 1; limit >= 0 {
 			servers = append(servers, admit.Server{ID: serverID(i), Limit: min(limit, 3)})
 		}
 	}
 	return servers
 }
 
-func (s step) NextState(state commands.State) commands.State { return state }
-func (s step) PreCondition(commands.State) bool              { return true }
-func (s step) String() string                                { return fmt.Sprint(s.bits) }
-
-func (s step) PostCondition(_ commands.State, result commands.Result) *gopter.PropResult {
-	if err, _ := result.(error); err != nil {
-		return &gopter.PropResult{Status: gopter.PropFalse, Labels: []string{err.Error()}}
-	}
-	return &gopter.PropResult{Status: gopter.PropTrue}
-}
-
 // checkHistories runs random histories against what build returns.
 func checkHistories(build func() subject) *gopter.TestResult {
-	params := gopter.DefaultTestParametersWithSeed(*seed)
-	params.MinSuccessfulTests = *histories
-	params.MaxSize = historyLength
-	return commands.Prop(&commands.ProtoCommands{
-		InitialStateGen: gen.Const(0),
-		NewSystemUnderTestFunc: func(commands.State) commands.SystemUnderTest {
-			o := newOracle(build())
-			o.setServers([]admit.Server{{ID: "s0", Limit: 2}, {ID: "s1", Limit: 2}})
-			return o
-		},
-		GenCommandFunc: func(commands.State) gopter.Gen {
-			return gen.UInt64().Map(func(bits uint64) commands.Command { return step{bits} })
-		},
-	}).Check(params)
+	opts := histories.Options{Seed: *seed, Count: *historyCount, Length: historyLength}
+	return histories.Check(opts, func() histories.Subject {
+		o := newOracle(build())
+		o.setServers([]admit.Server{{ID: "s0", Limit: 2}, {ID: "s1", Limit: 2}})
+		return o
+	})
 }
 
 func TestQueueKeepsPromises(t *testing.T) {
--- a/internal/admit/saturate_test.go
+++ b/internal/admit/saturate_test.go
@@ -115,7 +115,7 @@
 
 func checkSaturated(policy admit.Policy, holds func(u usage, slots int) bool) *gopter.TestResult {
 	params := gopter.DefaultTestParametersWithSeed(*seed)
-	params.MinSuccessfulTests = max(1, *histories/10)
+	params.MinSuccessfulTests = max(1, *historyCount/10)
 	service := gen.Int64Range(5, 60)
 	return prop.ForAll(func(slots int, urgent, normal, bulk int64) bool {
 		times := [model.NumPriorities]time.Duration{
--- a/internal/health/health_test.go
+++ b/internal/health/health_test.go
@@ -7,17 +7,16 @@
 	"time"
 
 	"github.com/leanovate/gopter"
-	"github.com/leanovate/gopter/commands"
-	"github.com/leanovate/gopter/gen"
 
 	"fuchsiaspar/internal/admit"
 	"fuchsiaspar/internal/health"
+	"fuchsiaspar/internal/histories"
 	"fuchsiaspar/internal/model"
 )
 
 var (
-	histories = flag.Int("histories", 100, "histories per oracle")
-	seed      = flag.Int64("seed", 1, "seed of the histories")
+	historyCount = flag.Int("histories", 100, "histories per oracle")
+	seed         = flag.Int64("seed", 1, "seed of the histories")
 )
 
 const (
@@ -111,32 +110,23 @@
 	}
 }
 
-// step is one command, drawn as bits so that any history is valid.
-type step struct{ bits uint64 }
-
-func (s *step) take(n uint64) int {
-	v := s.bits % n
-	s.bits /= n
-	return int(v)
-}
-
-func (s step) Run(sut commands.SystemUnderTest) commands.Result {
-	f := sut.(*fleet)
-	f.now = f.now.Add([]time.Duration{0, 20 * ms, 300 * ms, 5 * time.Second}[s.take(4)])
+// Apply makes time pass and runs the drawn command.
+func (f *fleet) Apply(d histories.Draw) error {
+	f.now = f.now.Add([]time.Duration{0, 20 * ms, 300 * ms, 5 * time.Second}[d.Take(4)])
 	f.check()
-	id := f.infos[s.take(uint64(len(f.infos)))].ID
-	switch s.take(10) {
+	id := f.infos[d.Take(uint64(len(f.infos)))].ID
+	switch d.Take(10) {
 	case 0:
-		f.setServers(s.servers(f.infos))
+		f.setServers(drawServers(&d, f.infos))
 	case 1:
-		f.Report(f.now, id, health.Report{Load: float64(s.take(3)), Ready: s.take(2) == 0, Age: time.Duration(s.take(3)) * time.Second})
+		f.Report(f.now, id, health.Report{Load: float64(d.Take(3)), Ready: d.Take(2) == 0, Age: time.Duration(d.Take(3)) * time.Second})
 	case 2, 3, 4:
 		f.answers[id]++
-		f.Observe(f.now, id, health.Answered, time.Duration(1+s.take(400))*ms)
+		f.Observe(f.now, id, health.Answered, time.Duration(1+d.Take(400))*ms)
 	default:
 		// A burst, so that runs of failures are common.
-		class := health.Class(1 + s.take(3))
-		for range 1 + s.take(6) {
+		class := health.Class(1 + d.Take(3))
+		for range 1 + d.Take(6) {
 			f.Observe(f.now, id, class, 0)
 		}
 	}
@@ -144,45 +134,26 @@
 	return f.err
 }
 
-// servers changes one server and keeps between three and eight.
-func (s *step) servers(old []health.ServerInfo) []health.ServerInfo {
+// drawServers changes one server and keeps between three and eight.
+func drawServers(d *histories.Draw, old []health.ServerInfo) []health.ServerInfo {
 	infos := append([]health.ServerInfo(nil), old...)
-	if n := 3 + s.take(6); n < len(infos) {
+	if n := 3 + d.Take(6); n < len(infos) {
 		infos = infos[:n]
 	}
-	at := s.take(uint64(len(infos)))
-	infos[at].Draining = s.take(2) == 0
-	infos[at].Slots = 1 + s.take(4)
+	at := d.Take(uint64(len(infos)))
+	infos[at].Draining = d.Take(2) == 0
+	infos[at].Slots = 1 + d.Take(4)
 	return infos
 }
 
-func (s step) NextState(state commands.State) commands.State { return state }
-func (s step) PreCondition(commands.State) bool              { return true }
-func (s step) String() string                                { return fmt.Sprint(s.bits) }
-
-func (s step) PostCondition(_ commands.State, result commands.Result) *gopter.PropResult {
-	if err, _ := result.(error); err != nil {
-		return &gopter.PropResult{Status: gopter.PropFalse, Labels: []string{err.Error()}}
-	}
-	return &gopter.PropResult{Status: gopter.PropTrue}
-}
-
 func checkHistories(opts health.Options, variant subject) *gopter.TestResult {
-	params := gopter.DefaultTestParametersWithSeed(*seed)
-	params.MinSuccessfulTests = *histories
-	params.MaxSize = historyLength
-	return commands.Prop(&commands.ProtoCommands{
-		InitialStateGen: gen.Const(0),
-		NewSystemUnderTestFunc: func(commands.State) commands.SystemUnderTest {
-			f := &fleet{subject: variant, now: epoch, answers: map[model.ServerID]int{}, zeroAt: map[model.ServerID]time.Time{}}
-			f.Tracker = health.NewTracker(opts)
-			f.setServers(servers(8))
-			return f
-		},
-		GenCommandFunc: func(commands.State) gopter.Gen {
-			return gen.UInt64().Map(func(bits uint64) commands.Command { return step{bits} })
-		},
-	}).Check(params)
+	run := histories.Options{Seed: *seed, Count: *historyCount, Length: historyLength}
+	return histories.Check(run, func() histories.Subject {
+		f := &fleet{subject: variant, now: epoch, answers: map[model.ServerID]int{}, zeroAt: map[model.ServerID]time.Time{}}
+		f.Tracker = health.NewTracker(opts)
+		f.setServers(servers(8))
+		return f
+	})
 }
 
 // servers returns n servers of three slots, the last of them cold.
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -7,16 +7,15 @@
 	"time"
 
 	"github.com/leanovate/gopter"
-	"github.com/leanovate/gopter/commands"
-	"github.com/leanovate/gopter/gen"
 
+	"fuchsiaspar/internal/histories"
 	"fuchsiaspar/internal/model"
 	"fuchsiaspar/internal/retry"
 )
 
 var (
-	histories = flag.Int("histories", 100, "histories per oracle")
-	seed      = flag.Int64("seed", 1, "seed of the histories")
+	historyCount = flag.Int("histories", 100, "histories per oracle")
+	seed         = flag.Int64("seed", 1, "seed of the histories")
 )
 
 const (
@@ -53,21 +52,12 @@
 	}
 }
 
-// step is one command, drawn as bits so that any history is valid.
-type step struct{ bits uint64 }
-
-func (s *step) take(n uint64) int {
-	v := s.bits % n
-	s.bits /= n
-	return int(v)
-}
-
-func (s step) Run(sut commands.SystemUnderTest) commands.Result {
-	l := sut.(*ledger)
-	l.now = l.now.Add(time.Duration(s.take(8)) * 10 * ms)
-	p := model.Priority(s.take(model.NumPriorities))
-	for range s.take(20) {
-		if s.take(2) == 0 {
+// Apply makes time pass and draws some tries of one priority.
+func (l *ledger) Apply(d histories.Draw) error {
+	l.now = l.now.Add(time.Duration(d.Take(8)) * 10 * ms)
+	p := model.Priority(d.Take(model.NumPriorities))
+	for range d.Take(20) {
+		if d.Take(2) == 0 {
 			l.first[p]++
 			l.budget.FirstTry(l.now, service, p)
 		} else if l.take(l.budget, l.now, p) {
@@ -78,30 +68,11 @@
 	return l.err
 }
 
-func (s step) NextState(state commands.State) commands.State { return state }
-func (s step) PreCondition(commands.State) bool              { return true }
-func (s step) String() string                                { return fmt.Sprint(s.bits) }
-
-func (s step) PostCondition(_ commands.State, result commands.Result) *gopter.PropResult {
-	if err, _ := result.(error); err != nil {
-		return &gopter.PropResult{Status: gopter.PropFalse, Labels: []string{err.Error()}}
-	}
-	return &gopter.PropResult{Status: gopter.PropTrue}
-}
-
 func checkHistories(given int, take func(*retry.Budget, time.Time, model.Priority) bool) *gopter.TestResult {
-	params := gopter.DefaultTestParametersWithSeed(*seed)
-	params.MinSuccessfulTests = *histories
-	params.MaxSize = historyLength
-	return commands.Prop(&commands.ProtoCommands{
-		InitialStateGen: gen.Const(0),
-		NewSystemUnderTestFunc: func(commands.State) commands.SystemUnderTest {
-			return &ledger{budget: retry.NewBudget(given), take: take, now: epoch}
-		},
-		GenCommandFunc: func(commands.State) gopter.Gen {
-			return gen.UInt64().Map(func(bits uint64) commands.Command { return step{bits} })
-		},
-	}).Check(params)
+	opts := histories.Options{Seed: *seed, Count: *historyCount, Length: historyLength}
+	return histories.Check(opts, func() histories.Subject {
+		return &ledger{budget: retry.NewBudget(given), take: take, now: epoch}
+	})
 }
 
 func takeOne(b *retry.Budget, now time.Time, p model.Priority) bool { return b.Take(now, service, p) }
