--- /dev/null
+++ b/internal/pace/pace_test.go
@@ -0,0 +1,221 @@
+package pace_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fuchsiaspar/internal/histories"
+	"fuchsiaspar/internal/model"
+	"fuchsiaspar/internal/pace"
+)
+
+var (
+	historyCount = flag.Int("histories", 100, "histories per oracle")
+	seed         = flag.Int64("seed", 1, "seed of the histories")
+)
+
+const (
+	ms            = time.Millisecond
+	historyLength = 150
+	linkRate      = 1 << 20
+	linkBurst     = 64 << 10
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+// link is a source of linkRate bytes a second that saves up linkBurst.
+type link struct {
+	at           time.Time
+	saved, given int64
+	// surplus is what a faulty link claims beyond what it gives.
+	surplus int64
+}
+
+func (l *link) TakeUpTo(now time.Time, n int64) int64 {
+	if l.at.IsZero() {
+		l.at = now
+	}
+	earned := int64(now.Sub(l.at) * linkRate / time.Second)
+	l.at = l.at.Add(time.Duration(earned) * time.Second / linkRate)
+	l.saved = min(linkBurst, l.saved+earned)
+	taken := min(n, l.saved)
+	l.saved -= taken
+	l.given += taken
+	return taken + l.surplus
+}
+
+func (l *link) NextAvailable(now time.Time) time.Time { return now.Add(4 * ms) }
+
+// transfers follows a pacer and states the first promise that was broken.
+type transfers struct {
+	pacer   *pace.Pacer
+	link    *link
+	now     time.Time
+	lastID  pace.TransferID
+	waiting map[pace.TransferID]int64
+	granted int64
+	err     error
+}
+
+func (t *transfers) failf(format string, args ...any) {
+	if t.err == nil {
+		t.err = fmt.Errorf(format, args...)
+	}
+}
+
+// Apply makes time pass and runs the drawn command.
+func (t *transfers) Apply(d histories.Draw) error {
+	t.now = t.now.Add(time.Duration(d.Take(6)) * 5 * ms)
+	switch d.Take(4) {
+	case 0, 1:
+		t.lastID++
+		want := int64(1 + d.Take(80<<10))
+		got, _ := t.pacer.Request(t.now, t.lastID, model.Priority(d.Take(model.NumPriorities)), want)
+		if got > 0 {
+			t.grant(t.lastID, got, want)
+		} else {
+			t.waiting[t.lastID] = want
+		}
+	case 2:
+		t.poll()
+	case 3:
+		id := pace.TransferID(1 + d.Take(uint64(t.lastID)+1))
+		t.pacer.Cancel(id)
+		delete(t.waiting, id)
+	}
+	return t.err
+}
+
+func (t *transfers) poll() {
+	grants, next := t.pacer.Poll(t.now)
+	for _, g := range grants {
+		want, ok := t.waiting[g.ID]
+		if !ok {
+			t.failf("grant for %d, which does not wait", g.ID)
+		}
+		delete(t.waiting, g.ID)
+		t.grant(g.ID, g.Bytes, want)
+	}
+	if next.IsZero() != (len(t.waiting) == 0) {
+		t.failf("next poll at %v with %d waiting", next, len(t.waiting))
+	}
+	if len(t.waiting) > 0 && t.link.saved > 0 {
+		t.failf("%d wait though the link has %d bytes", len(t.waiting), t.link.saved)
+	}
+}
+
+func (t *transfers) grant(id pace.TransferID, got, want int64) {
+	t.granted += got
+	if got > want || got > pace.MaxChunk {
+		t.failf("transfer %d got %d of %d", id, got, want)
+	}
+	if t.granted > t.link.given {
+		t.failf("%d bytes granted of %d", t.granted, t.link.given)
+	}
+}
+
+func TestPacerKeepsPromises(t *testing.T) {
+	for _, surplus := range []int64{0, 1} {
+		opts := histories.Options{Seed: *seed, Count: *historyCount, Length: historyLength}
+		result := histories.Check(opts, func() histories.Subject {
+			l := &link{surplus: surplus}
+			return &transfers{pacer: pace.NewPacer(l, pace.DefaultFloors()), link: l, now: epoch,
+				waiting: map[pace.TransferID]int64{}}
+		})
+		if result.Passed() != (surplus == 0) {
+			t.Errorf("link with a surplus of %d, seed %d: %v", surplus, *seed, result)
+		}
+	}
+}
+
+// shares returns the bytes of each priority when several transfers of each ask
+// again as soon as they are served.
+func shares(floors pace.Floors) [model.NumPriorities]float64 {
+	const perPriority, steps = 4, 5000
+	var got [model.NumPriorities]float64
+	p := pace.NewPacer(&link{}, floors)
+	for id := range pace.TransferID(perPriority * model.NumPriorities) {
+		p.Request(epoch, id, model.Priority(id%model.NumPriorities), pace.MaxChunk)
+	}
+	total := 0.0
+	for i := range steps {
+		now := epoch.Add(time.Duration(i) * 10 * ms)
+		grants, _ := p.Poll(now)
+		for _, g := range append([]pace.Grant(nil), grants...) {
+			priority := model.Priority(g.ID % model.NumPriorities)
+			got[priority] += float64(g.Bytes)
+			total += float64(g.Bytes)
+			p.Request(now, g.ID, priority, pace.MaxChunk)
+		}
+	}
+	for i := range got {
+		got[i] /= total
+	}
+	return got
+}
+
+func TestFloorsOfASaturatedLink(t *testing.T) {
+	for i, share := range shares(pace.DefaultFloors()) {
+		if floor := float64(pace.DefaultFloors()[i]) / 100; share < floor*0.98 {
+			t.Errorf("%v got %.3f, want %.3f", model.Priority(i), share, floor)
+		}
+	}
+	if got := shares(pace.Floors{}); got[model.PriorityUrgent] < 1 {
+		t.Errorf("without floors urgent got %.3f, want all", got[model.PriorityUrgent])
+	}
+}
+
+func TestWriterSendsAllInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := pace.NewWaiter(&link{}, pace.DefaultFloors())
+		var sent [model.NumPriorities]bytes.Buffer
+		body := bytes.Repeat([]byte("abcdefgh"), 32<<10)
+		for p := range sent {
+			go func() {
+				n, err := pace.NewWriter(t.Context(), w, model.Priority(p), &sent[p]).Write(body)
+				if n != len(body) || err != nil {
+					t.Errorf("sent %d: %v", n, err)
+				}
+			}()
+		}
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		for p := range sent {
+			if !bytes.Equal(sent[p].Bytes(), body) {
+				t.Errorf("%v received %d bytes", model.Priority(p), sent[p].Len())
+			}
+		}
+	})
+}
+
+func TestWaitEndsWithItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := pace.NewWaiter(&link{}, pace.DefaultFloors())
+		ctx, cancel := context.WithTimeout(t.Context(), ms)
+		defer cancel()
+		if _, err := w.Wait(ctx, model.PriorityUrgent, pace.MaxChunk); !errors.Is(err, pace.ErrGaveUp) {
+			t.Errorf("got %v, want ErrGaveUp", err)
+		}
+		n, err := w.Wait(t.Context(), model.PriorityBulk, 100)
+		if n != 100 || err != nil {
+			t.Errorf("next wait got %d, %v", n, err)
+		}
+	})
+}
+
+func BenchmarkRequestAndPoll(b *testing.B) {
+	p := pace.NewPacer(&link{}, pace.DefaultFloors())
+	b.ReportAllocs()
+	now := epoch
+	for b.Loop() {
+		now = now.Add(32 * ms)
+		p.Request(now, 1, model.PriorityUrgent, pace.MaxChunk)
+		p.Poll(now)
+	}
+}
--- a/internal/pace/waiter.go
+++ b/internal/pace/waiter.go
@@ -14,8 +14,12 @@
 // bytes.
 var ErrGaveUp = errors.New("pace: gave up waiting for the link")
 
-// minPause is the shortest time between two polls of the source.
-const minPause = 500 * time.Microsecond
+// minPause and maxPause bound the time between two polls of the source. The
+// source may get more bytes sooner than it foresaw.
+const (
+	minPause = 500 * time.Microsecond
+	maxPause = 20 * time.Millisecond
+)
 
 // Waiter lets traffic goroutines wait for their bytes of one link. It is safe
 // for concurrent use.
@@ -109,7 +113,7 @@
 }
 
 func (w *Waiter) schedule(now, next time.Time) {
-	pause := max(minPause, next.Sub(now))
+	pause := min(max(next.Sub(now), minPause), maxPause)
 	if w.timer == nil {
 		w.timer = time.AfterFunc(pause, w.poll)
 		return
