Lengthen the pauses of a server that keeps failing

Cause: with two of five servers dead and one ejected, the other one still took ten requests a second. Change: the pause after a failure doubles from 100 ms up to 400 ms.

--- a/internal/health/server.go
+++ b/internal/health/server.go
@@ -10,9 +10,10 @@
 	decrease = 0.7
 	// minDecreasePause is the least time between two decreases.
 	minDecreasePause = 100 * time.Millisecond
-	// failurePause is how long a failing server that may not be ejected gets
-	// no work after a failure.
-	failurePause = 100 * time.Millisecond
+	// minPause and maxPause bound how long a failing server that may not be
+	// ejected gets no work after a failure. The time doubles with each failure.
+	minPause = 100 * time.Millisecond
+	maxPause = 400 * time.Millisecond
 	// coldAnswers is the count of answers for each slot that a cold server
 	// gives before it runs at its full limit.
 	coldAnswers = 20
@@ -132,6 +133,12 @@
 // ones.
 func (s *server) outOfUse() bool { return s.state != healthy && !s.info.Draining }
 
+// pause keeps work away from a failing server that stays in use.
+func (s *server) pause(now time.Time, opts Options) {
+	doublings := min(s.failureRun-opts.FailureRun, maxDoublings)
+	s.pausedUntil = now.Add(min(minPause<<doublings, maxPause))
+}
+
 // endEjection starts the probation of a server whose ejection has run out.
 func (s *server) endEjection(now time.Time) {
 	if s.state == ejected && !now.Before(s.ejectedUntil) {
--- a/internal/health/tracker.go
+++ b/internal/health/tracker.go
@@ -146,7 +146,7 @@
 		return
 	}
 	if !now.Before(s.pausedUntil) && t.othersAnswer(now, s) {
-		s.pausedUntil = now.Add(failurePause)
+		s.pause(now, t.opts)
 	}
 }
 
