Simulate dead servers

Cause: the black hole of a server that fails fast was not measured. Change: the simulation can make servers fail at once.

--- a/internal/admit/flood_test.go
+++ b/internal/admit/flood_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -108,6 +109,25 @@
 	atLeast(t, "urgent goodput of what is left", useful/left, 0.9)
 }
 
+// TestDeadServers makes servers fail at once whatever they get. Without
+// retries, only probes may be lost.
+func TestDeadServers(t *testing.T) {
+	for _, tt := range []struct{ servers, dead int }{{2, 1}, {3, 1}, {5, 2}, {20, 8}} {
+		streams := quiet(float64((tt.servers - tt.dead) * serverSlots))
+		kill := func(build func(*simulation) fleet) func(*simulation) fleet {
+			return func(s *simulation) fleet {
+				s.dead = tt.dead
+				return build(s)
+			}
+		}
+		title := fmt.Sprintf("%d of %d dead", tt.dead, tt.servers)
+		got := simulate(*simSeed, streams, kill(newFullFleet(tt.servers, admit.DefaultPolicy())))
+		report(t, title+" full", streams, got)
+		report(t, title+" baseline", streams, simulate(*simSeed, streams, kill(newRandomFleet(tt.servers))))
+		atLeast(t, title+": urgent answered", got[0].share(), 0.97)
+	}
+}
+
 func TestFloodOfOneAccount(t *testing.T) {
 	one := func(name string, account model.AccountID, load float64) stream {
 		return stream{name, account, model.PriorityNormal, false, load * simSlots(), 20 * ms, 1000 * ms}
--- a/internal/admit/sim_test.go
+++ b/internal/admit/sim_test.go
@@ -49,8 +49,8 @@
 	service time.Duration
 	server  model.ServerID
 	began   time.Time
-	// cancelled requests end early and unanswered.
-	cancelled, ended bool
+	// cancelled and failed requests end early and unanswered.
+	cancelled, failed, ended bool
 }
 
 // event happens at a time: an arrival of a stream, an end, or a tick.
@@ -102,7 +102,9 @@
 	warm     time.Time
 	finish   time.Time
 	nextTick time.Time
-	lastID   uint64
+	// dead is the count of servers that fail whatever they get.
+	dead   int
+	lastID uint64
 }
 
 const (
@@ -183,6 +185,12 @@
 // start gives r a server and schedules its end.
 func (s *simulation) start(now time.Time, r *request, server model.ServerID) {
 	r.server, r.began = server, now
+	for i := range s.dead {
+		r.failed = r.failed || server == serverID(i)
+	}
+	if r.failed {
+		r.service = time.Millisecond
+	}
 	heap.Push(&s.events, event{at: now.Add(r.service), kind: end, request: r})
 }
 
@@ -208,7 +216,7 @@
 	if now.After(s.warm) {
 		o.busy += min(now.Sub(r.began), now.Sub(s.warm))
 	}
-	if !r.arrived.After(s.warm) || r.cancelled || now.After(r.item.Deadline) {
+	if !r.arrived.After(s.warm) || r.cancelled || r.failed || now.After(r.item.Deadline) {
 		return
 	}
 	o.answered++
@@ -248,7 +256,10 @@
 	if r.item.Long {
 		took = 0
 	}
-	if !r.cancelled {
+	switch {
+	case r.failed:
+		f.tracker.Observe(now, r.server, health.Failed, took)
+	case !r.cancelled:
 		f.tracker.Observe(now, r.server, health.Answered, took)
 	}
 	delete(f.held, r.item.ID)
