Accept odd priorities and queue limits

Cause: a queue limit of zero and a priority from a faulty peer caused a panic. Change: the limit is at least one; an unknown priority counts as bulk. Before and after: index out of range before; a test of both passes after.

--- a/internal/admit/history_test.go
+++ b/internal/admit/history_test.go
@@ -145,3 +145,14 @@
 		})
 	}
 }
+
+func TestOddInputsAreServed(t *testing.T) {
+	q := admit.New(admit.Policy{})
+	q.SetServers(simStart, []admit.Server{{ID: "s", Limit: 1}})
+	for id := range uint64(3) {
+		q.Offer(simStart, admit.Item{ID: id, Priority: model.NumPriorities})
+	}
+	if got := q.Stats(); got.Running[model.PriorityBulk] != 1 || got.Queued[model.PriorityBulk] != 1 {
+		t.Errorf("got %+v, want one running and one waiting", got)
+	}
+}
--- a/internal/admit/policy.go
+++ b/internal/admit/policy.go
@@ -14,7 +14,7 @@
 	// Floors is the percentage of slot time that each priority keeps while it
 	// has work waiting.
 	Floors [model.NumPriorities]int
-	// QueueLimit bounds the waiting requests of each priority.
+	// QueueLimit bounds the waiting requests of each priority, at least one.
 	QueueLimit int
 	// Weight returns an account's weight within its priority. Nil, and
 	// results below one, mean a weight of one.
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -57,6 +57,7 @@
 	if _, known := q.entries[item.ID]; known {
 		return q.finish(now)
 	}
+	item.Priority = min(item.Priority, model.PriorityBulk)
 	if item.Long {
 		q.dispatch(now)
 	}
@@ -155,7 +156,7 @@
 		q.refuseNew(item, model.ReasonDeadline)
 		return
 	}
-	if c.queued >= q.policy.QueueLimit && !q.makeRoom(now, c, item) {
+	if c.queued >= max(1, q.policy.QueueLimit) && !q.makeRoom(now, c, item) {
 		return
 	}
 	q.enqueue(now, c, item)
--- a/internal/admit/types.go
+++ b/internal/admit/types.go
@@ -18,6 +18,7 @@
 	// ID is unique among the requests that the queue holds.
 	ID       uint64
 	Account  model.AccountID
+	// Priority counts as bulk when it is none that model names.
 	Priority model.Priority
 	// Deadline is the time at which the answer loses its use; zero means none.
 	Deadline   time.Time
--- a/internal/pace/pacer.go
+++ b/internal/pace/pacer.go
@@ -78,6 +78,7 @@
 		return 0, now
 	}
 	n = min(n, MaxChunk)
+	priority = min(priority, model.PriorityBulk)
 	if granted := p.grantAtOnce(now, priority, n); granted > 0 {
 		return granted, now
 	}
