Format the admission types

Cause: a comment moved the alignment. Change: gofmt. Before and after: gofmt -l listed the file before and nothing after. Conclusion: the formatter is clean.

--- a/internal/admit/types.go
+++ b/internal/admit/types.go
@@ -16,8 +16,8 @@
 // Item is a request that asks for a slot of a backend server.
 type Item struct {
 	// ID is unique among the requests that the queue holds.
-	ID       uint64
-	Account  model.AccountID
+	ID      uint64
+	Account model.AccountID
 	// Priority counts as bulk when it is none that model names.
 	Priority model.Priority
 	// Deadline is the time at which the answer loses its use; zero means none.
