--- a/internal/health/server.go
+++ b/internal/health/server.go
@@ -10,6 +10,10 @@
 	decrease = 0.7
 	// minDecreasePause is the least time between two decreases.
 	minDecreasePause = 100 * time.Millisecond
+	// minPause and maxPause bound how long a failing server that may not be
+	// ejected gets no work after a failure. The time doubles with each failure.
+	minPause = 100 * time.Millisecond
+	maxPause = 400 * time.Millisecond
 	// coldAnswers is the count of answers for each slot that a cold server
 	// gives before it runs at its full limit.
 	coldAnswers = 20
@@ -46,18 +50,21 @@
 	listed bool
 	state  state
 	// limit is the count of requests that may run at once.
-	limit       float64
-	decreasedAt time.Time
-	latency     latency
-	lastAnswer  time.Time
-	answerRun   int
-	failureRun  int
-	// unreachableRun counts failed connects in a row, and downUntil ends the
-	// time without any work that they cause.
+	limit        float64
+	decreasedAt  time.Time
+	latency      latency
+	lastAnswer   time.Time
+	answerRun    int
+	failureRun   int
+	ejections    int
+	ejectedUntil time.Time
+	// pausedUntil ends the time without any work that failures cause beyond
+	// the share of ejected servers, or failed connects.
+	pausedUntil time.Time
+	// unreachableRun counts failed connects in a row; a run of them makes the
+	// server down.
 	unreachableRun int
-	downUntil      time.Time
-	ejections      int
-	ejectedUntil   time.Time
+	down           bool
 	// warm is the count of answers since a cold start.
 	cold      bool
 	warm      int
@@ -81,6 +88,7 @@
 	s.reached()
 	s.answerRun++
 	s.failureRun = 0
+	s.pausedUntil = time.Time{}
 	s.forgive()
 	s.warmUp(now)
 	if took > 0 {
@@ -111,14 +119,18 @@
 	if s.unreachableRun < opts.UnreachableRun {
 		return
 	}
-	s.downUntil = now.Add(downTime)
+	s.down = true
+	s.pausedUntil = now.Add(downTime)
 	s.limit = minLimit
 }
 
 // reached ends the time without work: the server accepts connections.
 func (s *server) reached() {
 	s.unreachableRun = 0
-	s.downUntil = time.Time{}
+	if s.down {
+		s.down = false
+		s.pausedUntil = time.Time{}
+	}
 }
 
 // shrink lowers the limit, at most once in the time that the effect takes to
@@ -149,6 +161,16 @@
 	s.answerRun = 0
 }
 
+// outOfUse reports whether the server counts against the share of ejected
+// ones.
+func (s *server) outOfUse() bool { return s.state != healthy && !s.info.Draining }
+
+// pause keeps work away from a failing server that stays in use.
+func (s *server) pause(now time.Time, opts Options) {
+	doublings := min(s.failureRun-opts.FailureRun, maxDoublings)
+	s.pausedUntil = now.Add(min(minPause<<doublings, maxPause))
+}
+
 // endEjection starts the probation of a server whose ejection has run out.
 func (s *server) endEjection(now time.Time) {
 	if s.state == ejected && !now.Before(s.ejectedUntil) {
@@ -190,7 +212,10 @@
 
 // current returns the count of requests that the server may run at once now.
 func (s *server) current(now time.Time) int {
-	if s.info.Draining || s.state == ejected || s.info.Slots <= 0 || now.Before(s.downUntil) {
+	if s.info.Draining || s.state == ejected || s.info.Slots <= 0 {
+		return 0
+	}
+	if now.Before(s.pausedUntil) {
 		return 0
 	}
 	if s.state == probing {
