steer: change the entry VMs of a table without rebuilding its blocks

Change: routes name home places by number and entry lists live beside them; WithEntries replaces only the lists. Rows are ordered by position.

--- a/internal/steer/build.go
+++ b/internal/steer/build.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"cmp"
 	"encoding/binary"
 	"maps"
 	"slices"
@@ -30,27 +31,48 @@
 		}
 		t.accounts[account.ID] = index
 	}
-	b.stats.Accounts = len(t.accounts)
-	b.stats.Rows = len(b.rows)
-	t.stats = b.stats
+	t.templates = b.ordered
+	t.stats = TableStats{Accounts: len(t.accounts), Blocks: b.blocks, Rows: len(b.rows)}
+	t.setEntries(in.Entries, in.ClosedZones)
 	return t, nil
 }
 
+// WithEntries returns a table that differs only in the entry VMs of its
+// answers. It shares the blocks with t and costs far less than NewTable.
+func (t *Table) WithEntries(entries []Entry, closed []model.Zone) *Table {
+	next := *t
+	next.setEntries(entries, closed)
+	return &next
+}
+
+// setEntries builds the entry lists of all templates.
+func (t *Table) setEntries(entries []Entry, closed []model.Zone) {
+	byZone, zones := groupByZone(openEntries(entries, closed))
+	t.lists = make([][]entryLists, len(t.templates))
+	t.stats.Lists = 0
+	for i, template := range t.templates {
+		t.lists[i] = make([]entryLists, len(template.order))
+		for home, at := range template.order {
+			t.lists[i][home] = newEntryLists(template.groups(at, byZone, zones))
+			t.stats.Lists += len(t.lists[i][home].rotations)
+		}
+	}
+}
+
 // builder holds what the accounts of one table share.
 type builder struct {
-	open      []Entry
 	regions   map[model.Zone]model.Region
 	templates map[string]*templateIndex
+	ordered   []*templateIndex
 	services  map[string]model.ServiceName
 	rowIDs    map[string]rowID
 	rows      [][]config.Place
 	key       []byte
-	stats     TableStats
+	blocks    int
 }
 
 func newBuilder(in TableInput) *builder {
 	b := &builder{
-		open:      openEntries(in),
 		regions:   make(map[model.Zone]model.Region, len(in.Doc.Zones)),
 		templates: make(map[string]*templateIndex, len(in.Doc.Templates)),
 		services:  make(map[string]model.ServiceName, len(in.Doc.Templates)),
@@ -69,36 +91,27 @@
 
 // openEntries returns the entry VMs outside closed zones in order of VM, or
 // all of them when every zone is closed.
-func openEntries(in TableInput) []Entry {
-	open := make([]Entry, 0, len(in.Entries))
-	for _, e := range in.Entries {
-		if !slices.Contains(in.ClosedZones, e.Zone) {
-			open = append(open, e)
-		}
-	}
+func openEntries(entries []Entry, closed []model.Zone) []Entry {
+	open := slices.DeleteFunc(slices.Clone(entries), func(e Entry) bool {
+		return slices.Contains(closed, e.Zone)
+	})
 	if len(open) == 0 {
-		open = append(open, in.Entries...)
+		open = slices.Clone(entries)
 	}
-	slices.SortFunc(open, func(a, c Entry) int {
-		if a.VM < c.VM {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(open, func(a, b Entry) int { return cmp.Compare(a.VM, b.VM) })
 	return open
 }
 
 func (b *builder) template(template *config.Template) *templateIndex {
-	t := &templateIndex{lists: make(map[model.Zone]*entryLists, len(template.Places))}
+	t := &templateIndex{number: len(b.ordered), index: make(map[model.Zone]int, len(template.Places))}
 	for _, zone := range template.Places {
+		if _, twice := t.index[zone]; twice {
+			continue
+		}
+		t.index[zone] = len(t.order)
 		t.order = append(t.order, placement{zone: zone, region: b.regions[zone]})
 	}
-	byZone := groupByZone(b.open)
-	for _, home := range t.order {
-		lists := newEntryLists(t.groups(home, byZone))
-		t.lists[home.zone] = lists
-		b.stats.Lists += len(lists.rotations)
-	}
+	b.ordered = append(b.ordered, t)
 	fallback := make([]config.Place, 0, len(t.order))
 	for _, at := range t.order {
 		fallback = append(fallback, config.Place{Zone: at.zone, Weight: 1})
@@ -110,50 +123,69 @@
 	return t
 }
 
-func groupByZone(entries []Entry) map[placement][]Entry {
+// groupByZone splits entry VMs by zone and returns the zones in order of name.
+func groupByZone(entries []Entry) (map[placement][]Entry, []placement) {
 	groups := make(map[placement][]Entry)
 	for _, e := range entries {
 		at := placement{zone: e.Zone, region: e.Region}
 		groups[at] = append(groups[at], e)
 	}
-	return groups
+	zones := slices.SortedFunc(maps.Keys(groups), func(a, b placement) int {
+		return cmp.Compare(a.zone, b.zone)
+	})
+	return groups, zones
 }
 
-// groups orders the zones with entry VMs for a home place: the home, then its
-// region, then the template's order, then zones that the template leaves out.
-func (t *templateIndex) groups(home placement, byZone map[placement][]Entry) [][]Entry {
-	rest := slices.SortedFunc(maps.Keys(byZone), func(a, b placement) int {
-		if a.zone < b.zone {
-			return -1
-		}
-		return 1
-	})
-	candidates := append(slices.Clone(t.order), rest...)
-	seen := map[model.Zone]bool{}
-	var groups [][]Entry
-	add := func(at placement) {
-		if seen[at.zone] || len(byZone[at]) == 0 {
+// entryGroups collects the entry VMs of zones in the order of an answer.
+type entryGroups struct {
+	byZone map[placement][]Entry
+	zones  []model.Zone
+	groups [][]Entry
+	count  int
+}
+
+// full reports that the groups fill an answer in any rotation.
+func (g *entryGroups) full() bool { return g.count >= MaxEntries }
+
+// add appends the entry VMs of a zone that is not there yet.
+func (g *entryGroups) add(at placement) {
+	group := g.byZone[at]
+	if len(group) == 0 || slices.Contains(g.zones, at.zone) {
+		return
+	}
+	g.zones = append(g.zones, at.zone)
+	g.groups = append(g.groups, group)
+	g.count += len(group)
+}
+
+// addAll adds zones in order; with a region, only those in it.
+func (g *entryGroups) addAll(zones []placement, region *model.Region) {
+	for _, at := range zones {
+		if g.full() {
 			return
 		}
-		seen[at.zone] = true
-		groups = append(groups, byZone[at])
-	}
-	add(home)
-	for _, at := range candidates {
-		if at.region == home.region {
-			add(at)
+		if region == nil || at.region == *region {
+			g.add(at)
 		}
 	}
-	for _, at := range candidates {
-		add(at)
-	}
-	return groups
+}
+
+// groups orders the zones with entry VMs for a home place: the home, then its
+// region, then the template's order, then zones that the template leaves out.
+func (t *templateIndex) groups(home placement, byZone map[placement][]Entry, zones []placement) [][]Entry {
+	g := entryGroups{byZone: byZone}
+	g.add(home)
+	g.addAll(t.order, &home.region)
+	g.addAll(zones, &home.region)
+	g.addAll(t.order, nil)
+	g.addAll(zones, nil)
+	return g.groups
 }
 
 // newEntryLists builds one list for each entry VM of the nearest zone, so that
 // clients spread over the VMs of each zone.
-func newEntryLists(groups [][]Entry) *entryLists {
-	lists := &entryLists{}
+func newEntryLists(groups [][]Entry) entryLists {
+	var lists entryLists
 	if len(groups) == 0 {
 		return lists
 	}
@@ -198,7 +230,7 @@
 			t.addRoute(id, b.rows[id])
 		}
 	}
-	b.stats.Blocks += len(account.Blocks)
+	b.blocks += len(account.Blocks)
 	return index, nil
 }
 
--- a/internal/steer/route.go
+++ b/internal/steer/route.go
@@ -1,7 +1,9 @@
 package steer
 
 import (
+	"cmp"
 	"net/netip"
+	"slices"
 
 	"fuchsiaspar/internal/config"
 	"fuchsiaspar/internal/model"
@@ -9,14 +11,15 @@
 
 // templateIndex holds the routes of one template by row.
 type templateIndex struct {
+	number int
 	// routes is indexed by rowID; rows that no account of the template uses
 	// are nil.
 	routes   []*route
 	fallback *route
-	// lists holds the entry lists by home zone.
-	lists map[model.Zone]*entryLists
 	// order is the template's places with their regions.
 	order []placement
+	// index holds the position of each zone in order.
+	index map[model.Zone]int
 }
 
 // placement is an availability zone with its region.
@@ -38,7 +41,8 @@
 	below uint64
 	// places is the row with this choice first.
 	places []config.Place
-	lists  *entryLists
+	// home is the index of this choice in the template's order.
+	home int
 }
 
 // entryLists holds the answers for one home zone, rotated over its entry VMs.
@@ -88,80 +92,61 @@
 	if len(places) == 0 {
 		return nil
 	}
-	r := &route{}
-	for i, p := range places {
-		weight := weightOf(p, places)
+	weighted := slices.ContainsFunc(places, func(p config.Place) bool { return p.Weight > 0 })
+	r := &route{choices: make([]choice, 0, len(places))}
+	for _, home := range places {
+		weight := uint64(max(home.Weight, 0))
+		if !weighted {
+			weight = 1
+		}
 		if weight == 0 {
 			continue
 		}
 		r.total += weight
 		r.choices = append(r.choices, choice{
 			below:  r.total,
-			places: t.homeFirst(places, i),
-			lists:  t.lists[p.Zone],
+			places: t.homeFirst(places, home.Zone),
+			home:   t.index[home.Zone],
 		})
 	}
 	return r
 }
 
-// known returns the places of a row that run the template's service.
+// known returns the places of a row that run the template's service, in the
+// template's order.
 func (t *templateIndex) known(row []config.Place) []config.Place {
 	places := make([]config.Place, 0, len(row))
 	for _, p := range row {
-		if _, ok := t.lists[p.Zone]; ok {
+		if _, ok := t.index[p.Zone]; ok {
 			places = append(places, p)
 		}
 	}
+	slices.SortFunc(places, func(a, b config.Place) int {
+		return cmp.Compare(t.index[a.Zone], t.index[b.Zone])
+	})
 	return places
 }
 
-// weightOf returns the share of p. When no place has a positive weight, all
-// have the same share.
-func weightOf(p config.Place, places []config.Place) uint64 {
-	if p.Weight > 0 {
-		return uint64(p.Weight)
-	}
-	for _, other := range places {
-		if other.Weight > 0 {
+// homeFirst orders a row for a client's home: the home, then its region, then
+// the template's order.
+func (t *templateIndex) homeFirst(places []config.Place, home model.Zone) []config.Place {
+	distance := func(p config.Place) int {
+		switch {
+		case p.Zone == home:
 			return 0
+		case t.regionOf(p.Zone) == t.regionOf(home):
+			return 1
+		default:
+			return 2
 		}
 	}
-	return 1
-}
-
-// homeFirst orders a row for a client whose home is places[home]: the home,
-// then its region, then the template's order.
-func (t *templateIndex) homeFirst(places []config.Place, home int) []config.Place {
-	region := t.regionOf(places[home].Zone)
-	ordered := make([]config.Place, 0, len(places))
-	ordered = append(ordered, places[home])
-	for _, inRegion := range []bool{true, false} {
-		for _, at := range t.order {
-			if at.zone == places[home].Zone || (at.region == region) != inRegion {
-				continue
-			}
-			if p, ok := findPlace(places, at.zone); ok {
-				ordered = append(ordered, p)
-			}
-		}
-	}
+	ordered := slices.Clone(places)
+	slices.SortStableFunc(ordered, func(a, b config.Place) int {
+		return cmp.Compare(distance(a), distance(b))
+	})
 	return ordered
 }
 
 func (t *templateIndex) regionOf(zone model.Zone) model.Region {
-	for _, at := range t.order {
-		if at.zone == zone {
-			return at.region
-		}
-	}
-	return ""
-}
-
-func findPlace(places []config.Place, zone model.Zone) (config.Place, bool) {
-	for _, p := range places {
-		if p.Zone == zone {
-			return p, true
-		}
-	}
-	return config.Place{}, false
+	return t.order[t.index[zone]].region
 }
--- a/internal/steer/table.go
+++ b/internal/steer/table.go
@@ -61,10 +61,13 @@
 // Table is an immutable look-up table from client, account and service to
 // entry VMs. It is safe for concurrent use.
 type Table struct {
-	revision model.Revision
-	ttl      time.Duration
-	accounts map[model.AccountID]*accountIndex
-	stats    TableStats
+	revision  model.Revision
+	ttl       time.Duration
+	accounts  map[model.AccountID]*accountIndex
+	templates []*templateIndex
+	// lists holds the entry lists by template and home place.
+	lists [][]entryLists
+	stats TableStats
 }
 
 // TableStats counts what a table holds.
@@ -109,7 +112,7 @@
 	if choice == nil {
 		return Answer{}, false
 	}
-	entries := choice.lists.pick(h)
+	entries := t.lists[template.number][choice.home].pick(h)
 	if len(entries) == 0 {
 		return Answer{}, false
 	}
--- a/internal/steer/table_bench_test.go
+++ b/internal/steer/table_bench_test.go
@@ -150,6 +150,18 @@
 	}
 }
 
+func BenchmarkWithEntries(b *testing.B) {
+	in := tableSize{accounts: 100, blocks: 160_000, sites: 240, weights: 1}.input()
+	table, err := NewTable(in)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		table.WithEntries(in.Entries[1:], nil)
+	}
+}
+
 // heldBytes returns the heap that a table keeps alive beyond its input.
 func heldBytes(table **Table) float64 {
 	var with, without runtime.MemStats
--- a/internal/steer/table_test.go
+++ b/internal/steer/table_test.go
@@ -278,6 +278,17 @@
 	}
 }
 
+// TestWithEntriesEqualsANewTable builds tables for other entry VMs both ways.
+func TestWithEntriesEqualsANewTable(t *testing.T) {
+	if !lookupsHold(t, func(in TableInput) lookupFunc {
+		first := in
+		first.Entries, first.ClosedZones = in.Entries[:len(in.Entries)/2], nil
+		return mustTable(t, first).WithEntries(in.Entries, in.ClosedZones).Lookup
+	}) {
+		t.Fatal("a table with other entries differs from the linear scan")
+	}
+}
+
 func TestWeightsSpreadClients(t *testing.T) {
 	in := tableSize{accounts: 1, blocks: 1, sites: 8, weights: 1}.input()
 	in.Doc.Accounts[0].Blocks = []config.Block{{
