ownership: index candidates by zone and region

Cause: one owner costs 27 us at 1,400 candidates, though only those of the nearest tier can win. Change: Index holds the candidates by zone and region and gives the same owners.

--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -117,6 +117,16 @@
 	if err := firstBroken(Owner); err != nil {
 		t.Fatalf("seed %d: %v", *seed, err)
 	}
+	same := func(s model.ServerID, z model.Zone, r model.Region, live []Candidate) (model.VMID, bool) {
+		owner, ok := Owner(s, z, r, live)
+		if indexed, _ := NewIndex(live).Owner(s, z, r); indexed != owner {
+			t.Errorf("the index gives %q, not %q", indexed, owner)
+		}
+		return owner, ok
+	}
+	if err := firstBroken(same); err != nil {
+		t.Error(err)
+	}
 }
 
 // TestRulesCatchBrokenOwners proves that the rules can fail.
@@ -165,6 +175,18 @@
 	}
 }
 
+func BenchmarkIndexOwner(b *testing.B) {
+	places := make([]int, 1400)
+	for i := range places {
+		places[i] = i
+	}
+	v := makeView(places, 3)
+	x := NewIndex(v.live)
+	for b.Loop() {
+		x.Owner(v.server, v.zone, v.region)
+	}
+}
+
 func BenchmarkOwner(b *testing.B) {
 	for _, n := range []int{7, 70, 1400} {
 		b.Run(fmt.Sprintf("candidates=%d", n), func(b *testing.B) {
