steer: check that a ledger is a priority budget

Cause: the router falls back to Take without priorities when its budget lacks TakePriority, and would do so silently if the signatures drifted apart. Change: a compile-time check. Conclusion: drift now fails the build.

--- a/internal/steer/router.go
+++ b/internal/steer/router.go
@@ -37,6 +37,8 @@
 	TakePriority(now time.Time, key quota.Key, n int64, p model.Priority) bool
 }
 
+var _ PriorityBudget = (*quota.Ledger)(nil)
+
 // Request is what a choice depends on.
 type Request struct {
 	Account  model.AccountID
