--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -117,6 +117,16 @@
 	if err := firstBroken(Owner); err != nil {
 		t.Fatalf("seed %d: %v", *seed, err)
 	}
+	same := func(s model.ServerID, z model.Zone, r model.Region, live []Candidate) (model.VMID, bool) {
+		owner, ok := Owner(s, z, r, live)
+		if indexed, _ := NewIndex(live).Owner(s, z, r); indexed != owner {
+			t.Errorf("the index gives %q, not %q", indexed, owner)
+		}
+		return owner, ok
+	}
+	if err := firstBroken(same); err != nil {
+		t.Error(err)
+	}
 }
 
 // TestRulesCatchBrokenOwners proves that the rules can fail.
@@ -167,12 +177,21 @@
 
 func BenchmarkOwner(b *testing.B) {
 	for _, n := range []int{7, 70, 1400} {
+		places := make([]int, n)
+		for i := range places {
+			places[i] = i
+		}
+		v := makeView(places, 3)
+		x := NewIndex(v.live)
 		b.Run(fmt.Sprintf("candidates=%d", n), func(b *testing.B) {
-			v := makeView(make([]int, n), 3)
-			b.ReportAllocs()
 			for b.Loop() {
 				Owner(v.server, v.zone, v.region, v.live)
 			}
 		})
+		b.Run(fmt.Sprintf("candidates=%d/indexed", n), func(b *testing.B) {
+			for b.Loop() {
+				x.Owner(v.server, v.zone, v.region)
+			}
+		})
 	}
 }
--- a/internal/steer/build.go
+++ b/internal/steer/build.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"cmp"
 	"encoding/binary"
 	"maps"
 	"slices"
@@ -30,27 +31,48 @@
 		}
 		t.accounts[account.ID] = index
 	}
-	b.stats.Accounts = len(t.accounts)
-	b.stats.Rows = len(b.rows)
-	t.stats = b.stats
+	t.templates = b.ordered
+	t.stats = TableStats{Accounts: len(t.accounts), Blocks: b.blocks, Rows: len(b.rows)}
+	t.setEntries(in.Entries, in.ClosedZones)
 	return t, nil
 }
 
+// WithEntries returns a table that differs only in the entry VMs of its
+// answers. It shares the blocks with t and costs far less than NewTable.
+func (t *Table) WithEntries(entries []Entry, closed []model.Zone) *Table {
+	next := *t
+	next.setEntries(entries, closed)
+	return &next
+}
+
+// setEntries builds the entry lists of all templates.
+func (t *Table) setEntries(entries []Entry, closed []model.Zone) {
+	byZone, zones := groupByZone(openEntries(entries, closed))
+	t.lists = make([][]entryLists, len(t.templates))
+	t.stats.Lists = 0
+	for i, template := range t.templates {
+		t.lists[i] = make([]entryLists, len(template.near))
+		for n, at := range template.near {
+			t.lists[i][n] = newEntryLists(template.groups(at, byZone, zones))
+			t.stats.Lists += len(t.lists[i][n].rotations)
+		}
+	}
+}
+
 // builder holds what the accounts of one table share.
 type builder struct {
-	open      []Entry
 	regions   map[model.Zone]model.Region
 	templates map[string]*templateIndex
+	ordered   []*templateIndex
 	services  map[string]model.ServiceName
 	rowIDs    map[string]rowID
 	rows      [][]config.Place
 	key       []byte
-	stats     TableStats
+	blocks    int
 }
 
 func newBuilder(in TableInput) *builder {
 	b := &builder{
-		open:      openEntries(in),
 		regions:   make(map[model.Zone]model.Region, len(in.Doc.Zones)),
 		templates: make(map[string]*templateIndex, len(in.Doc.Templates)),
 		services:  make(map[string]model.ServiceName, len(in.Doc.Templates)),
@@ -69,37 +91,30 @@
 
 // openEntries returns the entry VMs outside closed zones in order of VM, or
 // all of them when every zone is closed.
-func openEntries(in TableInput) []Entry {
-	open := make([]Entry, 0, len(in.Entries))
-	for _, e := range in.Entries {
-		if !slices.Contains(in.ClosedZones, e.Zone) {
-			open = append(open, e)
-		}
-	}
+func openEntries(entries []Entry, closed []model.Zone) []Entry {
+	open := slices.DeleteFunc(slices.Clone(entries), func(e Entry) bool {
+		return slices.Contains(closed, e.Zone)
+	})
 	if len(open) == 0 {
-		open = append(open, in.Entries...)
+		open = slices.Clone(entries)
 	}
-	slices.SortFunc(open, func(a, c Entry) int {
-		if a.VM < c.VM {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(open, func(a, b Entry) int { return cmp.Compare(a.VM, b.VM) })
 	return open
 }
 
 func (b *builder) template(template *config.Template) *templateIndex {
-	t := &templateIndex{lists: make(map[model.Zone]*entryLists, len(b.regions))}
+	t := &templateIndex{number: len(b.ordered), index: make(map[model.Zone]int, len(b.regions))}
 	for _, zone := range template.Places {
-		t.order = append(t.order, Placement{Zone: zone, Region: b.regions[zone]})
-		t.everywhere = append(t.everywhere, config.Place{Zone: zone, Weight: 1})
+		t.addNear(zone, b.regions[zone])
+	}
+	t.served = len(t.near)
+	for _, at := range t.order() {
+		t.everywhere = append(t.everywhere, config.Place{Zone: at.Zone, Weight: 1})
 	}
-	byZone := groupByZone(b.open)
-	for _, near := range b.nearPlaces(t) {
-		lists := newEntryLists(near, t.groups(near, byZone))
-		t.lists[near.Zone] = lists
-		b.stats.Lists += len(lists.rotations)
+	for _, zone := range slices.Sorted(maps.Keys(b.regions)) {
+		t.addNear(zone, b.regions[zone])
 	}
+	b.ordered = append(b.ordered, t)
 	t.fallback = t.newRoute(t.everywhere)
 	if t.fallback == nil {
 		t.fallback = &route{}
@@ -107,61 +122,78 @@
 	return t
 }
 
-// nearPlaces lists every place that a client may be in.
-func (b *builder) nearPlaces(t *templateIndex) []Placement {
-	places := slices.Clone(t.order)
-	for zone, region := range b.regions {
-		if !t.runs(zone) {
-			places = append(places, Placement{Zone: zone, Region: region})
-		}
+// addNear numbers a place that clients may be in.
+func (t *templateIndex) addNear(zone model.Zone, region model.Region) {
+	if _, twice := t.index[zone]; twice {
+		return
 	}
-	return places
+	t.index[zone] = len(t.near)
+	t.near = append(t.near, Placement{Zone: zone, Region: region})
 }
 
-func groupByZone(entries []Entry) map[Placement][]Entry {
+// groupByZone splits entry VMs by zone and returns the zones in order of name.
+func groupByZone(entries []Entry) (map[Placement][]Entry, []Placement) {
 	groups := make(map[Placement][]Entry)
 	for _, e := range entries {
 		at := Placement{Zone: e.Zone, Region: e.Region}
 		groups[at] = append(groups[at], e)
 	}
-	return groups
+	zones := slices.SortedFunc(maps.Keys(groups), func(a, b Placement) int {
+		return cmp.Compare(a.Zone, b.Zone)
+	})
+	return groups, zones
 }
 
-// groups orders the zones with entry VMs for a client's own place: that place,
-// then its region, then the template's order, then zones that the template leaves out.
-func (t *templateIndex) groups(near Placement, byZone map[Placement][]Entry) [][]Entry {
-	rest := slices.SortedFunc(maps.Keys(byZone), func(a, b Placement) int {
-		if a.Zone < b.Zone {
-			return -1
-		}
-		return 1
-	})
-	candidates := append(slices.Clone(t.order), rest...)
-	seen := map[model.Zone]bool{}
-	var groups [][]Entry
-	add := func(at Placement) {
-		if seen[at.Zone] || len(byZone[at]) == 0 {
+// entryGroups collects the entry VMs of zones in the order of an answer.
+type entryGroups struct {
+	byZone map[Placement][]Entry
+	zones  []model.Zone
+	groups [][]Entry
+	count  int
+}
+
+// full reports that the groups fill an answer in any rotation.
+func (g *entryGroups) full() bool { return g.count >= MaxEntries }
+
+// add appends the entry VMs of a zone that is not there yet.
+func (g *entryGroups) add(at Placement) {
+	group := g.byZone[at]
+	if len(group) == 0 || slices.Contains(g.zones, at.Zone) {
+		return
+	}
+	g.zones = append(g.zones, at.Zone)
+	g.groups = append(g.groups, group)
+	g.count += len(group)
+}
+
+// addAll adds zones in order; with a region, only those in it.
+func (g *entryGroups) addAll(zones []Placement, region *model.Region) {
+	for _, at := range zones {
+		if g.full() {
 			return
 		}
-		seen[at.Zone] = true
-		groups = append(groups, byZone[at])
-	}
-	add(near)
-	for _, at := range candidates {
-		if at.Region == near.Region {
-			add(at)
+		if region == nil || at.Region == *region {
+			g.add(at)
 		}
 	}
-	for _, at := range candidates {
-		add(at)
-	}
-	return groups
+}
+
+// groups orders the zones with entry VMs for a client's own place: that place,
+// then its region, then the template's order, then zones that the template leaves out.
+func (t *templateIndex) groups(near Placement, byZone map[Placement][]Entry, zones []Placement) [][]Entry {
+	g := entryGroups{byZone: byZone}
+	g.add(near)
+	g.addAll(t.order(), &near.Region)
+	g.addAll(zones, &near.Region)
+	g.addAll(t.order(), nil)
+	g.addAll(zones, nil)
+	return g.groups
 }
 
 // newEntryLists builds one list for each entry VM of the nearest zone, so that
 // clients spread over the VMs of each zone.
-func newEntryLists(near Placement, groups [][]Entry) *entryLists {
-	lists := &entryLists{near: near}
+func newEntryLists(groups [][]Entry) entryLists {
+	var lists entryLists
 	if len(groups) == 0 {
 		return lists
 	}
@@ -206,7 +238,7 @@
 			t.addRoute(id, b.rows[id])
 		}
 	}
-	b.stats.Blocks += len(account.Blocks)
+	b.blocks += len(account.Blocks)
 	return index, nil
 }
 
--- a/internal/steer/route.go
+++ b/internal/steer/route.go
@@ -1,7 +1,9 @@
 package steer
 
 import (
+	"cmp"
 	"net/netip"
+	"slices"
 
 	"fuchsiaspar/internal/config"
 	"fuchsiaspar/internal/model"
@@ -9,15 +11,19 @@
 
 // templateIndex holds the routes of one template by row.
 type templateIndex struct {
+	number int
 	// routes is indexed by rowID; rows that no account of the template uses
 	// are nil.
 	routes   []*route
 	fallback *route
-	// lists holds the entry lists by the client's own zone.
-	lists map[model.Zone]*entryLists
-	// order is the template's places with their regions.
-	order []Placement
-	// everywhere is all places of the template with equal weights.
+	// near lists every place that a client may be in: those that run the
+	// service in the template's order, then the others.
+	near []Placement
+	// served counts the places that run the service.
+	served int
+	// index holds the position of each zone in near.
+	index map[model.Zone]int
+	// everywhere is all places that run the service, with equal weights.
 	everywhere []config.Place
 }
 
@@ -38,16 +44,15 @@
 type choice struct {
 	// below is the sum of the weights up to and including this choice.
 	below uint64
-	near  Placement
-	// places is the places that serve the client, nearest first.
+	// places serve the client, nearest first.
 	places []config.Place
-	lists  *entryLists
+	// near is the index of the client's own place.
+	near int
 }
 
 // entryLists holds the answers for clients of one place, rotated over the
 // nearest entry VMs.
 type entryLists struct {
-	near      Placement
 	rotations [][]Entry
 }
 
@@ -94,19 +99,22 @@
 	if len(served) == 0 {
 		served = t.everywhere
 	}
-	r := &route{}
-	for _, p := range row {
-		weight := weightOf(p, row)
-		lists, ok := t.lists[p.Zone]
+	weighted := slices.ContainsFunc(row, func(p config.Place) bool { return p.Weight > 0 })
+	r := &route{choices: make([]choice, 0, len(row))}
+	for _, own := range row {
+		weight := uint64(max(own.Weight, 0))
+		if !weighted {
+			weight = 1
+		}
+		near, ok := t.index[own.Zone]
 		if weight == 0 || !ok {
 			continue
 		}
 		r.total += weight
 		r.choices = append(r.choices, choice{
 			below:  r.total,
-			near:   lists.near,
-			places: t.nearFirst(served, lists.near),
-			lists:  lists,
+			places: t.nearFirst(served, t.near[near]),
+			near:   near,
 		})
 	}
 	if len(r.choices) == 0 {
@@ -115,7 +123,17 @@
 	return r
 }
 
-// known returns the places of a row that run the template's service.
+// order returns the places that run the service.
+func (t *templateIndex) order() []Placement { return t.near[:t.served] }
+
+// runs reports whether the service runs in a zone.
+func (t *templateIndex) runs(zone model.Zone) bool {
+	n, ok := t.index[zone]
+	return ok && n < t.served
+}
+
+// known returns the places of a row that run the template's service, in the
+// template's order.
 func (t *templateIndex) known(row []config.Place) []config.Place {
 	places := make([]config.Place, 0, len(row))
 	for _, p := range row {
@@ -123,57 +141,28 @@
 			places = append(places, p)
 		}
 	}
+	slices.SortFunc(places, func(a, b config.Place) int {
+		return cmp.Compare(t.index[a.Zone], t.index[b.Zone])
+	})
 	return places
 }
 
-func (t *templateIndex) runs(zone model.Zone) bool {
-	for _, at := range t.order {
-		if at.Zone == zone {
-			return true
-		}
-	}
-	return false
-}
-
-// weightOf returns the share of p. When no place has a positive weight, all
-// have the same share.
-func weightOf(p config.Place, places []config.Place) uint64 {
-	if p.Weight > 0 {
-		return uint64(p.Weight)
-	}
-	for _, other := range places {
-		if other.Weight > 0 {
-			return 0
-		}
-	}
-	return 1
-}
-
 // nearFirst orders places for a client: its own place, then its region, then
 // the template's order.
 func (t *templateIndex) nearFirst(places []config.Place, near Placement) []config.Place {
-	ordered := make([]config.Place, 0, len(places))
-	if p, ok := findPlace(places, near.Zone); ok {
-		ordered = append(ordered, p)
-	}
-	for _, inRegion := range []bool{true, false} {
-		for _, at := range t.order {
-			if at.Zone == near.Zone || (at.Region == near.Region) != inRegion {
-				continue
-			}
-			if p, ok := findPlace(places, at.Zone); ok {
-				ordered = append(ordered, p)
-			}
+	distance := func(p config.Place) int {
+		switch {
+		case p.Zone == near.Zone:
+			return 0
+		case t.near[t.index[p.Zone]].Region == near.Region:
+			return 1
+		default:
+			return 2
 		}
 	}
+	ordered := slices.Clone(places)
+	slices.SortStableFunc(ordered, func(a, b config.Place) int {
+		return cmp.Compare(distance(a), distance(b))
+	})
 	return ordered
 }
-
-func findPlace(places []config.Place, zone model.Zone) (config.Place, bool) {
-	for _, p := range places {
-		if p.Zone == zone {
-			return p, true
-		}
-	}
-	return config.Place{}, false
-}
--- a/internal/steer/table.go
+++ b/internal/steer/table.go
@@ -67,10 +67,13 @@
 // Table is an immutable look-up table from client, account and service to
 // entry VMs. It is safe for concurrent use.
 type Table struct {
-	revision model.Revision
-	ttl      time.Duration
-	accounts map[model.AccountID]*accountIndex
-	stats    TableStats
+	revision  model.Revision
+	ttl       time.Duration
+	accounts  map[model.AccountID]*accountIndex
+	templates []*templateIndex
+	// lists holds the entry lists by template and own place.
+	lists [][]entryLists
+	stats TableStats
 }
 
 // TableStats counts what a table holds.
@@ -116,13 +119,13 @@
 	if choice == nil {
 		return Answer{}, false
 	}
-	entries := choice.lists.pick(h)
+	entries := t.lists[template.number][choice.near].pick(h)
 	if len(entries) == 0 {
 		return Answer{}, false
 	}
 	return Answer{
 		Entries:  entries,
-		Near:     choice.near,
+		Near:     template.near[choice.near],
 		Located:  route != template.fallback,
 		Places:   choice.places,
 		TTL:      t.ttl,
