Compute owners where nobody reports yet, and assign only on change

Cause: right after a hand-over the leaving VM knew no owner and refused callers with cached answers; every 100 ms each VM ranked all members for all servers again. Change: a place without any report is served by its computed owners; servers are assigned again only when members, servers, drains or the configuration change; a server that refuses the poller's connection counts as unreachable.

--- a/internal/control/builder.go
+++ b/internal/control/builder.go
@@ -26,16 +26,20 @@
 	view     *membership.View
 	list     *servers.List
 	stopping bool
+	// loads are those of this VM's own pools.
+	loads []membership.ServiceLoad
 }
 
 // builder derives states and remembers what the last one was made from, so
 // that unchanged parts are not built again.
 type builder struct {
-	options  Options
-	revision model.Revision
-	table    *steer.Table
-	tableKey tableKey
-	owned    map[model.ServerID]bool
+	options   Options
+	revision  model.Revision
+	table     *steer.Table
+	tableKey  tableKey
+	assignKey assignKey
+	index     *ownership.Index
+	owned     map[model.ServerID]bool
 }
 
 // tableKey tells whether the look-up table has to be built again.
@@ -45,6 +49,13 @@
 	drains   string
 }
 
+// assignKey tells whether the servers have to be assigned again.
+type assignKey struct {
+	table    tableKey
+	list     uint64
+	draining uint64
+}
+
 func (b *builder) build(in inputs) (*entry.State, error) {
 	b.adopt(in)
 	drains := activeDrains(in)
@@ -53,15 +64,16 @@
 		return nil, err
 	}
 	b.assign(in, drains)
+	places := b.places(in)
 	state := &entry.State{
 		Config:   in.config,
 		Table:    table,
-		Owners:   b.owners(in),
+		Owners:   places.owners,
 		Members:  members(in.view),
 		Drained:  drains.accounts,
 		Stopping: in.stopping,
 	}
-	b.zones(in, drains, state)
+	b.tellRouter(in, drains, places)
 	return state, nil
 }
 
@@ -72,6 +84,9 @@
 	}
 	b.revision = in.config.Revision()
 	b.options.Limits.SetDocument(in.config.Document())
+	for _, t := range in.config.Document().Templates {
+		b.options.Retries.SetPercent(t.Service, t.RetryPercent)
+	}
 	b.options.Explain.Record(explain.Decision{
 		At:       in.now,
 		VM:       b.options.Self,
@@ -83,11 +98,16 @@
 
 // lookupTable returns the table for the accepting entry VMs and open places.
 func (b *builder) lookupTable(in inputs, d drains) (*steer.Table, error) {
-	entries := acceptingEntries(in, d)
+	entries := activeEntries(in, d)
 	key := tableKey{revision: in.config.Revision(), entries: entriesKey(entries), drains: d.key()}
 	if b.table != nil && key == b.tableKey {
 		return b.table, nil
 	}
+	if b.table != nil && key.revision == b.tableKey.revision {
+		b.table = b.table.WithEntries(entries, d.closedZones())
+		b.tableKey = key
+		return b.table, nil
+	}
 	table, err := steer.NewTable(steer.TableInput{
 		Revision:    in.config.Revision(),
 		TTL:         in.config.Document().Lookup.TTL.Std(),
@@ -103,8 +123,9 @@
 	return table, nil
 }
 
-// acceptingEntries lists the entry VMs that may appear in look-up answers.
-func acceptingEntries(in inputs, d drains) []steer.Entry {
+// activeEntries lists the entry VMs that may appear in look-up answers and own
+// servers.
+func activeEntries(in inputs, d drains) []steer.Entry {
 	var entries []steer.Entry
 	for _, m := range in.view.Members {
 		self := m.VM == in.view.Self
@@ -137,26 +158,29 @@
 	return known
 }
 
-// candidates lists the members that may own servers.
-func candidates(in inputs, d drains) []ownership.Candidate {
-	var live []ownership.Candidate
-	for _, m := range in.view.Members {
-		self := m.VM == in.view.Self
-		if !m.CanOwn() || d.entries[m.VM] || (self && in.stopping) {
-			continue
-		}
-		live = append(live, ownership.Candidate{VM: m.VM, Zone: m.Zone, Region: m.Region})
+// ownerIndex finds the owners of servers among the active entry VMs.
+func ownerIndex(in inputs, d drains) *ownership.Index {
+	entries := activeEntries(in, d)
+	live := make([]ownership.Candidate, 0, len(entries))
+	for _, e := range entries {
+		live = append(live, ownership.Candidate{VM: e.VM, Zone: e.Zone, Region: e.Region})
 	}
-	return live
+	return ownership.NewIndex(live)
 }
 
-// assign gives this VM's pools the servers that it owns.
+// assign gives this VM's pools the servers that it owns, when anything that
+// decides it has changed.
 func (b *builder) assign(in inputs, d drains) {
-	live := candidates(in, d)
+	key := assignKey{table: b.tableKey, list: in.list.Digest, draining: b.options.DrainVersion()}
+	if key == b.assignKey {
+		return
+	}
+	b.assignKey = key
+	b.index = ownerIndex(in, d)
 	byPool := make(map[owner.Key]*owner.Assignment)
 	owned := make(map[model.ServerID]bool)
 	for _, vm := range in.list.VMs {
-		if vm.Role != platform.RoleBackend || !b.owns(in, live, vm) {
+		if vm.Role != platform.RoleBackend || b.ownerOf(in, vm) != b.options.Self {
 			continue
 		}
 		owned[model.ServerID(vm.ID)] = true
@@ -170,10 +194,11 @@
 	b.options.Pools.Update(in.now, assignments)
 }
 
-func (b *builder) owns(in inputs, live []ownership.Candidate, vm platform.VM) bool {
+// ownerOf returns the entry VM that owns a server, empty when there is none.
+func (b *builder) ownerOf(in inputs, vm platform.VM) model.VMID {
 	region, _ := in.config.ZoneRegion(vm.Zone)
-	who, ok := ownership.Owner(model.ServerID(vm.ID), vm.Zone, region, live)
-	return ok && who == b.options.Self
+	who, _ := b.index.Owner(model.ServerID(vm.ID), vm.Zone, region)
+	return who
 }
 
 func (b *builder) addServer(in inputs, d drains, byPool map[owner.Key]*owner.Assignment, vm platform.VM) {
@@ -243,62 +268,3 @@
 		Detail:   detail,
 	})
 }
-
-// owners lists who serves each service in each zone, from members' own
-// reports and from this VM's pools.
-func (b *builder) owners(in inputs) map[owner.Key][]entry.Owner {
-	owners := make(map[owner.Key][]entry.Owner)
-	for _, m := range in.view.Members {
-		if m.VM == in.view.Self || !m.CanOwn() {
-			continue
-		}
-		addOwner(owners, m.VM, m.Region, m.Address, m.Load)
-	}
-	addOwner(owners, b.options.Self, b.options.Region, "", b.options.Pools.Loads())
-	return owners
-}
-
-func addOwner(owners map[owner.Key][]entry.Owner, vm model.VMID, region model.Region, address string, loads []membership.ServiceLoad) {
-	for _, l := range loads {
-		if l.Slots == 0 {
-			continue
-		}
-		key := owner.Key{Service: l.Service, Zone: l.Zone}
-		owners[key] = append(owners[key], entry.Owner{VM: vm, Region: region, Address: address, Slots: l.Slots})
-	}
-}
-
-// zones tells the router what each place can take.
-func (b *builder) zones(in inputs, d drains, state *entry.State) {
-	for _, t := range in.config.Document().Templates {
-		zones := make([]steer.ZoneState, 0, len(t.Places))
-		for _, zone := range t.Places {
-			zones = append(zones, b.zone(in, d, t.Service, zone))
-		}
-		b.options.Router.SetZones(in.now, t.Service, zones)
-	}
-}
-
-func (b *builder) zone(in inputs, d drains, service model.ServiceName, zone model.Zone) steer.ZoneState {
-	region, _ := in.config.ZoneRegion(zone)
-	z := steer.ZoneState{Zone: zone, Region: region, Draining: d.zones[zone]}
-	for _, m := range in.view.Members {
-		if m.VM != in.view.Self && m.CanOwn() {
-			addLoad(&z, service, m.Load)
-		}
-	}
-	addLoad(&z, service, b.options.Pools.Loads())
-	z.Reachable = z.Slots > 0
-	return z
-}
-
-func addLoad(z *steer.ZoneState, service model.ServiceName, loads []membership.ServiceLoad) {
-	for _, l := range loads {
-		if l.Service != service || l.Zone != z.Zone {
-			continue
-		}
-		z.Slots += l.Slots
-		z.Busy += l.Busy
-		z.Queued += l.Queued
-	}
-}
--- a/internal/control/poller.go
+++ b/internal/control/poller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 
@@ -10,6 +11,7 @@
 	"fuchsiaspar/internal/model"
 	"fuchsiaspar/internal/owner"
 
+	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 )
 
@@ -29,6 +31,7 @@
 
 	mu       sync.Mutex
 	draining map[model.ServerID]bool
+	version  uint64
 	cancel   context.CancelFunc
 	done     sync.WaitGroup
 }
@@ -50,6 +53,22 @@
 	return p.draining[id]
 }
 
+// DrainVersion changes with the set of draining servers.
+func (p *Poller) DrainVersion() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.version
+}
+
+func (p *Poller) note(id model.ServerID, draining bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.draining[id] != draining {
+		p.version++
+	}
+	p.draining[id] = draining
+}
+
 // Start polls until Stop.
 func (p *Poller) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -96,14 +115,22 @@
 	report, err := p.client.Health(ctx, t)
 	if err != nil {
 		p.failures.Inc(1)
+		p.failed(key, t, err)
 		return
 	}
-	p.mu.Lock()
-	p.draining[t.ID] = report.Draining
-	p.mu.Unlock()
+	p.note(t.ID, report.Draining)
 	p.pools.Report(time.Now(), key, t.ID, health.Report{Load: report.Load, Ready: report.Ready})
 }
 
+// failed tells the pool of a server that accepts no connection. Other failures
+// to answer a question say nothing of the server's work.
+func (p *Poller) failed(key owner.Key, t backend.Target, err error) {
+	var e *net.OpError
+	if errors.As(err, &e) && e.Op == "dial" {
+		p.pools.Observe(time.Now(), key, t.ID, health.Unreachable)
+	}
+}
+
 // forget drops what was said by servers that are no longer owned.
 func (p *Poller) forget(targets map[owner.Key][]backend.Target) {
 	owned := make(map[model.ServerID]bool)
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -16,6 +16,7 @@
 	"fuchsiaspar/internal/membership"
 	"fuchsiaspar/internal/model"
 	"fuchsiaspar/internal/owner"
+	"fuchsiaspar/internal/retry"
 	"fuchsiaspar/internal/servers"
 	"fuchsiaspar/internal/steer"
 
@@ -61,11 +62,14 @@
 	Pools   *owner.Pools
 	Router  *steer.Router
 	Limits  Limits
+	Retries *retry.Budget
 	// Draining reports whether a server said itself that it drains.
 	Draining func(model.ServerID) bool
-	Explain  explain.Recorder
-	Logger   *log.Logger
-	Scope    tally.Scope
+	// DrainVersion changes with what Draining reports.
+	DrainVersion func() uint64
+	Explain      explain.Recorder
+	Logger       *log.Logger
+	Scope        tally.Scope
 }
 
 // Service runs the control goroutine.
@@ -186,6 +190,7 @@
 		view:     s.options.Members.View(),
 		list:     s.options.Servers.Current(),
 		stopping: s.stopping.Load(),
+		loads:    s.options.Pools.Loads(),
 	}
 	state, err := s.builder.build(in)
 	if err != nil {
@@ -194,5 +199,5 @@
 	}
 	s.state.Store(state)
 	s.progress.update(in, s.options.Pools, s.active())
-	s.options.Members.SetLocal(snapshot.Revision(), s.options.Pools.Loads())
+	s.options.Members.SetLocal(snapshot.Revision(), in.loads)
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -126,6 +126,7 @@
 	router   *steer.Router
 	poller   *control.Poller
 	fleet    *fleet.Service
+	retries  *retry.Budget
 }
 
 func (b *assembly) assemble() error {
@@ -297,21 +298,24 @@
 
 func (b *assembly) controlState() error {
 	vm := b.settings.VM
+	b.retries = retry.NewBudget(retryPercent)
 	b.router = steer.NewRouter(b.limits.Ledger(), steer.RouterOptions{})
 	b.daemon.control = control.New(control.Options{
-		Self:     vm.Name,
-		Zone:     vm.Zone,
-		Region:   vm.Region,
-		Config:   b.config,
-		Members:  b.members,
-		Servers:  b.servers,
-		Pools:    b.pools,
-		Router:   b.router,
-		Limits:   b.limits,
-		Draining: b.poller.Draining,
-		Explain:  b.ring,
-		Logger:   b.deps.Logger.WithPrefix("control"),
-		Scope:    b.metrics.Scope,
+		Self:         vm.Name,
+		Zone:         vm.Zone,
+		Region:       vm.Region,
+		Config:       b.config,
+		Members:      b.members,
+		Servers:      b.servers,
+		Pools:        b.pools,
+		Router:       b.router,
+		Limits:       b.limits,
+		Retries:      b.retries,
+		Draining:     b.poller.Draining,
+		DrainVersion: b.poller.DrainVersion,
+		Explain:      b.ring,
+		Logger:       b.deps.Logger.WithPrefix("control"),
+		Scope:        b.metrics.Scope,
 	})
 	return b.add(NameControl, b.daemon.control)
 }
@@ -349,7 +353,7 @@
 		Relays:             b.relays,
 		Tickets:            b.daemon.tickets,
 		Attempts:           attempts,
-		Retries:            retry.NewBudget(retryPercent),
+		Retries:            b.retries,
 		Links:              b.mesh,
 		Caps:               newLinkCaps(b.limits.Ledger(), vm.Region),
 		Explain:            b.ring,
--- a/internal/owner/pool.go
+++ b/internal/owner/pool.go
@@ -55,6 +55,8 @@
 	waiting map[uint64]*waiter
 	running map[uint64]*Slot
 	next    uint64
+	// retired is set while no server is assigned to the pool.
+	retired bool
 }
 
 type waiter struct {
--- a/internal/owner/pools.go
+++ b/internal/owner/pools.go
@@ -76,6 +76,7 @@
 func (p *Pool) assign(now time.Time, a Assignment) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.retired = false
 	clear(p.targets)
 	infos := make([]health.ServerInfo, 0, len(a.Servers))
 	for _, s := range a.Servers {
@@ -96,6 +97,7 @@
 func (p *Pool) retire(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.retired = true
 	p.health.SetServers(now, nil)
 	p.apply(now, p.queue.SetServers(now, nil))
 	return len(p.running) > 0 || len(p.waiting) > 0
@@ -119,11 +121,25 @@
 	pool.health.Report(now, server, r)
 }
 
-// Loads summarises every pool, sorted by service and zone.
+// Observe hands what was seen of a server outside its requests to its pool.
+func (p *Pools) Observe(now time.Time, key Key, server model.ServerID, class health.Class) {
+	pool := p.Find(key)
+	if pool == nil {
+		return
+	}
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	pool.health.Observe(now, server, class, 0)
+}
+
+// Loads summarises every pool with servers, sorted by service and zone.
 func (p *Pools) Loads() []membership.ServiceLoad {
 	var loads []membership.ServiceLoad
 	for key, pool := range *p.pools.Load() {
-		stats := pool.Stats()
+		stats, ok := pool.load()
+		if !ok {
+			continue
+		}
 		loads = append(loads, membership.ServiceLoad{
 			Service: key.Service,
 			Zone:    key.Zone,
@@ -141,6 +157,13 @@
 	return loads
 }
 
+// load returns the pool's counts, or false when it has no servers.
+func (p *Pool) load() (admit.Stats, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.queue.Stats(), !p.retired
+}
+
 // Idle reports whether no request holds or waits for a slot.
 func (p *Pools) Idle() bool {
 	for _, pool := range *p.pools.Load() {
