quota: let a process spend nothing before it confirmed its configuration

Change: with RequireConfirm nothing is spent or lent before the first ConfirmUntil. The simulated processes set it. Conclusion: set RequireConfirm wherever configurations change.

--- a/internal/quota/agent.go
+++ b/internal/quota/agent.go
@@ -80,7 +80,7 @@
 		id:      id,
 		jitter:  s.jitter.fork(),
 		recheck: make(chan struct{}, 1),
-		lender:  NewLender(LenderOptions{Timing: s.opts.Timing}),
+		lender:  NewLender(LenderOptions{Timing: s.opts.Timing, RequireConfirm: s.opts.RequireConfirm}),
 	}
 	a.lease = lease{store: s.opts.Store, key: id.key(), now: s.opts.Now}
 	return a
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -13,6 +13,8 @@
 // LedgerOptions configures a Ledger.
 type LedgerOptions struct {
 	Timing Timing
+	// RequireConfirm lets nothing be spent before the first ConfirmUntil.
+	RequireConfirm bool
 }
 
 // Grant is a loan of part of a cap to one VM.
@@ -63,6 +65,9 @@
 		inUse:  activeSet{meters: make(map[*meter]struct{})},
 	}
 	l.meters.Store(&map[Key]*meter{})
+	if opts.RequireConfirm {
+		l.confirmed.Store(&time.Time{})
+	}
 	return l
 }
 
@@ -89,9 +94,10 @@
 
 // ConfirmUntil tells at now how long the adopted configuration may be trusted
 // to be the newest; after that nothing may be spent. A VM that confirms its
-// revision at a moment may trust it for Timing.Spread from then on. Before the
-// first call there is no limit. When the trust had ended before now, the VM may
-// have missed configurations, and its floors hold again after a changeover.
+// revision at a moment may trust it for Timing.Spread from then on. When the
+// trust had ended before now, the VM may have missed configurations, and its
+// floors hold again after a changeover. Before the first call there is no limit
+// unless LedgerOptions.RequireConfirm is set.
 func (l *Ledger) ConfirmUntil(now, until time.Time) {
 	if !l.trusted(now) {
 		l.rejoined.Store(&now)
--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -12,6 +12,8 @@
 // LenderOptions configures a Lender.
 type LenderOptions struct {
 	Timing Timing
+	// RequireConfirm lets nothing be lent before the first ConfirmUntil.
+	RequireConfirm bool
 }
 
 // GrantRequest asks a lender for parts of its caps.
@@ -66,9 +68,10 @@
 	timing Timing
 	pools  map[Key]*pool
 	epoch  uint64
-	// confirmed is when the adopted configuration stops to be trusted; zero
-	// means never.
+	// confirmed is when the adopted configuration stops to be trusted, unless
+	// unlimited is set.
 	confirmed time.Time
+	unlimited bool
 	// rejoined is when the trust was last renewed after it had ended.
 	rejoined time.Time
 	// from and until bound the term; until is zero without a lease.
@@ -77,7 +80,11 @@
 
 // NewLender returns a lender without a lease.
 func NewLender(opts LenderOptions) *Lender {
-	return &Lender{timing: opts.Timing.withDefaults(), pools: make(map[Key]*pool)}
+	return &Lender{
+		timing:    opts.Timing.withDefaults(),
+		pools:     make(map[Key]*pool),
+		unlimited: !opts.RequireConfirm,
+	}
 }
 
 // SetCaps adopts the caps of a configuration. A lender must be told of caps
@@ -135,6 +142,7 @@
 		l.rejoined = now
 	}
 	l.confirmed = until
+	l.unlimited = false
 }
 
 // rejoining reports whether the lender has too short a history to lend.
@@ -152,7 +160,7 @@
 
 // trusted reports whether the adopted configuration may be trusted.
 func (l *Lender) trusted(now time.Time) bool {
-	return l.confirmed.IsZero() || now.Before(l.confirmed)
+	return l.unlimited || now.Before(l.confirmed)
 }
 
 // Epoch returns the latest term.
--- a/internal/quota/service.go
+++ b/internal/quota/service.go
@@ -45,9 +45,13 @@
 	Store  platform.Store
 	Links  peer.Links
 	Timing Timing
-	Rand   *rand.Rand
-	Logger *log.Logger
-	Scope  tally.Scope
+	// RequireConfirm lets nothing be spent or lent before the first
+	// ConfirmUntil. Without it the caps hold only while no VM misses a
+	// configuration for longer than Timing.Spread.
+	RequireConfirm bool
+	Rand           *rand.Rand
+	Logger         *log.Logger
+	Scope          tally.Scope
 	// Explain keeps the changes of leases; nil keeps none.
 	Explain explain.Recorder
 	// Now returns the time with its monotonic reading.
@@ -100,7 +104,7 @@
 	opts = opts.withDefaults()
 	s := &Service{
 		opts:    opts,
-		ledger:  NewLedger(opts.Self, LedgerOptions{Timing: opts.Timing}),
+		ledger:  NewLedger(opts.Self, LedgerOptions{Timing: opts.Timing, RequireConfirm: opts.RequireConfirm}),
 		metrics: newMetrics(opts.Scope),
 		jitter:  jitter{rand: opts.Rand},
 		agents:  make(map[lenderID]*agent),
@@ -199,7 +203,9 @@
 // addAgent begins to watch over the lease of a lender. The caller holds s.mu.
 func (s *Service) addAgent(id lenderID) {
 	a := newAgent(s, id)
-	a.confirmUntil(s.opts.Now(), s.confirmed)
+	if !s.confirmed.IsZero() {
+		a.confirmUntil(s.opts.Now(), s.confirmed)
+	}
 	s.agents[id] = a
 	if s.runCtx != nil && s.runCtx.Err() == nil {
 		s.startAgent(a)
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -133,8 +133,9 @@
 
 // restart replaces a VM's process. Nothing of the old one is kept.
 func (w *world) restart(vm *simVM) {
-	vm.ledger = NewLedger(vmID(vm.slot), LedgerOptions{Timing: simTiming})
-	vm.lender = NewLender(LenderOptions{Timing: simTiming})
+	required := w.flaw != flawNoConfirm
+	vm.ledger = NewLedger(vmID(vm.slot), LedgerOptions{Timing: simTiming, RequireConfirm: required})
+	vm.lender = NewLender(LenderOptions{Timing: simTiming, RequireConfirm: required})
 	vm.leaseEpoch = 0
 	vm.paused = 0
 	if w.flaw != flawNoProcess {
