quota: confirm configurations in the service tests

Cause: RequireConfirm and ConfirmUntil were only tested below the service. Change: the services of the tests require confirmation and get it unless cut off; a VM that is cut off for 8 s must spend nothing.

--- a/internal/quota/service_test.go
+++ b/internal/quota/service_test.go
@@ -79,6 +79,8 @@
 		Store:  fakeStore{self: vmID(i), net: f.net},
 		Links:  fakeLinks{self: vmID(i), net: f.net},
 		Rand:   rand.New(rand.NewPCG(uint64(i), uint64(*seed))),
+
+		RequireConfirm: true,
 	})
 	s.SetDocument(fleetDocument())
 	if err := s.Start(f.t.Context()); err != nil {
@@ -95,6 +97,7 @@
 		before[key] = l.total
 	}
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		f.confirm()
 		for _, i := range vms {
 			f.spend(f.services[i])
 		}
@@ -106,6 +109,17 @@
 	return spent
 }
 
+// confirm trusts the configuration at the VMs that are not cut off.
+func (f *fleet) confirm() {
+	for i, s := range f.services {
+		cut := false
+		f.net.set(func(n *fakeNet) { cut = n.cut[vmID(i)] })
+		if !cut {
+			s.ConfirmUntil(time.Now().Add(DefaultSpread))
+		}
+	}
+}
+
 func (f *fleet) spend(s *Service) {
 	for _, key := range []Key{fleetKey, fleetLinks} {
 		n := s.Ledger().TakeUpTo(time.Now(), key, 1<<20)
@@ -162,6 +176,9 @@
 		lost := f.net.holder(id)
 		f.cut(lost, true)
 		f.spendFor(8*time.Second, 0, 1, 2, 3)
+		if n := f.spendFor(time.Second, f.vm(lost))[fleetKey]; n != 0 {
+			t.Errorf("a VM that cannot confirm its configuration spent %d units", n)
+		}
 		next := f.net.holder(id)
 		if next == "" || next == lost {
 			t.Fatalf("holder %q after the loss of %q", next, lost)
