Reserve up to half of the slots from long transfers

Cause: trunk reservation was weighed against idle slots only by guess. Change: the default LongShare is 50 instead of 70 percent.

--- a/internal/admit/policy.go
+++ b/internal/admit/policy.go
@@ -42,7 +42,7 @@
 // Default settings.
 const (
 	defaultQueueLimit   = 512
-	defaultLongShare    = 70
+	defaultLongShare    = 50
 	defaultUrgentFloor  = 50
 	defaultNormalFloor  = 20
 	defaultBulkFloor    = 5
