Bound the weight of one stall in admission's estimates

Cause: a stall of ten seconds raised the mean interval between starts by 600 ms, which would refuse work needlessly for some fifty starts. Change: a sample counts for at most eight times the mean; choose loses its repeated loop. The stall itself was worked out, not run.

--- a/internal/admit/estimate.go
+++ b/internal/admit/estimate.go
@@ -8,6 +8,9 @@
 const (
 	// meanWeight is the share of a new sample in a moving mean.
 	meanWeight = 1.0 / 16
+	// maxSampleRatio bounds a sample of a moving mean as a multiple of the
+	// mean, so that one stall does not hide the usual pace for long.
+	maxSampleRatio = 8
 	// rateWindow is the time constant of arrival rates.
 	rateWindow = time.Second
 )
@@ -23,6 +26,7 @@
 		m.value = sample
 		return
 	}
+	sample = min(sample, maxSampleRatio*m.value)
 	m.value += time.Duration(float64(sample-m.value) * meanWeight)
 }
 
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -194,18 +194,18 @@
 // choose returns the waiting entry to start next, or nil. Priorities that are
 // owed their floor go first, then all; either in order of urgency.
 func (q *Queue) choose(now time.Time) *entry {
-	for p := range q.classes {
-		c := &q.classes[p]
-		if c.queued == 0 || !q.owed(c) {
-			continue
-		}
-		if e := q.candidate(now, c); e != nil {
-			return e
-		}
+	if e := q.mostUrgent(now, q.owed); e != nil {
+		return e
 	}
+	return q.mostUrgent(now, func(*class) bool { return true })
+}
+
+// mostUrgent returns the entry to start next of the most urgent eligible
+// priority that has one.
+func (q *Queue) mostUrgent(now time.Time, eligible func(*class) bool) *entry {
 	for p := range q.classes {
 		c := &q.classes[p]
-		if c.queued == 0 {
+		if c.queued == 0 || !eligible(c) {
 			continue
 		}
 		if e := q.candidate(now, c); e != nil {
