State the wait and the queue behind each refusal

Cause: a refusal could not be explained to an operator with its numbers. Change: Refusal carries the wait, spent or expected, and the waiting requests of its priority; two benchmarks share their setup.

--- a/internal/admit/bench_test.go
+++ b/internal/admit/bench_test.go
@@ -39,16 +39,12 @@
 	}
 }
 
-// perAccounts runs a benchmark with several counts of accounts, each with one
-// waiting request and the queue full when full is set.
-func perAccounts(b *testing.B, full bool, run func(b *testing.B, q *admit.Queue, accounts int)) {
+// perAccounts runs a benchmark with several counts of accounts, of which the
+// first has two requests waiting and each other one has one.
+func perAccounts(b *testing.B, limit int, run func(b *testing.B, q *admit.Queue, accounts int)) {
 	for _, accounts := range []int{1, 10, 100, 1000} {
 		b.Run(fmt.Sprint("accounts=", accounts), func(b *testing.B) {
-			limit := accounts
-			if !full {
-				limit *= 2
-			}
-			q := benchmarkQueue(accounts, accounts, limit)
+			q := benchmarkQueue(accounts, accounts+1, limit*(accounts+1))
 			b.ReportAllocs()
 			b.ResetTimer()
 			run(b, q, accounts)
@@ -56,12 +52,18 @@
 	}
 }
 
-// BenchmarkRefuse offers to a full queue in which the item's account is among
-// those with the longest queue.
+// firstWaiting returns the item of the account with two requests waiting.
+func firstWaiting(accounts int) admit.Item {
+	item := benchItem(benchServers*serverSlots, accounts)
+	item.ID = 1 << 40
+	return item
+}
+
+// BenchmarkRefuse offers to a full queue for the account with the longest
+// queue.
 func BenchmarkRefuse(b *testing.B) {
-	perAccounts(b, true, func(b *testing.B, q *admit.Queue, _ int) {
-		item := benchItem(0, 1)
-		item.ID = 1 << 40
+	perAccounts(b, 1, func(b *testing.B, q *admit.Queue, accounts int) {
+		item := firstWaiting(accounts)
 		for b.Loop() {
 			if len(q.Offer(simStart, item).Refusals) != 1 {
 				b.Fatal("not refused")
@@ -70,34 +72,29 @@
 	})
 }
 
-// BenchmarkDisplace offers to a full queue in which the account with two
-// waiting requests pays, then restores the queue: two offers and an abandon.
+// BenchmarkDisplace offers to a full queue in which another account pays, then
+// restores the queue: two offers and an abandon.
 func BenchmarkDisplace(b *testing.B) {
-	for _, accounts := range []int{1, 10, 100, 1000} {
-		b.Run(fmt.Sprint("accounts=", accounts), func(b *testing.B) {
-			q := benchmarkQueue(accounts, accounts+1, accounts+1)
-			flooder := benchItem(benchServers*serverSlots, accounts)
-			newcomer := flooder
-			newcomer.Account = "newcomer"
-			newcomer.ID = 1 << 40
-			b.ReportAllocs()
-			for b.Loop() {
-				displaced := q.Offer(simStart, newcomer).Refusals
-				if len(displaced) != 1 || displaced[0].ID == newcomer.ID {
-					b.Fatal("not displaced")
-				}
-				flooder.ID = displaced[0].ID
-				q.Abandon(simStart, newcomer.ID)
-				q.Offer(simStart, flooder)
+	perAccounts(b, 1, func(b *testing.B, q *admit.Queue, accounts int) {
+		flooder := firstWaiting(accounts)
+		newcomer := flooder
+		newcomer.Account = "newcomer"
+		for b.Loop() {
+			displaced := q.Offer(simStart, newcomer).Refusals
+			if len(displaced) != 1 || displaced[0].ID == newcomer.ID {
+				b.Fatal("not displaced")
 			}
-		})
-	}
+			flooder.ID = displaced[0].ID
+			q.Abandon(simStart, newcomer.ID)
+			q.Offer(simStart, flooder)
+		}
+	})
 }
 
 // BenchmarkAdmit offers a request that waits and ends one that runs, so that
 // each iteration queues one and starts one.
 func BenchmarkAdmit(b *testing.B) {
-	perAccounts(b, false, func(b *testing.B, q *admit.Queue, accounts int) {
+	perAccounts(b, 2, func(b *testing.B, q *admit.Queue, accounts int) {
 		accountIDs := make([]model.AccountID, accounts)
 		for i := range accountIDs {
 			accountIDs[i] = benchItem(i, accounts).Account
@@ -107,8 +104,7 @@
 			running = append(running, uint64(i))
 		}
 		now := simStart
-		item := benchItem(0, accounts)
-		item.ID = 1 << 40
+		item := firstWaiting(accounts)
 		i := 0
 		for b.Loop() {
 			now = now.Add(time.Microsecond)
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -142,18 +142,18 @@
 	l := laneOf(item)
 	c.lanes[l].arrivals.add(now)
 	if !item.Deadline.IsZero() && !item.Deadline.After(now) {
-		q.refuseNew(item, model.ReasonDeadline)
+		q.refuseNew(c, item, model.ReasonDeadline)
 		return
 	}
 	if !q.fleet.couldRun(item.Exclude) {
-		q.refuseNew(item, model.ReasonNoServer)
+		q.refuseNew(c, item, model.ReasonNoServer)
 		return
 	}
 	if q.startNew(now, c, item) {
 		return
 	}
 	if q.tooLate(now, c, item) {
-		q.refuseNew(item, model.ReasonDeadline)
+		q.refuseNew(c, item, model.ReasonDeadline)
 		return
 	}
 	if c.queued >= max(1, q.policy.QueueLimit) && !q.makeRoom(now, c, item) {
--- a/internal/admit/shed.go
+++ b/internal/admit/shed.go
@@ -36,14 +36,23 @@
 
 // refuse takes a waiting entry out and reports why.
 func (q *Queue) refuse(e *entry, reason model.Reason) {
+	q.report(e.item, reason, q.last.Sub(e.enqueued))
 	q.dequeue(e)
-	q.result.Refusals = append(q.result.Refusals, Refusal{ID: e.item.ID, Reason: reason})
 	q.forget(e)
 }
 
 // refuseNew reports the refusal of an item that never entered the queue.
-func (q *Queue) refuseNew(item Item, reason model.Reason) {
-	q.result.Refusals = append(q.result.Refusals, Refusal{ID: item.ID, Reason: reason})
+func (q *Queue) refuseNew(c *class, item Item, reason model.Reason) {
+	q.report(item, reason, q.wait(c, item))
+}
+
+func (q *Queue) report(item Item, reason model.Reason, wait time.Duration) {
+	q.result.Refusals = append(q.result.Refusals, Refusal{
+		ID:     item.ID,
+		Reason: reason,
+		Wait:   wait,
+		Queued: q.classes[item.Priority].queued,
+	})
 }
 
 // refuseUnrunnable refuses the waiting requests that no server may run.
@@ -74,7 +83,7 @@
 		queued = a.queued
 	}
 	if longest.queued*weight <= (queued+1)*longest.weight {
-		q.refuseNew(item, model.ReasonQueueFull)
+		q.refuseNew(c, item, model.ReasonQueueFull)
 		return false
 	}
 	q.refuse(longest.lastToServe(c.overloaded(now)), model.ReasonDisplaced)
--- a/internal/admit/types.go
+++ b/internal/admit/types.go
@@ -43,10 +43,15 @@
 	Server model.ServerID
 }
 
-// Refusal tells the caller that a request did not run.
+// Refusal tells the caller that a request did not run, and what decided.
 type Refusal struct {
 	ID     uint64
 	Reason model.Reason
+	// Wait is how long the request has waited or, if it was refused when it
+	// was offered, how long it was expected to wait.
+	Wait time.Duration
+	// Queued is the count of requests of its priority that waited.
+	Queued int
 }
 
 // Result holds what the caller has to do after one call. Its slices are
