Tell the changes of a backend server's use

Cause: ejections could not be explained to an operator. Change: Tracker.Events yields ejections, probes, restorations and pauses with the failures and counts that decided; ejection has a file of its own. Conclusion: the ring of decisions can be fed from the tracker.

--- a/internal/health/health_test.go
+++ b/internal/health/health_test.go
@@ -252,6 +252,9 @@
 	s.want(t, "two of four failing", 0, 3, 1, 0)
 	s.now = s.now.Add(longestPause)
 	s.want(t, "two of four failing, after a pause", 0, 3, 1, 2)
+	if e := s.Events(); len(e) != 2 || e[0].Change != health.ChangeEjected || e[1].Change != health.ChangePaused {
+		t.Errorf("events %+v, want an ejection and a pause", e)
+	}
 }
 
 func BenchmarkObserveAndLimits(b *testing.B) {
--- a/internal/health/server.go
+++ b/internal/health/server.go
@@ -139,16 +139,14 @@
 	s.pausedUntil = now.Add(min(minPause<<doublings, maxPause))
 }
 
-// endEjection starts the probation of a server whose ejection has run out.
-func (s *server) endEjection(now time.Time) {
-	if s.state == ejected && !now.Before(s.ejectedUntil) {
-		s.state = probing
-		s.answerRun = 0
-	}
+// probe starts the probation after an ejection.
+func (s *server) probe() {
+	s.state = probing
+	s.answerRun = 0
 }
 
 // restore returns the server to use with a small limit.
-func (s *server) restore(time.Time) {
+func (s *server) restore() {
 	s.state = healthy
 	s.failureRun = 0
 	s.limit = minLimit
--- a/internal/health/tracker.go
+++ b/internal/health/tracker.go
@@ -18,6 +18,7 @@
 	byID    map[model.ServerID]*server
 	ejected int
 	peers   peerLatency
+	events  []Event
 	limits  []admit.Server
 }
 
@@ -104,122 +105,22 @@
 }
 
 // Limits returns how many requests each server may run at once now. Limits
-// also change with time alone; ask again after LimitsInterval. The
-// slice is a buffer that the next call overwrites.
+// also change with time alone; ask again after LimitsInterval. The slice is a
+// buffer that the next call overwrites.
 func (t *Tracker) Limits(now time.Time) []admit.Server {
 	t.limits = t.limits[:0]
 	for _, s := range t.servers {
-		s.endEjection(now)
+		t.probeIfDue(now, s)
 		t.limits = append(t.limits, admit.Server{ID: s.info.ID, Limit: s.current(now)})
 	}
 	return t.limits
 }
 
 func (t *Tracker) answered(now time.Time, s *server, took time.Duration) {
-	s.endEjection(now)
+	t.probeIfDue(now, s)
 	s.answered(now, took, t.peers.value, t.opts)
 	t.peers.refresh(t.servers)
 	if s.state == probing && s.answerRun >= t.opts.ProbeAnswers {
-		s.restore(now)
-		t.countEjected()
+		t.restore(now, s)
 	}
 }
-
-// failed counts a failure. After a run of them it ejects the server, or, when
-// the share of ejected servers is used up, pauses it after each failure as long
-// as another server answers.
-func (t *Tracker) failed(now time.Time, s *server) {
-	s.endEjection(now)
-	s.failed(now)
-	switch s.state {
-	case ejected:
-		return
-	case probing:
-		t.eject(now, s)
-		return
-	}
-	if s.failureRun < t.opts.FailureRun {
-		return
-	}
-	if t.ejected < t.maxEjected() {
-		t.eject(now, s)
-		return
-	}
-	if !now.Before(s.pausedUntil) && t.othersAnswer(now, s) {
-		s.pause(now, t.opts)
-	}
-}
-
-func (t *Tracker) eject(now time.Time, s *server) {
-	s.eject(now, t.opts)
-	t.countEjected()
-	t.endPausesIfIdle(now)
-}
-
-// endPausesIfIdle ends all pauses when no server gets work.
-func (t *Tracker) endPausesIfIdle(now time.Time) {
-	for _, s := range t.servers {
-		if s.current(now) > 0 {
-			return
-		}
-	}
-	for _, s := range t.servers {
-		s.pausedUntil = time.Time{}
-	}
-}
-
-// maxEjected returns how many servers may be ejected at once: the configured
-// share, but always one of two or more, since a single dead server would
-// otherwise draw work by failing fast.
-func (t *Tracker) maxEjected() int {
-	inUse := 0
-	for _, s := range t.servers {
-		if !s.info.Draining {
-			inUse++
-		}
-	}
-	if inUse < 2 {
-		return 0
-	}
-	return max(1, int(float64(inUse)*t.opts.EjectShare))
-}
-
-// countEjected counts the servers that are ejected or on probation.
-func (t *Tracker) countEjected() {
-	t.ejected = 0
-	for _, s := range t.servers {
-		if s.outOfUse() {
-			t.ejected++
-		}
-	}
-}
-
-// othersAnswer reports whether a server other than s is in use and not
-// failing.
-func (t *Tracker) othersAnswer(now time.Time, s *server) bool {
-	for _, other := range t.servers {
-		if other == s || other.failureRun >= t.opts.FailureRun {
-			continue
-		}
-		if other.state == healthy && other.current(now) > 0 {
-			return true
-		}
-	}
-	return false
-}
-
-// restoreOne ends the ejection that would end first, because the set of
-// servers has shrunk.
-func (t *Tracker) restoreOne(now time.Time) {
-	var first *server
-	for _, s := range t.servers {
-		if !s.outOfUse() {
-			continue
-		}
-		if first == nil || s.ejectedUntil.Before(first.ejectedUntil) {
-			first = s
-		}
-	}
-	first.restore(now)
-	t.countEjected()
-}
