--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -263,7 +263,7 @@
 }
 
 func (b *assembly) owners() error {
-	b.pools = owner.NewPools()
+	b.pools = owner.NewPools(b.ring)
 	b.backends = b.newClient("backend")
 	b.relays = b.newClient("relay")
 	b.poller = control.NewPoller(b.pools, b.backends, b.metrics.Scope)
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -124,7 +124,7 @@
 func admissionFailure(err error) *Failure {
 	var r *owner.Refusal
 	if errors.As(err, &r) {
-		return refuse(http.StatusServiceUnavailable, r.Reason, "no slot became free in time; retry later")
+		return refuse(http.StatusServiceUnavailable, r.Reason, r.Error()+"; retry later")
 	}
 	return refuse(http.StatusServiceUnavailable, model.ReasonNoServer, err.Error())
 }
--- a/internal/owner/pool.go
+++ b/internal/owner/pool.go
@@ -5,11 +5,13 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
 	"fuchsiaspar/internal/admit"
 	"fuchsiaspar/internal/backend"
+	"fuchsiaspar/internal/explain"
 	"fuchsiaspar/internal/health"
 	"fuchsiaspar/internal/model"
 
@@ -25,10 +27,16 @@
 // Refusal reports that a pool did not admit a request, which did not run.
 type Refusal struct {
 	Reason model.Reason
+	// Wait is how long the request waited or would have had to.
+	Wait time.Duration
+	// Queued is the count of requests of its priority that waited.
+	Queued int
 }
 
 // Error returns the reason as text.
-func (r *Refusal) Error() string { return "not admitted: " + string(r.Reason) }
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("not admitted: %s: wait %s, %d waiting", r.Reason, r.Wait.Round(time.Millisecond), r.Queued)
+}
 
 // ErrPreempted is the cause of a slot's context when the pool took the slot
 // back for more urgent work.
@@ -48,6 +56,9 @@
 // Pool shares the slots of one service's servers in one availability zone. It
 // is safe for concurrent use.
 type Pool struct {
+	key     Key
+	explain explain.Recorder
+
 	mu      sync.Mutex
 	queue   *admit.Queue
 	health  *health.Tracker
@@ -70,10 +81,12 @@
 	refusal *Refusal
 }
 
-func newPool(policy admit.Policy, options health.Options) *Pool {
+func newPool(key Key, policy admit.Policy, recorder explain.Recorder) *Pool {
 	return &Pool{
+		key:     key,
+		explain: recorder,
 		queue:   admit.New(policy),
-		health:  health.NewTracker(options),
+		health:  health.NewTracker(health.DefaultOptions()),
 		targets: make(map[model.ServerID]backend.Target),
 		waiting: make(map[uint64]*waiter),
 		running: make(map[uint64]*Slot),
@@ -183,7 +196,7 @@
 		return
 	}
 	delete(p.waiting, r.ID)
-	w.grant <- grant{refusal: &Refusal{Reason: r.Reason}}
+	w.grant <- grant{refusal: &Refusal{Reason: r.Reason, Wait: r.Wait, Queued: r.Queued}}
 }
 
 func (p *Pool) start(now time.Time, s admit.Start) {
@@ -253,6 +266,22 @@
 	defer p.mu.Unlock()
 	p.apply(now, p.queue.SetServers(now, p.health.Limits(now)))
 	p.apply(now, p.queue.Tick(now))
+	for _, e := range p.health.Events() {
+		p.explain.Record(decision(p.key, e))
+	}
+}
+
+// decision describes a change of a server's use.
+func decision(key Key, e health.Event) explain.Decision {
+	return explain.Decision{
+		At:      e.At,
+		Kind:    explain.KindEject,
+		Service: key.Service,
+		Zone:    key.Zone,
+		Server:  e.Server,
+		Detail: fmt.Sprintf("%s after %d failures in a row, until %s; %d of %d servers out of use",
+			e.Change, e.Failures, e.Until.Format(time.RFC3339), e.OutOfUse, e.InUse),
+	}
 }
 
 // Stats returns the queue's current counts.
--- a/internal/owner/pools.go
+++ b/internal/owner/pools.go
@@ -8,6 +8,7 @@
 
 	"fuchsiaspar/internal/admit"
 	"fuchsiaspar/internal/backend"
+	"fuchsiaspar/internal/explain"
 	"fuchsiaspar/internal/health"
 	"fuchsiaspar/internal/membership"
 	"fuchsiaspar/internal/model"
@@ -31,13 +32,15 @@
 // Pools holds the pools of this entry VM. Update is called by the control
 // goroutine; the other methods by any goroutine.
 type Pools struct {
+	explain explain.Recorder
+
 	mu    sync.Mutex
 	pools atomic.Pointer[map[Key]*Pool]
 }
 
-// NewPools returns a set without pools.
-func NewPools() *Pools {
-	p := &Pools{}
+// NewPools returns a set without pools that records its decisions.
+func NewPools(recorder explain.Recorder) *Pools {
+	p := &Pools{explain: recorder}
 	p.pools.Store(&map[Key]*Pool{})
 	return p
 }
@@ -57,7 +60,7 @@
 	for _, a := range assignments {
 		pool, ok := old[a.Key]
 		if !ok {
-			pool = newPool(a.Policy, health.DefaultOptions())
+			pool = newPool(a.Key, a.Policy, p.explain)
 		}
 		pool.assign(now, a)
 		next[a.Key] = pool
