Read the head by a small pointer and test the stored form

Cause: each zone reads the head once a second, and with its manifest and 64 commits it takes some 20 KB at the expected size, over the 4 KB a second that control may spend at a node. Change: the head's key holds a pointer of some 200 bytes to an object with the head; a revision's key holds the same pointer.

--- a/internal/config/collect.go
+++ b/internal/config/collect.go
@@ -80,8 +80,8 @@
 // expiredHeads returns the oldest stored heads up to the revision limit,
 // oldest first. Heads are deleted from the oldest on, so that those stored are
 // consecutive.
-func (s *Service) expiredHeads(ctx context.Context, limit model.Revision) ([]*Head, error) {
-	var heads []*Head
+func (s *Service) expiredHeads(ctx context.Context, limit model.Revision) ([]storedHead, error) {
+	var heads []storedHead
 	for r := limit; r > 0; r-- {
 		head, err := s.repo.readHistory(ctx, r)
 		if errors.Is(err, ErrNoRevision) {
@@ -96,28 +96,27 @@
 	return heads[:min(len(heads), collectBatch)], nil
 }
 
-// objectVersions reads the store's versions of the heads' objects.
-func (s *Service) objectVersions(ctx context.Context, heads []*Head) (map[Hash]uint64, error) {
-	versions := make(map[Hash]uint64)
+// objectVersions reads the store's versions of the heads and their objects.
+func (s *Service) objectVersions(ctx context.Context, heads []storedHead) (map[Hash]uint64, error) {
+	hashes := make(map[Hash]bool)
 	for _, head := range heads {
-		for _, entry := range head.Manifest {
-			if _, known := versions[entry.Hash]; known {
-				continue
-			}
-			version, err := s.repo.objectVersion(ctx, entry.Hash)
-			if err != nil {
-				return nil, err
-			}
-			versions[entry.Hash] = version
+		mark(hashes, head)
+	}
+	versions := make(map[Hash]uint64, len(hashes))
+	for hash := range hashes {
+		version, err := s.repo.objectVersion(ctx, hash)
+		if err != nil {
+			return nil, err
 		}
+		versions[hash] = version
 	}
 	return versions, nil
 }
 
-// usedHashes returns the objects of every revision after limit, the newest
-// included.
+// usedHashes returns the heads and objects of every revision after limit, the
+// newest included.
 func (s *Service) usedHashes(ctx context.Context, limit model.Revision) (map[Hash]bool, error) {
-	head, err := s.repo.readHead(ctx)
+	head, err := s.repo.readHead(ctx, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -125,7 +124,7 @@
 		return nil, ErrStoreBehind
 	}
 	used := make(map[Hash]bool)
-	mark(used, head.Head)
+	mark(used, head)
 	for r := limit + 1; r < head.Revision; r++ {
 		kept, err := s.repo.readHistory(ctx, r)
 		if err != nil {
@@ -136,7 +135,8 @@
 	return used, nil
 }
 
-func mark(used map[Hash]bool, head *Head) {
+func mark(used map[Hash]bool, head storedHead) {
+	used[head.object] = true
 	for _, entry := range head.Manifest {
 		used[entry.Hash] = true
 	}
@@ -144,7 +144,7 @@
 
 // deleteUnused deletes the objects that are not used, unless they were written
 // again, and then the heads.
-func (s *Service) deleteUnused(ctx context.Context, heads []*Head, versions map[Hash]uint64, used map[Hash]bool) error {
+func (s *Service) deleteUnused(ctx context.Context, heads []storedHead, versions map[Hash]uint64, used map[Hash]bool) error {
 	for hash, version := range versions {
 		if used[hash] || version == 0 {
 			continue
@@ -154,7 +154,7 @@
 		}
 	}
 	for _, head := range heads {
-		if err := s.repo.removeHistory(ctx, head.Revision); err != nil {
+		if err := s.repo.remove(ctx, historyKey(head.Revision), head.version); err != nil {
 			return err
 		}
 	}
@@ -185,20 +185,3 @@
 		return err
 	})
 }
-
-func (r *repository) removeHistory(ctx context.Context, revision model.Revision) error {
-	key := historyKey(revision)
-	var version uint64
-	err := r.repeat(ctx, func(ctx context.Context) error {
-		entry, err := r.store.Get(ctx, key)
-		version = entry.Version
-		return err
-	})
-	if errors.Is(err, platform.ErrNotFound) {
-		return nil
-	}
-	if err != nil {
-		return err
-	}
-	return r.remove(ctx, key, version)
-}
--- a/internal/config/follow.go
+++ b/internal/config/follow.go
@@ -26,7 +26,7 @@
 	// looks further than the watcher.
 	staleAfter = confirmFor * 3 / 4
 	// objectsPerFetch bounds the objects asked for in one message.
-	objectsPerFetch = 4
+	objectsPerFetch = 2
 )
 
 // errStaleSource reports a peer whose own revision is not confirmed, which a
@@ -84,7 +84,7 @@
 
 func (s *Service) refreshAsWatcher(ctx context.Context, view *membership.View) {
 	at := s.now()
-	head, err := s.repo.readHead(ctx)
+	head, err := s.repo.readHead(ctx, s.installed().headOrNil())
 	if err == nil {
 		err = s.catchUp(ctx, head, at)
 	}
--- a/internal/config/head.go
+++ b/internal/config/head.go
@@ -50,7 +50,7 @@
 	return slices.Contains(c.Keys, key) || slices.Contains(c.Keys, allKeys)
 }
 
-// Head is the store's record of the newest revision.
+// Head describes a revision. The store keeps it as an object.
 type Head struct {
 	Commit
 	Manifest []ManifestEntry `json:"manifest"`
@@ -138,6 +138,44 @@
 	return h, nil
 }
 
+// headPointer is the value of the head's key and of a revision's key. It is
+// small, since every zone reads the head's once a second.
+type headPointer struct {
+	Revision model.Revision `json:"revision"`
+	ChangeID ChangeID       `json:"change_id"`
+	Operator string         `json:"operator"`
+	Time     time.Time      `json:"time"`
+	// Object is the hash of the object that holds the head.
+	Object Hash `json:"object"`
+}
+
+// leadsTo reports whether h is the head that the pointer leads to.
+func (p headPointer) leadsTo(h *Head) bool {
+	return p.Revision == h.Revision && p.ChangeID == h.ChangeID
+}
+
+func encodePointer(h *Head, object Hash) ([]byte, error) {
+	data, err := json.Marshal(headPointer{
+		Revision: h.Revision,
+		ChangeID: h.ChangeID,
+		Operator: h.Operator,
+		Time:     h.Time,
+		Object:   object,
+	})
+	return data, errors.Wrap(err, "encode pointer to head")
+}
+
+func decodePointer(data []byte) (headPointer, error) {
+	var p headPointer
+	if err := json.Unmarshal(data, &p); err != nil {
+		return p, errors.Wrap(ErrBadObject, err.Error())
+	}
+	if p.Revision == 0 || p.Object == "" {
+		return p, errors.Wrap(ErrBadObject, "pointer to no head")
+	}
+	return p, nil
+}
+
 func historyKey(r model.Revision) string {
 	return fmt.Sprintf("%s%020d", historyPrefix, r)
 }
--- a/internal/config/propose.go
+++ b/internal/config/propose.go
@@ -164,7 +164,7 @@
 	err := s.repo.repeat(ctx, func(ctx context.Context) error {
 		at = s.now()
 		var err error
-		head, err = s.repo.readHead(ctx)
+		head, err = s.repo.readHead(ctx, s.installed().headOrNil())
 		if errors.Is(err, ErrStoreUnavailable) {
 			return platform.ErrUnavailable
 		}
@@ -401,7 +401,7 @@
 		return err
 	}
 	if p.head.Head != nil {
-		if err := s.repo.saveHistory(ctx, p.head.Head); err != nil {
+		if err := s.repo.saveHistory(ctx, p.head); err != nil {
 			return err
 		}
 	}
--- a/internal/config/repository.go
+++ b/internal/config/repository.go
@@ -80,10 +80,13 @@
 	jitter *jitter
 }
 
-// storedHead is a head with its version in the store. An empty store has a nil
+// storedHead is a head with where the store keeps it. An empty store has a nil
 // head with version zero.
 type storedHead struct {
 	*Head
+	// object is the hash of the object that holds the head.
+	object Hash
+	// version is that of the head's key.
 	version uint64
 }
 
@@ -95,22 +98,45 @@
 	return h.Revision
 }
 
-// readHead reads the head once.
-func (r *repository) readHead(ctx context.Context) (storedHead, error) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	entry, err := r.store.Get(ctx, headKey)
+// readHead reads the head once. The head that is known already is read by its
+// pointer alone.
+func (r *repository) readHead(ctx context.Context, known *Head) (storedHead, error) {
+	entry, err := r.getHead(ctx)
 	if errors.Is(err, platform.ErrNotFound) {
 		return storedHead{}, nil
 	}
 	if err != nil {
 		return storedHead{}, storeError(err)
 	}
-	head, err := decodeHead(entry.Value)
+	p, err := decodePointer(entry.Value)
 	if err != nil {
 		return storedHead{}, err
 	}
-	return storedHead{head, entry.Version}, nil
+	if known != nil && p.leadsTo(known) {
+		return storedHead{Head: known, object: p.Object, version: entry.Version}, nil
+	}
+	head, err := r.followPointer(ctx, p)
+	return storedHead{Head: head, object: p.Object, version: entry.Version}, err
+}
+
+func (r *repository) getHead(ctx context.Context) (platform.Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return r.store.Get(ctx, headKey)
+}
+
+// followPointer reads the head that a pointer leads to.
+func (r *repository) followPointer(ctx context.Context, p headPointer) (*Head, error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	data, err := r.readObject(ctx, p.Object)
+	if err != nil {
+		return nil, err
+	}
+	if hashOf(data) != p.Object {
+		return nil, errors.Wrapf(ErrBadObject, "head of revision %d is damaged", p.Revision)
+	}
+	return decodeHead(data)
 }
 
 // load returns the objects of a manifest, reading those that are not at hand.
@@ -189,9 +215,9 @@
 	})
 }
 
-// saveHistory writes a head under its revision's key, once.
-func (r *repository) saveHistory(ctx context.Context, h *Head) error {
-	data, err := encodeHead(h)
+// saveHistory writes the pointer to a head under its revision's key, once.
+func (r *repository) saveHistory(ctx context.Context, h storedHead) error {
+	data, err := encodePointer(h.Head, h.object)
 	if err != nil {
 		return err
 	}
@@ -204,18 +230,43 @@
 	})
 }
 
-// commit replaces the head that expect describes by next. It resolves a lost
-// answer by reading: nil means committed, errHeadMoved that it never will be,
-// errUnresolved that ctx ended before either was known.
+// commit writes next as an object and then replaces the head that expect
+// describes by a pointer to it. It resolves a lost answer by reading: nil means
+// committed, errHeadMoved that it never will be, errUnresolved that ctx ended
+// before either was known.
 func (r *repository) commit(ctx context.Context, next *Head, expect storedHead) error {
-	data, err := encodeHead(next)
+	object, err := encodeHead(next)
+	if err != nil {
+		return err
+	}
+	if err := r.saveObject(ctx, hashOf(object), object); err != nil {
+		return err
+	}
+	pointer, err := encodePointer(next, hashOf(object))
 	if err != nil {
 		return err
 	}
+	err = r.replaceHead(ctx, next, pointer, expect)
+	if errors.Is(err, errHeadMoved) {
+		r.discard(ctx, hashOf(object))
+	}
+	return err
+}
+
+// discard deletes the object of a head that never will be committed. What is
+// left when it fails does no harm.
+func (r *repository) discard(ctx context.Context, hash Hash) {
+	version, err := r.objectVersion(ctx, hash)
+	if err == nil && version != 0 {
+		_ = r.remove(ctx, objectKey(hash), version)
+	}
+}
+
+func (r *repository) replaceHead(ctx context.Context, next *Head, pointer []byte, expect storedHead) error {
 	sent := false
 	wait := backOffBase
 	for {
-		err := r.putHead(ctx, data, expect.version)
+		err := r.putHead(ctx, pointer, expect.version)
 		if err == nil {
 			return nil
 		}
@@ -250,7 +301,7 @@
 // outcome reads whether next was committed. It returns false while that is
 // open: the store does not answer, or the head is still the expected one.
 func (r *repository) outcome(ctx context.Context, next *Head, expect storedHead) (bool, error) {
-	head, err := r.readHead(ctx)
+	head, err := r.readHead(ctx, nil)
 	if err != nil || head.version == expect.version {
 		return false, nil
 	}
@@ -276,20 +327,25 @@
 }
 
 // readHistory reads the head of an older revision.
-func (r *repository) readHistory(ctx context.Context, revision model.Revision) (*Head, error) {
-	var head *Head
+func (r *repository) readHistory(ctx context.Context, revision model.Revision) (storedHead, error) {
+	var entry platform.Entry
 	err := r.repeat(ctx, func(ctx context.Context) error {
-		entry, err := r.store.Get(ctx, historyKey(revision))
-		if err != nil {
-			return err
-		}
-		head, err = decodeHead(entry.Value)
+		var err error
+		entry, err = r.store.Get(ctx, historyKey(revision))
 		return err
 	})
 	if errors.Is(err, platform.ErrNotFound) {
-		return nil, errors.Wrapf(ErrNoRevision, "revision %d", revision)
+		return storedHead{}, errors.Wrapf(ErrNoRevision, "revision %d", revision)
+	}
+	if err != nil {
+		return storedHead{}, err
+	}
+	p, err := decodePointer(entry.Value)
+	if err != nil {
+		return storedHead{}, err
 	}
-	return head, err
+	head, err := r.followPointer(ctx, p)
+	return storedHead{Head: head, object: p.Object, version: entry.Version}, err
 }
 
 // repeat makes an idempotent call until it is answered or ctx ends, with
