--- a/internal/config/objects_test.go
+++ b/internal/config/objects_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"testing"
+	"time"
 
 	"fuchsiaspar/internal/model"
 	"fuchsiaspar/internal/platform"
@@ -45,10 +46,7 @@
 					t.Fatalf("an object has %d bytes", len(data))
 				}
 			}
-			head, err := encodeHead((*Head)(nil).next(Commit{Revision: 1}, encoded.manifest))
-			if err != nil || len(head) > platform.MaxValueBytes {
-				t.Fatalf("head of %d bytes, %v", len(head), err)
-			}
+			checkHeadSize(t, encoded.manifest)
 			back, err := decodeObjects(doc.Revision, encoded)
 			if err != nil {
 				t.Fatal(err)
@@ -60,6 +58,32 @@
 	}
 }
 
+// checkHeadSize checks the sizes of a head with all its recent commits and of
+// the pointer to it.
+func checkHeadSize(t *testing.T, manifest []ManifestEntry) {
+	t.Helper()
+	const mostPointerBytes = 512
+	var head *Head
+	for i := range recentCommits {
+		head = head.next(Commit{
+			Revision: model.Revision(i + 1),
+			ChangeID: ChangeID(fmt.Sprintf("%032d", i)),
+			Operator: "operator",
+			Time:     time.Unix(int64(i), 0),
+			Keys:     []Key{AccountKey("acct0001")},
+		}, manifest)
+	}
+	object, err := encodeHead(head)
+	if err != nil || len(object) > platform.MaxValueBytes {
+		t.Fatalf("head of %d bytes, %v", len(object), err)
+	}
+	pointer, err := encodePointer(head, hashOf(object))
+	if err != nil || len(pointer) > mostPointerBytes {
+		t.Fatalf("pointer of %d bytes, %v", len(pointer), err)
+	}
+	t.Logf("%d objects, head %d bytes, pointer %d bytes", len(manifest), len(object), len(pointer))
+}
+
 func TestObjectsOfUntouchedSectionsAreReused(t *testing.T) {
 	doc := testDocument()
 	before, err := encodeObjects(doc, nil, nil)
