--- a/internal/config/follow.go
+++ b/internal/config/follow.go
@@ -24,9 +24,9 @@
 	watchTimeout = 20 * time.Second
 	// staleAfter is the age at which an entry VM that isn't its zone's watcher
 	// looks further than the watcher.
-	staleAfter = confirmFor / 2
+	staleAfter = confirmFor * 3 / 4
 	// objectsPerFetch bounds the objects asked for in one message.
-	objectsPerFetch = 4
+	objectsPerFetch = 2
 )
 
 // errStaleSource reports a peer whose own revision is not confirmed, which a
@@ -84,7 +84,7 @@
 
 func (s *Service) refreshAsWatcher(ctx context.Context, view *membership.View) {
 	at := s.now()
-	head, err := s.repo.readHead(ctx)
+	head, err := s.repo.readHead(ctx, s.installed().headOrNil())
 	if err == nil {
 		err = s.catchUp(ctx, head, at)
 	}
@@ -302,7 +302,7 @@
 		if err := s.takeOver(ctx, a); err != nil {
 			s.log.Debug("no revision from peer", "peer", a.vm, "err", err)
 		}
-		s.keepReports(a)
+		s.keepEvidence(a)
 	}
 	s.restOnMajority()
 }
@@ -350,7 +350,7 @@
 	for _, vm := range vms {
 		group.Go(func() {
 			req := s.request(vm)
-			req.WantReports = true
+			req.WantAges = true
 			answer, err := s.ask(ctx, vm, &req)
 			if err != nil {
 				return
