Run daemons as processes of their own under failures

Cause: the path was proved only inside one process. Change: a test builds both commands, runs three daemons in two zones against the platform's stand-in over HTTP, and takes the platform away, freezes, kills, replaces and stops daemons while requests go through; a ring of decisions knows its VM, so nobody has to name it.

--- /dev/null
+++ b/cmd/fuchsiaspard/process_test.go
@@ -0,0 +1,347 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"fuchsiaspar/internal/backend/standin"
+	"fuchsiaspar/internal/header"
+	"fuchsiaspar/internal/model"
+	"fuchsiaspar/internal/platform"
+	platformstandin "fuchsiaspar/internal/platform/standin"
+)
+
+const (
+	// vms is the count of entry VMs; the first two share a zone.
+	vms = 3
+	// patience bounds a wait for something that has to happen.
+	patience = 60 * time.Second
+)
+
+const document = `
+[lookup]
+ttl = "500ms"
+
+[[zones]]
+name = "lj-a"
+region = "lj"
+
+[[zones]]
+name = "mb-a"
+region = "mb"
+
+[[slots]]
+vm = "vm-0"
+zone = "lj-a"
+
+[[slots]]
+vm = "vm-1"
+zone = "lj-a"
+
+[[slots]]
+vm = "vm-2"
+zone = "mb-a"
+
+[[links]]
+from = "lj"
+to = "mb"
+bytes_per_second = 100000000
+
+[[links]]
+from = "mb"
+to = "lj"
+bytes_per_second = 100000000
+
+[[templates]]
+name = "desk"
+service = "desk"
+places = ["lj-a", "mb-a"]
+queue_limit = 100
+retry_percent = 20
+
+[templates.server]
+slots = 3
+max_conns = 100
+cold_start = "0s"
+
+[templates.floors]
+normal = 10
+bulk = 5
+
+[templates.shift_cap]
+min = 0
+max = 1000
+default = 1000
+
+[templates.weight]
+min = 1
+max = 1
+default = 1
+
+[[templates.classes]]
+name = "lookup"
+path_prefix = "/lookup"
+priority = "urgent"
+highest = "urgent"
+lowest = "bulk"
+idempotent = true
+deadline = "5s"
+
+[[accounts]]
+id = "carrier"
+
+[[accounts.services]]
+template = "desk"
+
+[[accounts.blocks]]
+prefix = "127.0.0.0/8"
+places = [{ zone = "lj-a", weight = 1 }]
+`
+
+// deployment is a set of daemons that run as processes of their own.
+type deployment struct {
+	t         *testing.T
+	dir       string
+	daemon    string
+	cli       string
+	store     *platformstandin.Store
+	platform  *httptest.Server
+	addresses []string
+	processes []*exec.Cmd
+	servers   []*standin.Server
+}
+
+func start(t *testing.T) *deployment {
+	d := &deployment{t: t, dir: t.TempDir(), store: platformstandin.New(platformstandin.Options{})}
+	d.daemon = d.build("fuchsiaspard")
+	d.cli = d.build("fuchsiaspar")
+	d.platform = httptest.NewServer(platformstandin.Handler(d.store))
+	t.Cleanup(d.platform.Close)
+	for i, zone := range []string{"lj-a", "lj-a", "mb-a"} {
+		d.startServer(fmt.Sprintf("desk-%d", i), zone)
+	}
+	for range vms {
+		d.addresses = append(d.addresses, freeAddress(t))
+	}
+	for i := range vms {
+		d.processes = append(d.processes, d.run(i))
+	}
+	return d
+}
+
+// build compiles a command of this module.
+func (d *deployment) build(name string) string {
+	path := filepath.Join(d.dir, name)
+	out, err := exec.Command("go", "build", "-o", path, "fuchsiaspar/cmd/"+name).CombinedOutput()
+	if err != nil {
+		d.t.Fatalf("build %s: %v\n%s", name, err, out)
+	}
+	return path
+}
+
+func (d *deployment) startServer(id, zone string) {
+	s, err := standin.Start(standin.Options{Slots: 3, Seed: 1})
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.t.Cleanup(s.Kill)
+	d.servers = append(d.servers, s)
+	d.store.SetVM(platform.VM{ID: id, Role: platform.RoleBackend, Zone: model.Zone(zone), Address: s.Address(), Service: "desk", State: platform.VMLive})
+}
+
+// freeAddress returns an address with a port that the kernel chose.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (d *deployment) settings(i int) string {
+	zone, region := "lj-a", "lj"
+	if i == 2 {
+		zone, region = "mb-a", "mb"
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "[vm]\nname = \"vm-%d\"\nzone = %q\nregion = %q\nlisten = %q\n", i, zone, region, d.addresses[i])
+	fmt.Fprintf(&b, "[platform]\naddress = %q\n", strings.TrimPrefix(d.platform.URL, "http://"))
+	fmt.Fprintf(&b, "[limits]\nticket_validity = \"1s\"\n")
+	for j, address := range d.addresses {
+		if j != i {
+			fmt.Fprintf(&b, "[[seeds]]\nvm = \"vm-%d\"\naddress = %q\n", j, address)
+		}
+	}
+	return b.String()
+}
+
+// run starts the daemon of one entry VM.
+func (d *deployment) run(i int) *exec.Cmd {
+	path := filepath.Join(d.dir, fmt.Sprintf("vm-%d.toml", i))
+	if err := os.WriteFile(path, []byte(d.settings(i)), 0o600); err != nil {
+		d.t.Fatal(err)
+	}
+	c := exec.Command(d.daemon, "--settings", path)
+	c.Stderr = io.Discard
+	if err := c.Start(); err != nil {
+		d.t.Fatal(err)
+	}
+	d.t.Cleanup(func() {
+		_ = c.Process.Kill()
+		_ = c.Wait()
+	})
+	return c
+}
+
+// operate runs the command line until it succeeds and returns its output.
+func (d *deployment) operate(args ...string) []byte {
+	d.t.Helper()
+	var out []byte
+	d.await("fuchsiaspar "+strings.Join(args, " "), func() bool {
+		c := exec.Command(d.cli, append([]string{"--server", d.addresses[0], "--json"}, args...)...)
+		var stderr bytes.Buffer
+		c.Stderr = &stderr
+		var err error
+		out, err = c.Output()
+		return err == nil
+	})
+	return out
+}
+
+func (d *deployment) await(what string, ready func() bool) {
+	d.t.Helper()
+	end := time.Now().Add(patience)
+	for !ready() {
+		if time.Now().After(end) {
+			d.t.Fatalf("gave up waiting for %s", what)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// served reports whether a request through one entry VM is answered whole.
+func (d *deployment) served(i int) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.addresses[i]+"/v1/requests/desk/lookup?bytes=1000", nil)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	r.Header.Set(header.Account, "carrier")
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return err == nil && len(body) == 1000 && resp.Header.Get(header.Outcome) == "ran"
+}
+
+func (d *deployment) awaitServed(i int) {
+	d.t.Helper()
+	d.await(fmt.Sprintf("an answer through vm-%d", i), func() bool { return d.served(i) })
+}
+
+func (d *deployment) signal(i int, s syscall.Signal) {
+	d.t.Helper()
+	if err := d.processes[i].Process.Signal(s); err != nil {
+		d.t.Fatal(err)
+	}
+}
+
+// alive counts the entry VMs that the first one holds for alive.
+func (d *deployment) alive() int {
+	var status struct {
+		VMs []struct {
+			State string `json:"state"`
+		} `json:"vms"`
+	}
+	if err := json.Unmarshal(d.operate("status"), &status); err != nil {
+		d.t.Fatal(err)
+	}
+	count := 0
+	for _, vm := range status.VMs {
+		if vm.State == "alive" {
+			count++
+		}
+	}
+	return count
+}
+
+// TestProcesses serves requests through daemons that run as processes of their
+// own while the platform fails, one is frozen, one is killed and one is
+// stopped as planned.
+func TestProcesses(t *testing.T) {
+	d := start(t)
+	path := filepath.Join(d.dir, "fleet.toml")
+	if err := os.WriteFile(path, []byte(document), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	d.await("all entry VMs", func() bool { return d.alive() == vms })
+	d.operate("config", "apply", path)
+	for i := range vms {
+		d.awaitServed(i)
+	}
+
+	d.store.Down(platformstandin.AllClients, true)
+	for i := range vms {
+		d.awaitServed(i)
+	}
+	d.store.Down(platformstandin.AllClients, false)
+
+	d.signal(1, syscall.SIGSTOP)
+	d.await("the frozen VM to be given up", func() bool { return d.alive() == vms-1 })
+	d.awaitServed(0)
+	d.signal(1, syscall.SIGCONT)
+	d.await("the thawed VM to be back", func() bool { return d.alive() == vms })
+	d.awaitServed(1)
+
+	d.signal(2, syscall.SIGKILL)
+	d.await("the killed VM to be given up", func() bool { return d.alive() == vms-1 })
+	d.awaitServed(0)
+	_ = d.processes[2].Wait()
+	d.processes[2] = d.run(2)
+	d.await("the replacement", func() bool { return d.alive() == vms })
+	d.awaitServed(2)
+
+	d.signal(1, syscall.SIGTERM)
+	if err := d.processes[1].Wait(); err != nil {
+		t.Fatalf("a planned stop ended with %v", err)
+	}
+	d.awaitServed(0)
+}
+
+func TestWrongSettingsExitWithEveryProblem(t *testing.T) {
+	d := &deployment{t: t, dir: t.TempDir()}
+	binary := d.build("fuchsiaspard")
+	path := filepath.Join(d.dir, "bad.toml")
+	if err := os.WriteFile(path, []byte("[vm]\nname = \"A\"\nlisten = \"x\"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	out, err := exec.Command(binary, "--settings", path).CombinedOutput()
+	var exit *exec.ExitError
+	if !errors.As(err, &exit) || exit.ExitCode() != 1 {
+		t.Fatalf("ended with %v", err)
+	}
+	for _, key := range []string{"vm.name", "vm.zone", "vm.listen", "platform.address"} {
+		if !strings.Contains(string(out), key) {
+			t.Errorf("output lacks %s:\n%s", key, out)
+		}
+	}
+}
--- a/internal/cli/server_test.go
+++ b/internal/cli/server_test.go
@@ -34,7 +34,7 @@
 func startServer(t *testing.T) *testServer {
 	t.Helper()
 	const ringSize = 100
-	s := &testServer{store: standin.New(standin.Options{}), ring: explain.NewRing(ringSize)}
+	s := &testServer{store: standin.New(standin.Options{}), ring: explain.NewRing("entry-lj-1", ringSize)}
 	s.service = config.NewService(config.ServiceOptions{
 		Self:    testVM,
 		Zone:    "lj-1",
--- a/internal/control/builder.go
+++ b/internal/control/builder.go
@@ -89,7 +89,6 @@
 	}
 	b.options.Explain.Record(explain.Decision{
 		At:       in.now,
-		VM:       b.options.Self,
 		Kind:     explain.KindAdoption,
 		Revision: b.revision,
 		Detail:   "configuration adopted",
@@ -261,7 +260,6 @@
 func (b *builder) recordOwner(in inputs, id model.ServerID, detail string) {
 	b.options.Explain.Record(explain.Decision{
 		At:       in.now,
-		VM:       b.options.Self,
 		Kind:     explain.KindOwner,
 		Revision: b.revision,
 		Server:   id,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -166,7 +166,7 @@
 		return err
 	}
 	b.metrics = m
-	b.ring = explain.NewRing(explainEntries)
+	b.ring = explain.NewRing(b.settings.VM.Name, explainEntries)
 	if err := b.add(NameMetrics, &metricsService{m}); err != nil {
 		return err
 	}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -117,7 +117,6 @@
 	s.meter.shifted()
 	s.options.Explain.Record(explain.Decision{
 		At:       time.Now(),
-		VM:       s.options.Self,
 		Kind:     explain.KindShift,
 		Revision: q.state.Config.Revision(),
 		Request:  q.id,
@@ -207,7 +206,6 @@
 	s.meter.retried(f.Reason)
 	s.options.Explain.Record(explain.Decision{
 		At:       now,
-		VM:       s.options.Self,
 		Kind:     explain.KindRetry,
 		Reason:   f.Reason,
 		Revision: q.state.Config.Revision(),
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -132,7 +132,6 @@
 func (s *Server) record(q *request, f *Failure) {
 	d := explain.Decision{
 		At:       time.Now(),
-		VM:       s.options.Self,
 		Kind:     explain.KindRefusal,
 		Reason:   f.Reason,
 		Revision: s.revision(),
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -52,21 +52,24 @@
 // Ring is a Recorder that keeps the newest decisions. It is safe for
 // concurrent use.
 type Ring struct {
+	vm model.VMID
+
 	mu      sync.Mutex
 	entries []Decision
 	next    int
 	full    bool
 }
 
-// NewRing returns a ring that keeps size decisions.
-func NewRing(size int) *Ring {
-	return &Ring{entries: make([]Decision, size)}
+// NewRing returns a ring that keeps size decisions of the entry VM vm.
+func NewRing(vm model.VMID, size int) *Ring {
+	return &Ring{vm: vm, entries: make([]Decision, size)}
 }
 
-// Record stores d and forgets the oldest decision when the ring is full.
+// Record stores d as a decision of the ring's VM and forgets the oldest decision when the ring is full.
 func (r *Ring) Record(d Decision) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	d.VM = r.vm
 	r.entries[r.next] = d
 	r.next++
 	if r.next == len(r.entries) {
