Move urgent and normal work from a congested place to one with free slots

Cause: when the clients of one zone asked for twice what its servers can do, 463 urgent requests waited out their deadlines while other zones had free slots: requests left home only when it had no servers at all. Ruled out: spilling after a refusal alone, which came too late (136 spills, 2662 of 3205 urgent answered); the shift cap, of which 11 of 600 were used. Change: a request whose home place has more waiting than slots goes to a place with free slots, as a shift under the cap; bulk work waits; a refusal for crowding may go to one roomy place without a retry budget. Conclusion: urgent work uses the fleet's capacity and not its zone's.

--- a/internal/control/places.go
+++ b/internal/control/places.go
@@ -86,6 +86,7 @@
 
 // tellRouter tells the router what each place can take.
 func (b *builder) tellRouter(in inputs, d drains, p places) {
+	b.options.Router.SetEntries(len(activeEntries(in, d)))
 	for _, t := range in.config.Document().Templates {
 		zones := make([]steer.ZoneState, 0, len(t.Places))
 		for _, zone := range t.Places {
--- a/internal/demo/run.go
+++ b/internal/demo/run.go
@@ -146,6 +146,8 @@
 	rate    float64
 	from    time.Duration
 	to      time.Duration
+	// oneZone sends every request from the first zone.
+	oneZone bool
 }
 
 // loads lists the quiet load and the scenario's flood.
@@ -187,7 +189,7 @@
 			streams = append(streams, stream{
 				service: service.Name, kind: kind, account: account,
 				rate: l.Share * service.capacity(kind) / float64(len(accounts)),
-				from: floodFrom, to: r.options.Scenario.Duration,
+				from: floodFrom, to: r.options.Scenario.Duration, oneZone: l.OneZone,
 			})
 		}
 	}
@@ -220,6 +222,9 @@
 // launch sends one request on a goroutine of its own.
 func (r *run) launch(l stream, rng *rand.Rand) {
 	at := rng.IntN(len(r.callers))
+	if l.oneZone {
+		at = 0
+	}
 	account := accountIndex(r.options.Deployment, l.account)
 	o := &order{
 		service:  l.service,
--- a/internal/demo/scenario.go
+++ b/internal/demo/scenario.go
@@ -14,6 +14,8 @@
 	Account model.AccountID
 	// Share is the offered rate as a share of the service's capacity.
 	Share float64
+	// OneZone sends all of it from the clients of the first zone.
+	OneZone bool
 	From  time.Duration
 	To    time.Duration
 }
@@ -99,6 +101,7 @@
 		{Name: "flood-low", Summary: "the least urgent work at ten times the capacity", Flood: []Load{{Kind: "bulk", Share: 10}}},
 		{Name: "flood-urgent", Summary: "urgent work at ten times the capacity", Flood: []Load{{Kind: "urgent", Share: 10}}},
 		{Name: "flood-account", Summary: "one client account at twenty times its load", Flood: []Load{{Kind: "urgent", Account: "first", Share: 4}}},
+		{Name: "hot-zone", Summary: "urgent clients of one zone ask for twice what its servers can do", Flood: []Load{{Kind: "urgent", Share: 0.25, OneZone: true}}},
 		one("vm-loss", "an entry VM dies", Event{Action: ActionKillVM, Target: targetFirstVM}),
 		{Name: "two-vm-loss", Summary: "two entry VMs die together", Events: []Event{
 			{At: eventAt, Action: ActionKillVM, Target: targetFirstVM},
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -9,7 +9,6 @@
 
 	"fuchsiaspar/internal/explain"
 	"fuchsiaspar/internal/model"
-	"fuchsiaspar/internal/once"
 	"fuchsiaspar/internal/owner"
 	"fuchsiaspar/internal/retry"
 	"fuchsiaspar/internal/steer"
@@ -31,6 +30,8 @@
 	excluded []model.VMID
 	server   model.ServerID
 	last     *Failure
+	// crowded is set once a place refused for too much waiting work.
+	crowded bool
 	// mayHaveRun is set once an attempt has ended without proof that it did
 	// not run.
 	mayHaveRun bool
@@ -52,8 +53,9 @@
 			s.options.Router.Answered(time.Now(), q.service, target.zone)
 			return a, nil
 		}
+		s.options.Router.Failed(time.Now(), q.service, target.zone)
 		p.note(target, f)
-		if !s.mayRetry(ctx, q, f) {
+		if !s.mayRetry(ctx, q, f) && !s.maySpill(ctx, q, p, target) {
 			return nil, p.final(f)
 		}
 	}
@@ -94,6 +96,7 @@
 			Priority: q.priority,
 			Home:     q.home,
 			Tried:    p.tried,
+			Roomy:    p.crowded,
 		})
 		if !choice.OK {
 			return target{}, refuse(http.StatusServiceUnavailable, choice.Reason, "no place can take the request now; retry later")
@@ -181,12 +184,28 @@
 // retry and needs no budget.
 func redirect(r model.Reason) bool {
 	switch r {
-	case model.ReasonNotOwner, model.ReasonNoServer, model.ReasonPeerUnreachable, once.ReasonStaleToken:
+	case model.ReasonNotOwner, model.ReasonNoServer, model.ReasonPeerUnreachable, model.ReasonStaleToken:
 		return true
 	}
 	return false
 }
 
+// maySpill reports whether a request that one place had no room for may go to
+// another place with free slots. It does so once and needs no retry budget,
+// since it adds no load where there is none to spare.
+func (s *Server) maySpill(ctx context.Context, q *request, p *progress, t target) bool {
+	if p.crowded || !retry.Crowded(p.last.Reason) || p.last.Outcome != model.OutcomeNotRun || !q.body.replayable() {
+		return false
+	}
+	if ctx.Err() != nil || !retry.Worth(time.Now(), q.deadline, minAttemptTime) {
+		return false
+	}
+	p.crowded = true
+	p.tried = appendZone(p.tried, t.zone)
+	s.meter.spilled()
+	return true
+}
+
 func (s *Server) mayRetry(ctx context.Context, q *request, f *Failure) bool {
 	if !retry.Retryable(q.class.Idempotent, f.Outcome, f.Reason) || !q.body.replayable() {
 		return false
--- a/internal/entry/meter.go
+++ b/internal/entry/meter.go
@@ -18,6 +18,7 @@
 	shifts      tally.Counter
 	truncations tally.Counter
 	budget      tally.Counter
+	spills      tally.Counter
 	lookups     tally.Counter
 	tickets     tally.Counter
 }
@@ -31,6 +32,7 @@
 		shifts:      scope.Counter("shifted_requests"),
 		truncations: scope.Counter("truncated_answers"),
 		budget:      scope.Counter("retries_over_budget"),
+		spills:      scope.Counter("spilled_requests"),
 		lookups:     scope.Counter("lookups"),
 		tickets:     scope.Counter("tickets_issued"),
 	}
@@ -55,6 +57,8 @@
 	m.scope.Tagged(map[string]string{"reason": string(r)}).Counter("retries").Inc(1)
 }
 
+func (m *meter) spilled() { m.spills.Inc(1) }
+
 func (m *meter) redirected(r model.Reason) {
 	m.scope.Tagged(map[string]string{"reason": string(r)}).Counter("redirects").Inc(1)
 }
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -27,7 +27,7 @@
 	for range relayTries {
 		var a *answer
 		a, f = s.relayOnce(ctx, q, t, exclude)
-		if f == nil || f.Reason != once.ReasonStaleToken || !q.body.replayable() {
+		if f == nil || f.Reason != model.ReasonStaleToken || !q.body.replayable() {
 			return a, f
 		}
 	}
--- a/internal/membership/service_test.go
+++ b/internal/membership/service_test.go
@@ -137,7 +137,7 @@
 
 func startDaemon(t *testing.T, slot Self, incarnation model.Incarnation, store *fakeStore, seeds []Seed) *daemon {
 	t.Helper()
-	d := &daemon{self: slot, ring: explain.NewRing(slot, 64)}
+	d := &daemon{self: slot, ring: explain.NewRing(slot.VM, 64)}
 	d.mesh = peer.New(peer.Options{Self: slot.VM, Incarnation: incarnation})
 	d.server = httptest.NewServer(d.mesh)
 	d.self.Incarnation = incarnation
--- a/internal/model/reason.go
+++ b/internal/model/reason.go
@@ -41,6 +41,14 @@
 	ReasonCallerGone      Reason = "caller_gone"
 	ReasonPeerUnreachable Reason = "peer_unreachable"
 	ReasonPreempted       Reason = "preempted"
+	// ReasonStaleToken refuses a relayed attempt whose token is missing, too old
+	// or from another process.
+	ReasonStaleToken Reason = "stale_token"
+	// ReasonDuplicate refuses a second copy of a relayed attempt.
+	ReasonDuplicate Reason = "duplicate_attempt"
+	// ReasonAttemptsFull refuses a relayed attempt for lack of room to remember
+	// it.
+	ReasonAttemptsFull Reason = "attempts_full"
 )
 
 // Reasons that describe the end of one attempt at a backend server.
--- a/internal/once/errors.go
+++ b/internal/once/errors.go
@@ -2,17 +2,6 @@
 
 import "fuchsiaspar/internal/model"
 
-// Reasons for refusing a relayed attempt at its far side.
-const (
-	// ReasonStaleToken refuses an attempt whose token is missing, too old or
-	// from another process.
-	ReasonStaleToken model.Reason = "stale_token"
-	// ReasonDuplicate refuses a second copy of an attempt.
-	ReasonDuplicate model.Reason = "duplicate_attempt"
-	// ReasonAttemptsFull refuses an attempt for lack of room to remember it.
-	ReasonAttemptsFull model.Reason = "attempts_full"
-)
-
 // Error refuses a ticket or a relayed attempt. The refused copy has not run.
 // Outcome says what is known of the whole request: OutcomeNotRun is final,
 // OutcomeUnknown means that another copy may have run.
@@ -44,14 +33,14 @@
 	ErrSealed    = &Error{Reason: model.ReasonTicketSealed, Outcome: model.OutcomeNotRun}
 	ErrReused    = &Error{Reason: model.ReasonTicketReused, Outcome: model.OutcomeNotRun}
 	ErrRevoked   = &Error{Reason: model.ReasonRevoked, Outcome: model.OutcomeNotRun}
-	ErrStale     = &Error{Reason: ReasonStaleToken, Outcome: model.OutcomeUnknown}
-	ErrFull      = &Error{Reason: ReasonAttemptsFull, Outcome: model.OutcomeNotRun}
-	ErrDuplicate = &Error{Reason: ReasonDuplicate, Outcome: model.OutcomeUnknown}
+	ErrStale     = &Error{Reason: model.ReasonStaleToken, Outcome: model.OutcomeUnknown}
+	ErrFull      = &Error{Reason: model.ReasonAttemptsFull, Outcome: model.OutcomeNotRun}
+	ErrDuplicate = &Error{Reason: model.ReasonDuplicate, Outcome: model.OutcomeUnknown}
 )
 
 var (
 	// errExpiredUnused is ErrExpired for a ticket that is known not to have run.
 	errExpiredUnused = &Error{Reason: model.ReasonTicketExpired, Outcome: model.OutcomeNotRun}
 	// errStaleUnused is ErrStale for an attempt that is known not to have run.
-	errStaleUnused = &Error{Reason: ReasonStaleToken, Outcome: model.OutcomeNotRun}
+	errStaleUnused = &Error{Reason: model.ReasonStaleToken, Outcome: model.OutcomeNotRun}
 )
--- a/internal/retry/classify.go
+++ b/internal/retry/classify.go
@@ -41,7 +41,24 @@
 		model.ReasonPlaceRamping,
 		model.ReasonPlaceDraining,
 		model.ReasonPeerUnreachable,
-		model.ReasonPeerLost:
+		model.ReasonPeerLost,
+		model.ReasonPreempted,
+		model.ReasonStaleToken,
+		model.ReasonAttemptsFull:
+		return true
+	default:
+		return false
+	}
+}
+
+// Crowded reports whether a request was refused because too much work waits at
+// one place, so that another place with free slots could run it.
+func Crowded(reason model.Reason) bool {
+	switch reason {
+	case model.ReasonQueueFull,
+		model.ReasonDeadline,
+		model.ReasonDisplaced,
+		model.ReasonShedByAge:
 		return true
 	default:
 		return false
@@ -62,7 +79,8 @@
 		model.ReasonBadAnswer,
 		model.ReasonCrossed,
 		model.ReasonPeerLost,
-		model.ReasonPeerUnreachable:
+		model.ReasonPeerUnreachable,
+		model.ReasonPreempted:
 		return true
 	default:
 		return false
--- a/internal/steer/place.go
+++ b/internal/steer/place.go
@@ -113,6 +113,10 @@
 	return part - sent
 }
 
+// congested reports whether a request would wait for longer than one request
+// takes.
+func (p *place) congested() bool { return p.state.Queued > p.state.Slots }
+
 func (p *place) serve(now time.Time) Choice {
 	p.ramp.addHome(now)
 	return Choice{Zone: p.state.Zone, OK: true}
--- a/internal/steer/router.go
+++ b/internal/steer/router.go
@@ -48,6 +48,8 @@
 	Home []config.Place
 	// Tried lists the zones that must not be chosen again.
 	Tried []model.Zone
+	// Roomy allows only places with free slots, also for urgent work.
+	Roomy bool
 }
 
 // Choice is the zone that serves a request, or the reason why none does.
@@ -262,6 +264,9 @@
 	home := s.places[homeZone]
 	usable := home != nil && home.usable() && !slices.Contains(req.Tried, homeZone)
 	if usable && !home.returningFull(now, entries) {
+		if spill, ok := s.spill(now, req, home, entries); ok {
+			return spill
+		}
 		return home.serve(now)
 	}
 	choice := s.shift(now, req, home, entries)
@@ -273,6 +278,17 @@
 	return home.serve(now)
 }
 
+// spill moves a request away from a home place where it would wait, if another
+// place has free slots. Bulk work waits: it is not worth cold caches.
+func (s *serviceRouter) spill(now time.Time, req Request, home *place, entries int) (Choice, bool) {
+	if req.Priority == model.PriorityBulk || !home.congested() {
+		return Choice{}, false
+	}
+	req.Roomy = true
+	choice := s.shift(now, req, home, entries)
+	return choice, choice.OK
+}
+
 // shift moves a request away from its home place.
 func (s *serviceRouter) shift(now time.Time, req Request, home *place, entries int) Choice {
 	order := s.order
@@ -308,7 +324,7 @@
 		}
 		closest = max(closest, f)
 	}
-	if crowded != nil && req.Priority == model.PriorityUrgent {
+	if crowded != nil && req.Priority == model.PriorityUrgent && !req.Roomy {
 		return crowded, model.ReasonNone
 	}
 	return nil, closest.reason()
