Let announcements spare the watchers' reads

Cause: the watches of all zones wake some milliseconds before the announcement of a commit arrives, and each then read pointer and head. Change: a watcher waits about 200 ms for the announcement and reads only if the revision is still higher than the one in force.

--- a/internal/config/follow.go
+++ b/internal/config/follow.go
@@ -8,6 +8,7 @@
 	"fuchsiaspar/internal/membership"
 	"fuchsiaspar/internal/model"
 	"fuchsiaspar/internal/peer"
+	"fuchsiaspar/internal/platform"
 
 	"github.com/pkg/errors"
 )
@@ -25,6 +26,9 @@
 	// staleAfter is the age at which an entry VM that isn't its zone's watcher
 	// looks further than the watcher.
 	staleAfter = confirmFor * 3 / 4
+	// announcePatience is the mean time that a watcher waits for the
+	// announcement of a commit that its watch has seen.
+	announcePatience = 200 * time.Millisecond
 	// objectsPerFetch bounds the objects asked for in one message.
 	objectsPerFetch = 2
 )
@@ -374,19 +378,40 @@
 			s.jitter.pause(ctx, pullEvery)
 			continue
 		}
-		newest, err := s.watchOnce(ctx, after)
+		entries, newest, err := s.watchOnce(ctx, after)
 		if err != nil {
 			s.jitter.pause(ctx, pullEvery)
 			continue
 		}
 		after = newest
-		s.wake()
+		s.awaitNews(ctx, entries)
 	}
 }
 
-func (s *Service) watchOnce(ctx context.Context, after uint64) (uint64, error) {
+func (s *Service) watchOnce(ctx context.Context, after uint64) ([]platform.Entry, uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
-	_, newest, err := s.repo.store.Watch(ctx, headKey, after)
-	return newest, err
+	return s.repo.store.Watch(ctx, headKey, after)
+}
+
+// awaitNews gives the announcement of a commit seen by the watch some time to
+// arrive, since it spares reading the store, and else looks for the revision.
+func (s *Service) awaitNews(ctx context.Context, entries []platform.Entry) {
+	if !s.higherThanInForce(entries) {
+		return
+	}
+	s.jitter.pause(ctx, announcePatience)
+	if s.higherThanInForce(entries) {
+		s.wake()
+	}
+}
+
+func (s *Service) higherThanInForce(entries []platform.Entry) bool {
+	for _, entry := range entries {
+		p, err := decodePointer(entry.Value)
+		if err != nil || p.Revision > s.installed().revision() {
+			return true
+		}
+	}
+	return false
 }
