--- a/cmd/fuchsiaspar/main.go
+++ b/cmd/fuchsiaspar/main.go
@@ -7,11 +7,12 @@
 	"os/signal"
 
 	"fuchsiaspar/internal/cli"
+	"fuchsiaspar/internal/demo"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
-	code := cli.Run(ctx, cli.New(), os.Args)
+	code := cli.Run(ctx, cli.New(demo.Command()), os.Args)
 	stop()
 	os.Exit(code)
 }
--- a/gen/http/cli/fuchsiaspar/cli.go
+++ b/gen/http/cli/fuchsiaspar/cli.go
@@ -24,7 +24,7 @@
 //	command (subcommand1|subcommand2|...)
 func UsageCommands() []string {
 	return []string{
-		"caller (lookup|ticket)",
+		"caller (lookup|ticket|seal)",
 		"operator (status|show|diff|history|apply|dry-run|drains|explain|lookup)",
 	}
 }
@@ -56,6 +56,9 @@
 		callerTicketFlags    = flag.NewFlagSet("ticket", flag.ExitOnError)
 		callerTicketBodyFlag = callerTicketFlags.String("body", "REQUIRED", "")
 
+		callerSealFlags    = flag.NewFlagSet("seal", flag.ExitOnError)
+		callerSealBodyFlag = callerSealFlags.String("body", "REQUIRED", "")
+
 		operatorFlags = flag.NewFlagSet("operator", flag.ContinueOnError)
 
 		operatorStatusFlags = flag.NewFlagSet("status", flag.ExitOnError)
@@ -96,6 +99,7 @@
 	callerFlags.Usage = callerUsage
 	callerLookupFlags.Usage = callerLookupUsage
 	callerTicketFlags.Usage = callerTicketUsage
+	callerSealFlags.Usage = callerSealUsage
 
 	operatorFlags.Usage = operatorUsage
 	operatorStatusFlags.Usage = operatorStatusUsage
@@ -150,6 +154,9 @@
 			case "ticket":
 				epf = callerTicketFlags
 
+			case "seal":
+				epf = callerSealFlags
+
 			}
 
 		case "operator":
@@ -212,6 +219,9 @@
 			case "ticket":
 				endpoint = c.Ticket()
 				data, err = callerc.BuildTicketPayload(*callerTicketBodyFlag)
+			case "seal":
+				endpoint = c.Seal()
+				data, err = callerc.BuildSealPayload(*callerSealBodyFlag)
 			}
 		case "operator":
 			c := operatorc.NewClient(scheme, host, doer, enc, dec, restore)
@@ -258,6 +268,7 @@
 	fmt.Fprintln(os.Stderr, "COMMAND:")
 	fmt.Fprintln(os.Stderr, `    lookup: Answer which entry VMs a client should use, best first.`)
 	fmt.Fprintln(os.Stderr, `    ticket: Issue a ticket for one non-idempotent request.`)
+	fmt.Fprintln(os.Stderr, `    seal: Make sure that the request of a ticket never begins, or tell its outcome if it has begun.`)
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Additional help:")
 	fmt.Fprintf(os.Stderr, "    %s caller COMMAND --help\n", os.Args[0])
@@ -302,6 +313,24 @@
 	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller ticket --body '{\n      \"account\": \"Enim porro nesciunt maxime rerum.\",\n      \"service\": \"Labore accusamus minus perferendis officia voluptas neque.\"\n   }'")
 }
 
+func callerSealUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] caller seal", os.Args[0])
+	fmt.Fprint(os.Stderr, " -body JSON")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Make sure that the request of a ticket never begins, or tell its outcome if it has begun.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -body JSON: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller seal --body '{\n      \"ticket\": \"Cumque molestias minus iure sed quis error.\"\n   }'")
+}
+
 // operatorUsage displays the usage of the operator command and its subcommands.
 func operatorUsage() {
 	fmt.Fprintln(os.Stderr, `Configuration, status and explanations for operators.`)
@@ -353,7 +382,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator show --revision 19140929215551575 --format \"toml\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator show --revision 14817514231697804431 --format \"json\"")
 }
 
 func operatorDiffUsage() {
@@ -373,7 +402,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator diff --from 16965810588723794137 --to 4259700344535537390")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator diff --from 14313778557452418128 --to 13528641540740642875")
 }
 
 func operatorHistoryUsage() {
@@ -391,7 +420,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator history --limit 676")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator history --limit 860")
 }
 
 func operatorApplyUsage() {
@@ -409,7 +438,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator apply --body '{\n      \"base\": 2728875870106132100,\n      \"exclude_vms\": [\n         \"Reprehenderit sunt perspiciatis nihil aut non.\",\n         \"Et dolor sit deserunt et at nisi.\"\n      ],\n      \"exclude_zones\": [\n         \"Ut officia et consequuntur.\",\n         \"Inventore est ut.\",\n         \"Facere libero rerum blanditiis aliquam.\",\n         \"Architecto excepturi sapiente dicta.\"\n      ],\n      \"format\": \"json\",\n      \"id\": \"A vero labore.\",\n      \"operator\": \"Adipisci qui ut nostrum quia excepturi sed.\",\n      \"text\": \"Aliquid expedita deserunt iure harum omnis sit.\",\n      \"whole\": true\n   }'")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator apply --body '{\n      \"base\": 15965020080712775423,\n      \"exclude_vms\": [\n         \"Voluptatem expedita.\",\n         \"Dicta qui.\",\n         \"Non beatae quia consectetur enim.\",\n         \"Velit voluptatem.\"\n      ],\n      \"exclude_zones\": [\n         \"Qui nisi illum.\",\n         \"Alias veniam corporis eum at qui vitae.\"\n      ],\n      \"format\": \"json\",\n      \"id\": \"Similique quia dolor non repudiandae ea.\",\n      \"operator\": \"Et fuga omnis rerum voluptatibus incidunt.\",\n      \"text\": \"Enim nostrum suscipit.\",\n      \"whole\": true\n   }'")
 }
 
 func operatorDryRunUsage() {
@@ -427,7 +456,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator dry-run --body '{\n      \"base\": 14245313998662177749,\n      \"exclude_vms\": [\n         \"Quisquam ex quae quidem itaque ipsam.\",\n         \"Dolorem nihil.\",\n         \"Quidem iure ipsam nulla nesciunt placeat.\",\n         \"Eligendi illo deserunt saepe nesciunt natus.\"\n      ],\n      \"exclude_zones\": [\n         \"Voluptatem ut sed blanditiis.\",\n         \"Velit vel nobis voluptatem sed.\",\n         \"Nemo ipsam.\",\n         \"Corrupti sed aut perspiciatis sint.\"\n      ],\n      \"format\": \"toml\",\n      \"id\": \"Vero incidunt eos voluptatem laudantium inventore provident.\",\n      \"operator\": \"Dolor architecto veniam delectus blanditiis aut et.\",\n      \"text\": \"Rerum dolores reprehenderit quasi minima quod eos.\",\n      \"whole\": true\n   }'")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator dry-run --body '{\n      \"base\": 7825170805233709860,\n      \"exclude_vms\": [\n         \"Aut perspiciatis sint doloremque ducimus repudiandae ab.\",\n         \"Esse veniam pariatur.\"\n      ],\n      \"exclude_zones\": [\n         \"Cumque hic.\",\n         \"Quos et aspernatur laudantium dolores deleniti perferendis.\",\n         \"Incidunt rerum.\",\n         \"Non quis.\"\n      ],\n      \"format\": \"toml\",\n      \"id\": \"Velit vel nobis voluptatem sed.\",\n      \"operator\": \"Nemo ipsam.\",\n      \"text\": \"Natus dicta aut voluptatem ut.\",\n      \"whole\": true\n   }'")
 }
 
 func operatorDrainsUsage() {
@@ -473,7 +502,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator explain --kind \"Cupiditate dolor rerum occaecati non modi officiis.\" --reason \"Quia ex dolor fuga.\" --account \"Et in ut sunt.\" --service \"Asperiores sit ut iusto quia architecto.\" --zone \"Tempore temporibus enim ut.\" --request \"Eos aut sapiente.\" --limit 150")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator explain --kind \"Architecto ullam tempore temporibus enim ut.\" --reason \"Eos aut sapiente.\" --account \"Quia aut rerum repudiandae qui aut.\" --service \"Aut sed nihil quod ex est ducimus.\" --zone \"Deleniti et sit labore nemo inventore.\" --request \"Amet libero at ut quia.\" --limit 866")
 }
 
 func operatorLookupUsage() {
@@ -495,5 +524,5 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator lookup --account \"Recusandae voluptate quasi dolor.\" --service \"Illum odit veritatis dolorum consequatur.\" --client \"244.239.79.33\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator lookup --account \"Magnam nesciunt quod mollitia corporis.\" --service \"Laboriosam odio modi aliquid eos.\" --client \"22.17.113.28\"")
 }
--- /dev/null
+++ b/internal/backend/client_test.go
@@ -0,0 +1,265 @@
+package backend_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"fuchsiaspar/internal/backend"
+	"fuchsiaspar/internal/backend/standin"
+	"fuchsiaspar/internal/model"
+)
+
+func TestWholeAnswers(t *testing.T) {
+	f := newFixture(t, longSilence, standin.Options{})
+	for _, path := range []string{"/w", "/w?bytes=0", "/w?bytes=300000", "/w?bytes=8388608", "/w?bytes=200000&chunked=1"} {
+		req := lookup(path)
+		f.answered(req)
+		f.wantRuns(req, 1)
+	}
+}
+
+func TestUploads(t *testing.T) {
+	f := newFixture(t, longSilence, standin.Options{})
+	content := strings.Repeat("x", 1<<20)
+	for _, length := range []int64{int64(len(content)), -1} {
+		req := order("/upload")
+		req.Body = strings.NewReader(content)
+		req.ContentLength = length
+		f.answered(req)
+		f.wantRuns(req, 1)
+	}
+}
+
+func TestShedIsNotRun(t *testing.T) {
+	f := newFixture(t, longSilence, standin.Options{Slots: 1})
+	running := f.hold(order(heldPath))
+	queued := f.beside(order(heldPath))
+	poll(func() bool { return f.health().Load >= 2 })
+	req := order("/w")
+	f.refused(req, model.OutcomeNotRun, model.ReasonShed)
+	f.wantRuns(req, 0)
+	f.end(running, queued)
+}
+
+func TestRefusedConnectionIsNotRun(t *testing.T) {
+	f := newFixture(t, longSilence, standin.Options{})
+	f.server.Kill()
+	f.refused(order("/w"), model.OutcomeNotRun, model.ReasonConnect)
+}
+
+func TestConnectionLimit(t *testing.T) {
+	f := newFixture(t, longSilence, standin.Options{MaxConns: 3})
+	running := f.hold(order(heldPath))
+	err := f.refused(order("/w"), model.OutcomeNotRun, model.ReasonConnect)
+	if !errors.Is(err, backend.ErrConnLimit) {
+		t.Errorf("got %v, want ErrConnLimit", err)
+	}
+	f.health() // control requests have connections of their own
+	f.end(running)
+}
+
+func TestSpoiltAnswers(t *testing.T) {
+	f := newFixture(t, longSilence, standin.Options{})
+	f.health()
+	for _, test := range []struct {
+		path    string
+		outcome model.Outcome
+		reason  model.Reason
+		runs    int
+	}{
+		{"/w?bytes=100000&fault=truncate", model.OutcomeUnknown, model.ReasonTruncated, 1},
+		{"/w?bytes=100000&chunked=1&fault=truncate", model.OutcomeUnknown, model.ReasonTruncated, 1},
+		{"/w?fault=crossed", model.OutcomeUnknown, model.ReasonCrossed, 1},
+		{"/w?fault=no-length", model.OutcomeUnknown, model.ReasonBadAnswer, 1},
+		{"/w?fault=reset-after", model.OutcomeUnknown, model.ReasonReset, 1},
+		{"/w?fault=reset-before", model.OutcomeNotRun, model.ReasonReset, 0},
+	} {
+		req := order(test.path)
+		f.refused(req, test.outcome, test.reason)
+		f.wantRuns(req, test.runs)
+		f.answered(order("/after"))
+	}
+}
+
+// brokenReader is a caller's body that breaks off.
+type brokenReader struct{ io.Reader }
+
+func (r brokenReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+func TestCallerGoneDuringUpload(t *testing.T) {
+	f := newFixture(t, longSilence, standin.Options{})
+	f.health()
+	req := order("/upload")
+	req.Body = brokenReader{strings.NewReader(strings.Repeat("x", 1<<16))}
+	req.ContentLength = 1 << 20
+	f.refused(req, model.OutcomeNotRun, model.ReasonCallerGone)
+	f.wantRuns(req, 0)
+}
+
+func TestPlainServer(t *testing.T) {
+	f := newFixture(t, longSilence, standin.Options{Plain: true})
+	f.answered(order("/w"))
+	f.refused(order("/w?fault=reset-before"), model.OutcomeUnknown, model.ReasonReset)
+	if report := f.health(); !report.Ready || !report.Plain {
+		t.Errorf("report %+v", report)
+	}
+}
+
+// TestRestartedServerProvesNothing loses an attempt that was sent when another
+// process of the server was known than the one that answers the cancellation.
+func TestRestartedServerProvesNothing(t *testing.T) {
+	f := newFixture(t, longSilence, standin.Options{})
+	f.health()
+	f.server.Kill()
+	f.start(standin.Options{ID: "server-1", Address: f.server.Address()})
+	f.refused(order("/w?fault=reset-before"), model.OutcomeUnknown, model.ReasonReset)
+	f.refused(order("/w?fault=reset-before"), model.OutcomeNotRun, model.ReasonReset)
+}
+
+// losesAnswer is an attempt that the standard transport repeats by itself when
+// its connection was used before: it has no body and carries an idempotency key.
+func losesAnswer() *backend.Request {
+	req := order("/w?fault=reset-after")
+	req.Header.Set("Idempotency-Key", "1")
+	return req
+}
+
+func TestNoHiddenRepeat(t *testing.T) {
+	f := newFixture(t, longSilence, standin.Options{})
+	f.answered(order("/first"))
+	req := losesAnswer()
+	f.refused(req, model.OutcomeUnknown, model.ReasonReset)
+	f.wantRuns(req, 1)
+}
+
+// TestStandardTransportRepeats shows that the attempt of TestNoHiddenRepeat
+// runs twice without the client's guard.
+func TestStandardTransportRepeats(t *testing.T) {
+	f := newFixture(t, longSilence, standin.Options{})
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	req := losesAnswer()
+	for _, path := range []string{"/first", req.Path} {
+		out, err := http.NewRequestWithContext(t.Context(), req.Method, "http://"+f.server.Address()+path, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		out.Header.Set("Idempotency-Key", "1")
+		out.Header.Set(backend.HeaderAttempt, string(req.Attempt)+path)
+		if resp, err := transport.RoundTrip(out); err == nil {
+			_, _ = io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+		}
+	}
+	if runs := f.server.AttemptRuns(req.Attempt + model.AttemptID(req.Path)); runs < 2 {
+		t.Errorf("%d runs: the stand-in no longer brings about a repeat", runs)
+	}
+}
+
+func TestHeadersOfOneConnectionStay(t *testing.T) {
+	f := newFixture(t, longSilence, standin.Options{})
+	req := order("/w")
+	req.Header = http.Header{"Connection": {"X-Hop"}, "X-Hop": {"1"}, standin.HeaderOrder: {"7"}}
+	resp, err := f.client.Do(t.Context(), f.server.Target(), req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.Header.Get(standin.HeaderOrder) != "7" {
+		t.Errorf("end-to-end header lost: %v", resp.Header)
+	}
+	for _, name := range []string{backend.HeaderAttempt, backend.HeaderInstance} {
+		if resp.Header.Get(name) != "" {
+			t.Errorf("header %s passed on", name)
+		}
+	}
+	if req.Header.Get("X-Hop") != "1" {
+		t.Error("the caller's headers were changed")
+	}
+}
+
+func TestReservedPath(t *testing.T) {
+	f := newFixture(t, longSilence, standin.Options{})
+	for _, path := range []string{
+		backend.AttemptsPath + "x", "/a/.." + backend.HealthPath, "/%2ewell-known/fuchsiaspar/health", "relative", "",
+	} {
+		f.refused(order(path), model.OutcomeNotRun, model.ReasonMalformed)
+	}
+}
+
+func TestCancelWhileQueued(t *testing.T) {
+	f := newFixture(t, longSilence, standin.Options{Slots: 1})
+	f.health()
+	running := f.hold(order(heldPath))
+	ctx, cancel := context.WithCancel(t.Context())
+	req := order("/w")
+	done := make(chan error, 1)
+	go func() {
+		_, err := f.client.Do(ctx, f.server.Target(), req)
+		done <- err
+	}()
+	poll(func() bool { return f.server.Arrived(req.Attempt) })
+	cancel()
+	f.wantError(<-done, model.OutcomeNotRun, model.ReasonCancelled)
+	f.end(running)
+	f.wantRuns(req, 0)
+}
+
+func TestCancelWhileRunning(t *testing.T) {
+	f := newFixture(t, longSilence, standin.Options{})
+	f.health()
+	req := order(heldPath)
+	running := f.hold(req)
+	outcome, err := f.client.Cancel(t.Context(), f.server.Target(), req.Attempt)
+	if err != nil || outcome != model.OutcomeUnknown {
+		t.Errorf("cancel: %v, %v", outcome, err)
+	}
+	f.release()
+	f.wantError(<-running, model.OutcomeUnknown, model.ReasonReset)
+	f.wantRuns(req, 1)
+}
+
+func TestDeadline(t *testing.T) {
+	f := newFixture(t, longSilence, standin.Options{})
+	f.health()
+	req := order(heldPath)
+	req.Deadline = time.Now().Add(6 * testSilence)
+	f.refused(req, model.OutcomeUnknown, model.ReasonTimeout)
+}
+
+func TestDrainingServerSaysSo(t *testing.T) {
+	f := newFixture(t, longSilence, standin.Options{DrainGrace: time.Nanosecond})
+	f.server.Drain()
+	if err := f.refused(order("/w"), model.OutcomeNotRun, model.ReasonShed); !err.Draining {
+		t.Error("error does not tell the drain")
+	}
+	if report := f.health(); report.Ready || !report.Draining {
+		t.Errorf("report %+v", report)
+	}
+}
+
+func TestRetainKeepsAttemptsInFlight(t *testing.T) {
+	f := newFixture(t, longSilence, standin.Options{})
+	running := f.hold(order(heldPath))
+	f.client.Retain(nil)
+	f.end(running)
+}
+
+func TestCloseEndsAttempts(t *testing.T) {
+	f := newFixture(t, longSilence, standin.Options{})
+	running := f.hold(order(heldPath))
+	f.client.Close()
+	f.wantError(<-running, model.OutcomeUnknown, model.ReasonCancelled)
+	f.refused(order("/w"), model.OutcomeNotRun, model.ReasonCancelled)
+}
--- /dev/null
+++ b/internal/entry/tokens.go
@@ -0,0 +1,46 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"fuchsiaspar/internal/header"
+	"fuchsiaspar/internal/model"
+	"fuchsiaspar/internal/once"
+	"fuchsiaspar/internal/peer"
+
+	"github.com/pkg/errors"
+)
+
+// tokenCall bounds the call for a token.
+const tokenCall = time.Second
+
+// token returns a token of vm for a relayed attempt. A request whose body can
+// be sent only once asks for a fresh one, since a stale token would cost it
+// its only try.
+func (s *Server) token(ctx context.Context, vm model.VMID, fresh bool) (once.Token, error) {
+	if token := s.tokens.Get(vm); token != "" && !fresh {
+		return token, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, tokenCall)
+	defer cancel()
+	var token once.Token
+	if err := s.options.Links.Call(ctx, vm, peer.KindToken, nil, &token); err != nil {
+		return "", errors.Wrap(err, "ask for relay token")
+	}
+	s.tokens.Set(vm, token)
+	return token, nil
+}
+
+// noteToken keeps the token that came with an answer of vm.
+func (s *Server) noteToken(vm model.VMID, h http.Header) {
+	if token := h.Get(header.RelayToken); token != "" {
+		s.tokens.Set(vm, once.Token(token))
+	}
+}
+
+// giveToken answers an entry VM that is about to relay here.
+func (s *Server) giveToken(context.Context, model.VMID, []byte) (any, error) {
+	return s.options.Attempts.Token(time.Now()), nil
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -25,6 +25,10 @@
 	KindConfigAnnounce Kind = 31 // config: a higher revision exists
 	KindConfigFetch    Kind = 32 // config: fetch objects of a revision
 	KindStatus         Kind = 40 // operator: status of one entry VM
+	KindExplain        Kind = 41 // operator: recent decisions of one entry VM
+	KindServers        Kind = 50 // servers: VM list of a zone's reader
+	KindToken          Kind = 22 // entry: token for relayed attempts
+	KindSeal           Kind = 21 // entry: seal a ticket
 )
 
 // Errors that Links return. Test for them with errors.Is.
@@ -63,3 +67,27 @@
 	// Drop closes the links to vm, as when membership declared it dead.
 	Drop(vm model.VMID)
 }
+
+var kindNames = map[Kind]string{
+	KindHeartbeat:      "heartbeat",
+	KindZoneDelta:      "zone_delta",
+	KindProbe:          "probe",
+	KindGrantRequest:   "grant_request",
+	KindRevoke:         "revoke",
+	KindConfigPropose:  "config_propose",
+	KindConfigAnnounce: "config_announce",
+	KindConfigFetch:    "config_fetch",
+	KindStatus:         "status",
+}
+
+// String returns the name of k that counters carry. Replies and pings have no
+// kind and count as "link".
+func (k Kind) String() string {
+	if name, ok := kindNames[k]; ok {
+		return name
+	}
+	if k == 0 {
+		return "link"
+	}
+	return "unknown"
+}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -5,6 +5,8 @@
 package quota
 
 import (
+	"cmp"
+
 	"fuchsiaspar/internal/model"
 )
 
@@ -16,19 +18,24 @@
 	// KindShift caps requests a second of one account and service that leave
 	// one availability zone for others.
 	KindShift Kind = iota + 1
-	// KindLink caps bytes a second from one region to another.
+	// KindLink caps bytes a second that the entry VMs of one region send to
+	// another region.
 	KindLink
+	// KindInbound caps bytes a second that the entry VMs of one region read
+	// from processes of another region: callers and backend servers.
+	KindInbound
 )
 
 // Key names one cap. It is comparable.
 type Key struct {
-	Kind    Kind
-	Account model.AccountID
-	Service model.ServiceName
+	Kind    Kind              `cbor:"1,keyasint"`
+	Account model.AccountID   `cbor:"2,keyasint,omitempty"`
+	Service model.ServiceName `cbor:"3,keyasint,omitempty"`
 	// Zone is the place that a shift leaves.
-	Zone model.Zone
+	Zone model.Zone `cbor:"4,keyasint,omitempty"`
 	// From and To are the regions at the ends of a link.
-	From, To model.Region
+	From model.Region `cbor:"5,keyasint,omitempty"`
+	To   model.Region `cbor:"6,keyasint,omitempty"`
 }
 
 // ShiftKey names the cap on an account's shifts away from zone.
@@ -41,8 +48,54 @@
 	return Key{Kind: KindLink, From: from, To: to}
 }
 
+// InboundKey names the cap on what the entry VMs of region to read from
+// processes of region from.
+func InboundKey(from, to model.Region) Key {
+	return Key{Kind: KindInbound, From: from, To: to}
+}
+
 // Cap is the bound on one key, in units a second, for the whole deployment.
 type Cap struct {
 	Key       Key
 	PerSecond int64
+	// Slots is the count of slots that share the floors of this cap, where it
+	// differs from the count of all slots.
+	Slots int
+	// NoFloor marks a cap of which this VM has no floor, since it is not among
+	// the slots that share them.
+	NoFloor bool
+}
+
+// floor returns the floor of this VM, given the count of all slots.
+func (c Cap) floor(all int) int64 {
+	if c.NoFloor {
+		return 0
+	}
+	return floorShare(c.PerSecond, c.slots(all))
+}
+
+// lendable returns what the floors of all slots leave.
+func (c Cap) lendable(all int) int64 {
+	count := c.slots(all)
+	return c.PerSecond - floorShare(c.PerSecond, count)*int64(count)
+}
+
+// slots returns the count of slots that share the floors, given that of all.
+func (c Cap) slots(all int) int {
+	if c.Slots > 0 {
+		return c.Slots
+	}
+	return max(all, 0)
+}
+
+// compare orders keys.
+func (k Key) compare(o Key) int {
+	return cmp.Or(
+		cmp.Compare(k.Kind, o.Kind),
+		cmp.Compare(k.Account, o.Account),
+		cmp.Compare(k.Service, o.Service),
+		cmp.Compare(k.Zone, o.Zone),
+		cmp.Compare(k.From, o.From),
+		cmp.Compare(k.To, o.To),
+	)
 }
