--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -19,9 +19,13 @@
 	server := startServer(t)
 	t.Setenv("FUCHSIASPAR_SERVER", server.address)
 	t.Chdir(t.TempDir())
-	first := fences(string(page))[0]
-	writeFile(t, first.name, strings.Join(first.lines, "\n"))
-	if got := run("config", "apply", first.name); got.code != ExitOK {
+	const file = "fleet.toml"
+	for _, f := range fences(string(page)) {
+		if f.name == file {
+			writeFile(t, file, strings.Join(f.lines, "\n"))
+		}
+	}
+	if got := run("config", "apply", file); got.code != ExitOK {
 		t.Fatalf("first configuration: %+v", got)
 	}
 	return server
--- a/internal/cli/runbook_test.go
+++ b/internal/cli/runbook_test.go
@@ -1,11 +1,15 @@
 package cli
 
 import (
+	"bytes"
+	"context"
 	"os"
 	"regexp"
 	"strconv"
 	"strings"
 	"testing"
+
+	"fuchsiaspar/internal/daemon"
 )
 
 // fence is one fenced block of a page.
@@ -41,12 +45,13 @@
 
 // command is one command line of a page.
 type command struct {
+	program  string
 	args     []string
 	redirect string
 	exit     int
 }
 
-var commandPattern = regexp.MustCompile(`^fuchsiaspar ([^>#]*)(?:> (\S+))?\s*(?:# exit (\d))?$`)
+var commandPattern = regexp.MustCompile(`^(fuchsiaspard?) ([^>#]*)(?:> (\S+))?\s*(?:# exit (\d))?$`)
 
 func parseCommand(t *testing.T, line string) command {
 	t.Helper()
@@ -54,8 +59,8 @@
 	if match == nil {
 		t.Fatalf("not a command that this test can run: %s", line)
 	}
-	exit, _ := strconv.Atoi(match[3])
-	return command{args: strings.Fields(match[1]), redirect: match[2], exit: exit}
+	exit, _ := strconv.Atoi(match[4])
+	return command{program: match[1], args: strings.Fields(match[2]), redirect: match[3], exit: exit}
 }
 
 // runPage writes the page's named files and runs its commands in order, in the
@@ -79,10 +84,20 @@
 	return count
 }
 
+// run runs the program in this process.
+func (c command) run() outcome {
+	if c.program == "fuchsiaspar" {
+		return run(c.args...)
+	}
+	var output bytes.Buffer
+	code := daemon.Run(context.Background(), append([]string{c.program}, c.args...), &output)
+	return outcome{code: code, stdout: output.String()}
+}
+
 func runLine(t *testing.T, line string) {
 	t.Helper()
 	c := parseCommand(t, line)
-	got := run(c.args...)
+	got := c.run()
 	if got.code != c.exit {
 		t.Errorf("%s\nexit %d, want %d\n%s%s", line, got.code, c.exit, got.stdout, got.stderr)
 	}
