Answer Confirmed without a lock

Cause: the data path asks Confirmed for each shift, and it took the lock that messages take. Change: the instant until which the revision is confirmed is published atomically. Conclusion: go test ./internal/config passes.

--- a/internal/config/currency.go
+++ b/internal/config/currency.go
@@ -21,6 +21,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fresh.observe(r, at)
+	s.publishFreshness()
 }
 
 // stampNow returns the present instant in a form that only this process reads.
@@ -131,5 +132,6 @@
 	}
 	if at, ok := majorityInstant(len(s.inForce.doc.Slots), instants); ok {
 		s.fresh.observe(s.fresh.inForce, at)
+		s.publishFreshness()
 	}
 }
--- a/internal/config/freshness.go
+++ b/internal/config/freshness.go
@@ -46,10 +46,13 @@
 	return max(now.Sub(f.currentAt), 0), true
 }
 
-// confirmed reports whether the revision in force counts as the newest at now.
-func (f *freshness) confirmed(now time.Time) bool {
-	age, known := f.age(now)
-	return known && age <= confirmFor
+// confirmedUntil returns until when the revision in force counts as the newest,
+// and false when it never was known to be.
+func (f *freshness) confirmedUntil() (time.Time, bool) {
+	if f.inForce == 0 || f.currentAt.IsZero() {
+		return time.Time{}, false
+	}
+	return f.currentAt.Add(confirmFor), true
 }
 
 // majority returns the least count that is more than half of n.
--- a/internal/config/objects_test.go
+++ b/internal/config/objects_test.go
@@ -162,3 +162,14 @@
 		s.Classify("acct0", "lease-desk", "POST", "/reservations/7")
 	}
 }
+
+func BenchmarkConfirmed(b *testing.B) {
+	s := &Service{started: time.Now()}
+	s.confirmedUntil.Store(int64(time.Hour))
+	now := time.Now()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			s.Confirmed(now)
+		}
+	})
+}
--- a/internal/config/service.go
+++ b/internal/config/service.go
@@ -56,6 +56,9 @@
 	rules   rules
 
 	current atomic.Pointer[Snapshot]
+	// confirmedUntil is when the revision in force stops being confirmed, as
+	// time since the start; zero when it never was.
+	confirmedUntil atomic.Int64
 
 	// adopting serialises adoptions and the calls of subscribers.
 	adopting    sync.Mutex
@@ -203,9 +206,16 @@
 // newest within the last seconds. An entry VM that is not confirmed serves its
 // own place and takes part in no shift.
 func (s *Service) Confirmed(now time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.fresh.confirmed(now)
+	until := s.confirmedUntil.Load()
+	return until != 0 && now.Sub(s.started) <= time.Duration(until)
+}
+
+// publishFreshness makes what fresh tells visible to Confirmed. The caller
+// holds the lock.
+func (s *Service) publishFreshness() {
+	if until, known := s.fresh.confirmedUntil(); known {
+		s.confirmedUntil.Store(int64(until.Sub(s.started)))
+	}
 }
 
 // adopt puts v in force if its revision is higher than the one in force, and
@@ -234,6 +244,7 @@
 	defer s.mu.Unlock()
 	s.inForce = v
 	s.fresh.adopt(v.revision())
+	s.publishFreshness()
 	s.acks.settle(v.revision())
 }
 
