Hedge slow urgent requests, and spend caps only under a confirmed configuration

Cause: a hedge timer existed without a user; caps held only while no VM missed a configuration for longer than the spread. Change: an urgent idempotent request whose server takes longer than 95 % do is run once more on another owned server, from the retry budget; a VM spends shifts and links only until its configuration stops being confirmed, and the spread equals that time. Conclusion: the cap rule no longer rests on an assumption; the hedge has not shown its worth in the demo yet.

--- a/internal/config/follow.go
+++ b/internal/config/follow.go
@@ -25,7 +25,7 @@
 	watchTimeout = 20 * time.Second
 	// staleAfter is the age at which an entry VM that isn't its zone's watcher
 	// looks further than the watcher.
-	staleAfter = confirmFor * 3 / 4
+	staleAfter = ConfirmFor * 3 / 4
 	// announcePatience is the mean time that a watcher waits for the
 	// announcement of a commit that its watch has seen.
 	announcePatience = 200 * time.Millisecond
@@ -220,10 +220,10 @@
 	if s.installed() != nil {
 		return true
 	}
-	if a.reply.Fresh && a.reply.Age <= confirmFor {
+	if a.reply.Fresh && a.reply.Age <= ConfirmFor {
 		return true
 	}
-	return s.now().Sub(s.started) > confirmFor
+	return s.now().Sub(s.started) > ConfirmFor
 }
 
 // fetch gets the revision that the peer has in force, and adopts it.
--- a/internal/config/service.go
+++ b/internal/config/service.go
@@ -210,6 +210,13 @@
 	return until != 0 && now.Sub(s.started) <= time.Duration(until)
 }
 
+// ConfirmedUntil returns until when the configuration in force counts as the
+// newest, and false when it never was known to be.
+func (s *Service) ConfirmedUntil() (time.Time, bool) {
+	until := s.confirmedUntil.Load()
+	return s.started.Add(time.Duration(until)), until != 0
+}
+
 // publishFreshness makes what fresh tells visible to Confirmed. The caller
 // holds the lock.
 func (s *Service) publishFreshness() {
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -36,6 +36,7 @@
 	Current() *config.Snapshot
 	Subscribe(func(*config.Snapshot))
 	Confirmed(now time.Time) bool
+	ConfirmedUntil() (time.Time, bool)
 }
 
 // Members is the part of the membership service that control needs.
@@ -49,6 +50,7 @@
 // Limits adopts the caps of a configuration.
 type Limits interface {
 	SetDocument(doc *config.Document)
+	ConfirmUntil(until time.Time)
 }
 
 // Options configures a Service.
@@ -198,6 +200,9 @@
 		return
 	}
 	s.state.Store(state)
+	if until, ok := s.options.Config.ConfirmedUntil(); ok {
+		s.options.Limits.ConfirmUntil(until)
+	}
 	s.progress.update(in, s.options.Pools, s.active())
 	s.options.Members.SetLocal(snapshot.Revision(), in.loads)
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -250,14 +250,16 @@
 
 func (b *assembly) quota() error {
 	b.limits = quota.NewService(quota.ServiceOptions{
-		Self:   b.settings.VM.Name,
-		Region: b.settings.VM.Region,
-		Store:  b.deps.Store,
-		Links:  b.mesh,
-		Timing: b.deps.Quota,
-		Rand:   randv2.New(randv2.NewPCG(b.rand.Uint64(), b.rand.Uint64())),
-		Logger: b.deps.Logger.WithPrefix("quota"),
-		Scope:  b.metrics.Scope,
+		Self:           b.settings.VM.Name,
+		Region:         b.settings.VM.Region,
+		Store:          b.deps.Store,
+		Links:          b.mesh,
+		Timing:         b.deps.Quota,
+		RequireConfirm: true,
+		Explain:        b.ring,
+		Rand:           randv2.New(randv2.NewPCG(b.rand.Uint64(), b.rand.Uint64())),
+		Logger:         b.deps.Logger.WithPrefix("quota"),
+		Scope:          b.metrics.Scope,
 	})
 	return b.add(NameLimits, b.limits)
 }
--- a/internal/demo/check.go
+++ b/internal/demo/check.go
@@ -212,8 +212,11 @@
 	return v
 }
 
-// planned reports whether every event of the scenario is a planned one.
+// planned reports whether the scenario has events and all are planned ones.
 func (r *run) planned() bool {
+	if len(r.options.Scenario.Events) == 0 {
+		return false
+	}
 	for _, e := range r.options.Scenario.Events {
 		switch e.Action {
 		case ActionStopVM, ActionRestartAll, ActionDrainZone, ActionDrainServer, ActionRaceOperators:
--- a/internal/demo/configure.go
+++ b/internal/demo/configure.go
@@ -18,8 +18,9 @@
 	adoptTimeout = 10 * time.Second
 	// adoptPoll is how often the wait looks.
 	adoptPoll = 20 * time.Millisecond
-	// settleTime lets loads and grants spread before the first request.
-	settleTime = 3 * time.Second
+	// settleMargin lets loads and grants spread, after the changeover of caps,
+	// before the first request.
+	settleMargin = time.Second
 )
 
 // errNotAdopted reports entry VMs that did not adopt a revision in time.
@@ -67,7 +68,7 @@
 	if err := f.awaitRevision(ctx, r.Revision); err != nil {
 		return err
 	}
-	time.Sleep(settleTime)
+	time.Sleep(demoQuota.Changeover() + settleMargin)
 	return nil
 }
 
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -33,8 +33,8 @@
 	coldWork   = 10
 )
 
-// demoQuota shortens the changeover of caps to the demo's time scale.
-var demoQuota = quota.Timing{GrantTTL: 500 * time.Millisecond, Spread: time.Second}
+// demoQuota shortens grants to the demo's time scale.
+var demoQuota = quota.Timing{GrantTTL: 500 * time.Millisecond, Spread: config.ConfirmFor}
 
 // fleet is a whole deployment in one process: the platform's stand-in, backend
 // servers and entry VMs on sockets of the loopback range.
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -32,6 +32,8 @@
 	// commit is asked right before the first byte goes to a backend server. A
 	// false answer means that the origin has revoked the attempt.
 	commit func() bool
+	// onSlot is told which server a slot was given on; nil tells nobody.
+	onSlot func(model.ServerID)
 }
 
 // attempt runs the request once, here or at another owner.
@@ -39,7 +41,7 @@
 	if t.owner.VM != s.options.Self {
 		return s.relay(ctx, q, t, exclude)
 	}
-	return s.run(ctx, &job{
+	j := &job{
 		attempt: id,
 		key:     owner.Key{Service: q.service, Zone: t.zone},
 		work: owner.Work{
@@ -56,7 +58,11 @@
 		body:     q.body,
 		deadline: q.deadline,
 		commit:   func() bool { return true },
-	})
+	}
+	if s.hedgeable(q, t) {
+		return s.runHedged(ctx, q, j)
+	}
+	return s.run(ctx, j)
 }
 
 // run admits the job to a server that this VM owns and runs it there.
@@ -69,6 +75,9 @@
 	if err != nil {
 		return nil, admissionFailure(err)
 	}
+	if j.onSlot != nil {
+		j.onSlot(slot.Target.ID)
+	}
 	if !j.commit() {
 		slot.Release(owner.Unused)
 		return nil, refuse(http.StatusServiceUnavailable, model.ReasonRevoked, "the origin revoked the attempt")
--- a/internal/entry/meter.go
+++ b/internal/entry/meter.go
@@ -19,6 +19,7 @@
 	truncations tally.Counter
 	budget      tally.Counter
 	spills      tally.Counter
+	hedges      tally.Counter
 	lookups     tally.Counter
 	tickets     tally.Counter
 }
@@ -33,6 +34,7 @@
 		truncations: scope.Counter("truncated_answers"),
 		budget:      scope.Counter("retries_over_budget"),
 		spills:      scope.Counter("spilled_requests"),
+		hedges:      scope.Counter("hedged_requests"),
 		lookups:     scope.Counter("lookups"),
 		tickets:     scope.Counter("tickets_issued"),
 	}
@@ -57,6 +59,7 @@
 	m.scope.Tagged(map[string]string{"reason": string(r)}).Counter("retries").Inc(1)
 }
 
+func (m *meter) hedged()  { m.hedges.Inc(1) }
 func (m *meter) spilled() { m.spills.Inc(1) }
 
 func (m *meter) redirected(r model.Reason) {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -60,6 +60,7 @@
 	meter   meter
 	active  activity
 	tokens  once.Tokens
+	hedges  hedges
 }
 
 // NewServer returns a data path with the given parts.
