--- a/internal/demo/events.go
+++ b/internal/demo/events.go
@@ -260,7 +260,7 @@
 // change proposes a change and notes what became of it.
 func (r *run) change(ctx context.Context, e *entryVM, c config.Change) {
 	started := time.Now()
-	result, err := r.fleet.propose(ctx, e, c)
+	result, err := r.fleet.propose(context.WithoutCancel(ctx), e, c)
 	r.events.mu.Lock()
 	defer r.events.mu.Unlock()
 	r.events.changes = append(r.events.changes, changeResult{revision: result.Revision, took: time.Since(started), err: err})
--- a/internal/demo/scenario.go
+++ b/internal/demo/scenario.go
@@ -75,6 +75,8 @@
 	eventAt = 4 * time.Second
 	// scenarioTime is how long most scenarios offer load.
 	scenarioTime = 12 * time.Second
+	// raceTime is long enough for 200 changes across regions.
+	raceTime = 60 * time.Second
 	// faultTime is how long a fault that heals lasts.
 	faultTime = 4 * time.Second
 )
@@ -120,7 +122,8 @@
 		one("paused-lease-holder", "leases lapse while their holders still run", Event{Action: ActionPauseLeases, For: faultTime}),
 		one("partition-zone", "a zone is cut off and comes back", Event{Action: ActionCutZone, Target: targetZone, For: faultTime}),
 		one("partition-region", "a region is cut off and comes back", Event{Action: ActionCutRegion, Target: targetRegion, For: faultTime}),
-		one("config-race", "two operators make 200 changes at once", Event{Action: ActionRaceOperators}),
+		{Name: "config-race", Summary: "two operators make 200 changes at once", Duration: raceTime,
+			Events: []Event{{At: eventAt, Action: ActionRaceOperators}}},
 		one("drain-zone", "a zone drains as planned", Event{Action: ActionDrainZone, Target: targetZone}),
 		one("drain-server", "a server drains as planned", Event{Action: ActionDrainServer, Target: targetServer}),
 		{Name: "rolling-restart", Summary: "every entry VM is stopped and replaced in turn", Duration: 24 * time.Second,
