Let membership lag in the random histories

Cause: real membership learns of a partition or restart after seconds, during which proposals run into VMs that are gone and watchers that changed. Change: the views of a history lag by 0 to 3 s, by its seed.

--- a/internal/config/fixture_test.go
+++ b/internal/config/fixture_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand"
 	"slices"
 	"sync"
@@ -78,8 +79,13 @@
 	// retired holds the nodes that were stopped.
 	retired []*node
 	slots   []Slot
-	// views caches the view of each side until a node or side changes.
-	views map[int]*membership.View
+	// viewLag is how long a change of nodes or sides stays unseen by
+	// membership. What it believes is in seenSide and seenAlive; views caches
+	// the view of each side.
+	viewLag   time.Duration
+	seenSide  map[model.VMID]int
+	seenAlive map[model.VMID]bool
+	views     map[int]*membership.View
 	// bytes counts the bytes that each VM sent or received.
 	bytes map[model.VMID]int
 }
@@ -138,7 +144,7 @@
 	})
 	f.mu.Lock()
 	f.nodes[slot.VM] = n
-	clear(f.views)
+	f.changed()
 	f.mu.Unlock()
 	_ = n.service.Start(context.Background())
 }
@@ -148,7 +154,7 @@
 	n := f.nodes[vm]
 	delete(f.nodes, vm)
 	f.retired = append(f.retired, n)
-	clear(f.views)
+	f.changed()
 	f.mu.Unlock()
 	_ = n.service.Stop(context.Background())
 }
@@ -190,25 +196,49 @@
 // setSide puts a VM on a side. The caller holds the lock.
 func (f *fleet) setSide(vm model.VMID, side int) {
 	f.side[vm] = side
+	f.changed()
+}
+
+// changed makes the views follow a change of nodes or sides, after the lag of
+// membership. The caller holds the lock.
+func (f *fleet) changed() {
+	if f.viewLag == 0 {
+		f.see()
+		return
+	}
+	time.AfterFunc(f.viewLag, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.see()
+	})
+}
+
+// see makes membership believe what is so. The caller holds the lock.
+func (f *fleet) see() {
 	clear(f.views)
+	f.seenSide = maps.Clone(f.side)
+	f.seenAlive = make(map[model.VMID]bool)
+	for vm := range f.nodes {
+		f.seenAlive[vm] = true
+	}
 }
 
 func (f *fleet) connected(a, b model.VMID) bool {
 	return f.side[a] == f.side[b]
 }
 
-// view is what perfect membership would tell vm.
+// view is what membership tells vm.
 func (f *fleet) view(vm model.VMID) *membership.View {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if v := f.views[f.side[vm]]; v != nil {
+	if v := f.views[f.seenSide[vm]]; v != nil {
 		return v
 	}
 	v := &membership.View{}
-	f.views[f.side[vm]] = v
+	f.views[f.seenSide[vm]] = v
 	for _, slot := range f.slots {
 		state := membership.StateDead
-		if f.nodes[slot.VM] != nil && f.connected(vm, slot.VM) {
+		if f.seenAlive[slot.VM] && f.seenSide[vm] == f.seenSide[slot.VM] {
 			state = membership.StateAlive
 		}
 		v.Members = append(v.Members, membership.Member{VM: slot.VM, Zone: slot.Zone, State: state})
--- a/internal/config/history_test.go
+++ b/internal/config/history_test.go
@@ -404,6 +404,7 @@
 		w := newWorld(seed, rulesOf)
 		w.store.Slow(standin.AllClients, testLatency)
 		w.startAll()
+		w.viewLag = time.Duration(seed%4) * time.Second
 		w.bootstrap(t)
 		w.last = 1
 		for _, o := range ops {
