--- a/internal/config/head.go
+++ b/internal/config/head.go
@@ -19,14 +19,17 @@
 )
 
 const (
-	// recentCommits is the count of commits listed in the head, among which
-	// conflicts and lost answers are resolved.
-	recentCommits = 64
+	// recentCommits bounds the commits listed in the head, among which
+	// conflicts, repeated changes and lost answers are resolved.
+	recentCommits = 512
+	// recentNames bounds the names of keys and of excluded entry VMs in all the
+	// commits listed, so that the head stays below platform.MaxValueBytes.
+	recentNames = 4096
 	// keptRevisions is the count of revisions whose heads the store keeps.
 	keptRevisions = 256
 	// maxCommitKeys bounds the keys listed for one commit. A commit with more
 	// is listed with allKeys.
-	maxCommitKeys = 64
+	maxCommitKeys = 256
 )
 
 // allKeys stands for every key in a commit's list.
@@ -78,8 +81,24 @@
 	if h != nil {
 		recent = append(recent, h.Recent...)
 	}
-	recent = recent[:min(len(recent), recentCommits)]
-	return &Head{Commit: commit, Manifest: manifest, Recent: recent}
+	return &Head{Commit: commit, Manifest: manifest, Recent: trimmed(recent)}
+}
+
+// trimmed returns the newest commits that a head has room for.
+func trimmed(recent []Commit) []Commit {
+	names := 0
+	for i, c := range recent {
+		names += len(c.Keys) + len(c.Excluded)
+		if i == recentCommits || names > recentNames {
+			return recent[:i]
+		}
+	}
+	return recent
+}
+
+// oldest returns the lowest revision among the recent commits.
+func (h *Head) oldest() model.Revision {
+	return h.Recent[len(h.Recent)-1].Revision
 }
 
 // conflict returns the newest commit after base that edits one of keys.
@@ -97,9 +116,8 @@
 			}
 		}
 	}
-	oldest := h.Recent[len(h.Recent)-1]
-	if oldest.Revision > base+1 {
-		return &ConflictError{Key: allKeys, Base: base, Other: oldest}
+	if h.oldest() > base+1 {
+		return &ConflictError{Key: allKeys, Base: base, Other: h.Recent[len(h.Recent)-1]}
 	}
 	return nil
 }
--- a/internal/config/objects_test.go
+++ b/internal/config/objects_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -46,7 +47,8 @@
 					t.Fatalf("an object has %d bytes", len(data))
 				}
 			}
-			checkHeadSize(t, encoded.manifest)
+			checkHeadSize(t, encoded.manifest, 1)
+			checkHeadSize(t, encoded.manifest, maxCommitKeys)
 			back, err := decodeObjects(doc.Revision, encoded)
 			if err != nil {
 				t.Fatal(err)
@@ -60,17 +62,21 @@
 
 // checkHeadSize checks the sizes of a head with all its recent commits and of
 // the pointer to it.
-func checkHeadSize(t *testing.T, manifest []ManifestEntry) {
+func checkHeadSize(t *testing.T, manifest []ManifestEntry, keysPerCommit int) {
 	t.Helper()
 	const mostPointerBytes = 512
+	keys := make([]Key, keysPerCommit)
+	for i := range keys {
+		keys[i] = AccountKey(model.AccountID(strings.Repeat("x", maxNameBytes)))
+	}
 	var head *Head
-	for i := range recentCommits {
+	for i := range 2 * recentCommits {
 		head = head.next(Commit{
 			Revision: model.Revision(i + 1),
 			ChangeID: ChangeID(fmt.Sprintf("%032d", i)),
 			Operator: "operator",
 			Time:     time.Unix(int64(i), 0),
-			Keys:     []Key{AccountKey("acct0001")},
+			Keys:     keys,
 		}, manifest)
 	}
 	object, err := encodeHead(head)
@@ -81,7 +87,8 @@
 	if err != nil || len(pointer) > mostPointerBytes {
 		t.Fatalf("pointer of %d bytes, %v", len(pointer), err)
 	}
-	t.Logf("%d objects, head %d bytes, pointer %d bytes", len(manifest), len(object), len(pointer))
+	t.Logf("%d objects, %d commits of %d keys, head %d bytes, pointer %d bytes",
+		len(manifest), len(head.Recent), keysPerCommit, len(object), len(pointer))
 }
 
 func TestObjectsOfUntouchedSectionsAreReused(t *testing.T) {
--- a/internal/config/repository.go
+++ b/internal/config/repository.go
@@ -308,7 +308,7 @@
 	if c, ok := head.find(next.ChangeID); ok {
 		return true, committedAs(c, next)
 	}
-	if head.Revision < next.Revision+recentCommits {
+	if head.oldest() <= next.Revision {
 		return true, errHeadMoved
 	}
 	old, err := r.readHistory(ctx, next.Revision)
