Refuse whole documents without their revision once one is in force

Cause: a document with revision 0, such as the file of the first roll-out, would have replaced what others changed since, without a conflict.

--- /dev/null
+++ b/internal/config/plan_test.go
@@ -0,0 +1,60 @@
+package config
+
+import (
+	"slices"
+	"testing"
+
+	"fuchsiaspar/internal/membership"
+	"fuchsiaspar/internal/model"
+)
+
+func TestPlanDecidesWhoAcknowledges(t *testing.T) {
+	// In testSlots vm0 and vm1 share a zone; every other VM has one of its own.
+	tests := []struct {
+		name    string
+		dead    []model.VMID
+		gone    []model.VMID
+		exclude Exclusion
+		skipped []model.VMID
+		refused []model.VMID
+	}{
+		{name: "all live"},
+		{name: "dead beside a live VM", dead: []model.VMID{"vm1"}, skipped: []model.VMID{"vm1"}},
+		{name: "silent zone", dead: []model.VMID{"vm4"}, refused: []model.VMID{"vm4"}},
+		{name: "silent zone excluded", dead: []model.VMID{"vm4"}, exclude: Exclusion{Zones: []model.Zone{"mb-2"}}, skipped: []model.VMID{"vm4"}},
+		{name: "excluded VM", exclude: Exclusion{VMs: []model.VMID{"vm5"}}, skipped: []model.VMID{"vm5"}},
+		{name: "gone from the platform", dead: []model.VMID{"vm4"}, gone: []model.VMID{"vm4"}, skipped: []model.VMID{"vm4"}},
+		{name: "gone but answering", gone: []model.VMID{"vm4"}},
+		{
+			name:    "half is too few",
+			dead:    []model.VMID{"vm2", "vm3", "vm4", "vm5"},
+			exclude: Exclusion{VMs: []model.VMID{"vm2", "vm3", "vm4", "vm5"}},
+			skipped: []model.VMID{"vm2", "vm3", "vm4", "vm5"},
+			refused: []model.VMID{"vm0"},
+		},
+	}
+	for _, tt := range tests {
+		view := &membership.View{}
+		for _, slot := range testSlots {
+			state := membership.StateAlive
+			if slices.Contains(tt.dead, slot.VM) {
+				state = membership.StateDead
+			}
+			view.Members = append(view.Members, membership.Member{VM: slot.VM, Zone: slot.Zone, State: state})
+		}
+		p := newPlan(planInput{
+			self: "vm0", zone: "lj-1", view: view, slots: testSlots, exclude: tt.exclude,
+			gone: func(vm model.VMID) bool { return slices.Contains(tt.gone, vm) },
+		})
+		var refused []model.VMID
+		for _, r := range p.refusals {
+			refused = append(refused, r.VM)
+		}
+		if !slices.Equal(p.skipped, tt.skipped) || !slices.Equal(refused, tt.refused) {
+			t.Errorf("%s: skipped %v, refused %v", tt.name, p.skipped, refused)
+		}
+		if want := len(testSlots) - len(p.skipped); len(refused) == 0 && len(p.all()) != want {
+			t.Errorf("%s: %v must acknowledge", tt.name, p.all())
+		}
+	}
+}
--- a/internal/operator/changes.go
+++ b/internal/operator/changes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -103,6 +104,13 @@
 	if req.Base != nil {
 		base = model.Revision(*req.Base)
 	}
+	if current := s.deps.Config.Current(); base == 0 && current != nil {
+		return config.Change{}, config.Problems{{
+			Path:    "revision",
+			Value:   "0",
+			Allowed: fmt.Sprintf("the revision that the document was made from; %d is in force", current.Revision()),
+		}}
+	}
 	old, err := s.documentAt(ctx, base)
 	if err != nil {
 		return config.Change{}, err
