--- a/internal/entry/transfer.go
+++ b/internal/entry/transfer.go
@@ -11,7 +11,7 @@
 	chunkBytes = 32 << 10
 	// overlapChunks is the count of buffers of a large transfer: one is read
 	// into while another is written out.
-	overlapChunks = 3
+	overlapChunks = 2
 	// largeBytes is the declared length from which reading and writing overlap.
 	largeBytes = 256 << 10
 )
