Explain when an entry VM becomes isolated

Cause: operators must see why a VM takes part in no shift, and each change read the platform's VM list though all VMs answered. Change: becoming isolated or confirmed again is logged, counted and recorded as a decision; the VM list is read only when some VM does not answer. Conclusion: go test -race ./internal/config passes.

--- a/internal/config/fixture_test.go
+++ b/internal/config/fixture_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"fuchsiaspar/internal/explain"
 	"fuchsiaspar/internal/membership"
 	"fuchsiaspar/internal/model"
 	"fuchsiaspar/internal/peer"
@@ -86,6 +87,7 @@
 	seenSide  map[model.VMID]int
 	seenAlive map[model.VMID]bool
 	views     map[int]*membership.View
+	decisions []explain.Decision
 	// bytes counts the bytes that each VM sent or received.
 	bytes map[model.VMID]int
 }
@@ -134,6 +136,8 @@
 		Links: n,
 		View:  func() *membership.View { return f.view(slot.VM) },
 		Rand:  rand.New(rand.NewSource(f.seed)),
+
+		Explain: f,
 	})
 	n.service.rules = f.rulesOf(slot.VM)
 	n.service.Subscribe(func(s *Snapshot) {
@@ -312,6 +316,26 @@
 	return n.fleet.connected(n.slot.VM, to)
 }
 
+// Record implements explain.Recorder.
+func (f *fleet) Record(d explain.Decision) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.decisions = append(f.decisions, d)
+}
+
+// isolations returns how often the VM explained that it is isolated.
+func (f *fleet) isolations(vm model.VMID) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	count := 0
+	for _, d := range f.decisions {
+		if d.VM == vm && d.Reason == model.ReasonIsolated {
+			count++
+		}
+	}
+	return count
+}
+
 // bootstrap puts testDocument in force as revision 1 through vm0.
 func (f *fleet) bootstrap(t *testing.T) {
 	t.Helper()
--- a/internal/config/follow.go
+++ b/internal/config/follow.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
+	"fuchsiaspar/internal/explain"
 	"fuchsiaspar/internal/membership"
 	"fuchsiaspar/internal/model"
 	"fuchsiaspar/internal/peer"
@@ -39,12 +41,40 @@
 
 // follow looks for a newer revision until ctx ends.
 func (s *Service) follow(ctx context.Context) {
+	confirmed := false
 	for ctx.Err() == nil {
 		s.refresh(ctx)
+		confirmed = s.noteIsolation(confirmed)
 		s.awaitKick(ctx)
 	}
 }
 
+// noteIsolation logs, counts and explains when this entry VM became isolated
+// or ceased to be. It returns whether the VM is confirmed now.
+func (s *Service) noteIsolation(before bool) bool {
+	now := s.now()
+	confirmed := s.Confirmed(now)
+	if confirmed == before {
+		return confirmed
+	}
+	decision := explain.Decision{
+		At:       now,
+		VM:       s.self,
+		Kind:     explain.KindAdoption,
+		Revision: s.installed().revision(),
+		Zone:     s.zone,
+		Detail:   "the revision in force is confirmed: takes part in shifts",
+	}
+	if !confirmed {
+		decision.Reason = model.ReasonIsolated
+		decision.Detail = fmt.Sprintf("no evidence for %s that the revision in force is the newest: serves its own place only", confirmFor)
+		s.scope.Counter("config_isolations").Inc(1)
+	}
+	s.log.Info("confirmation changed", "revision", decision.Revision, "confirmed", confirmed)
+	s.explain.Record(decision)
+	return confirmed
+}
+
 func (s *Service) awaitKick(ctx context.Context) {
 	timer := time.NewTimer(s.jitter.around(pullEvery))
 	defer timer.Stop()
--- a/internal/config/propose.go
+++ b/internal/config/propose.go
@@ -191,15 +191,22 @@
 	return change.Base != 0 && committed != change.Base+1
 }
 
+// plan decides who must acknowledge a change. The platform's VM list is read
+// only when some VM does not answer.
 func (s *Service) plan(ctx context.Context, base *version, change *Change) plan {
-	return newPlan(planInput{
+	in := planInput{
 		self:    s.self,
 		zone:    s.zone,
 		view:    s.view(),
 		slots:   base.document().Slots,
 		exclude: change.Exclude,
-		gone:    s.goneVMs(ctx),
-	})
+	}
+	p := newPlan(in)
+	if len(p.refusals) == 0 {
+		return p
+	}
+	in.gone = s.goneVMs(ctx)
+	return newPlan(in)
 }
 
 // goneVMs returns a look-up of entry VMs that the platform does not run, nil
--- a/internal/config/service_test.go
+++ b/internal/config/service_test.go
@@ -123,6 +123,10 @@
 		if f.service("vm6").Confirmed(time.Now()) {
 			t.Error("the cut-off VM is confirmed on a superseded revision")
 		}
+		time.Sleep(3 * pullEvery)
+		if f.isolations("vm6") != 1 || f.isolations("vm0") != 0 {
+			t.Errorf("isolations explained: vm6 %d, vm0 %d", f.isolations("vm6"), f.isolations("vm0"))
+		}
 		f.setCut("vm6", false)
 		f.store.Cut("vm6", false)
 		time.Sleep(4 * time.Second)
