--- a/internal/demo/scenario.go
+++ b/internal/demo/scenario.go
@@ -14,8 +14,10 @@
 	Account model.AccountID
 	// Share is the offered rate as a share of the service's capacity.
 	Share float64
-	From  time.Duration
-	To    time.Duration
+	// OneZone sends all of it from the clients of the first zone.
+	OneZone bool
+	From    time.Duration
+	To      time.Duration
 }
 
 // Event is a fault or an operator's action at one instant.
@@ -73,6 +75,8 @@
 	eventAt = 4 * time.Second
 	// scenarioTime is how long most scenarios offer load.
 	scenarioTime = 12 * time.Second
+	// raceTime is long enough for 200 changes across regions.
+	raceTime = 60 * time.Second
 	// faultTime is how long a fault that heals lasts.
 	faultTime = 4 * time.Second
 )
@@ -99,6 +103,7 @@
 		{Name: "flood-low", Summary: "the least urgent work at ten times the capacity", Flood: []Load{{Kind: "bulk", Share: 10}}},
 		{Name: "flood-urgent", Summary: "urgent work at ten times the capacity", Flood: []Load{{Kind: "urgent", Share: 10}}},
 		{Name: "flood-account", Summary: "one client account at twenty times its load", Flood: []Load{{Kind: "urgent", Account: "first", Share: 4}}},
+		{Name: "hot-zone", Summary: "urgent clients of one zone ask for twice what its servers can do", Flood: []Load{{Kind: "urgent", Share: 0.25, OneZone: true}}},
 		one("vm-loss", "an entry VM dies", Event{Action: ActionKillVM, Target: targetFirstVM}),
 		{Name: "two-vm-loss", Summary: "two entry VMs die together", Events: []Event{
 			{At: eventAt, Action: ActionKillVM, Target: targetFirstVM},
@@ -117,7 +122,8 @@
 		one("paused-lease-holder", "leases lapse while their holders still run", Event{Action: ActionPauseLeases, For: faultTime}),
 		one("partition-zone", "a zone is cut off and comes back", Event{Action: ActionCutZone, Target: targetZone, For: faultTime}),
 		one("partition-region", "a region is cut off and comes back", Event{Action: ActionCutRegion, Target: targetRegion, For: faultTime}),
-		one("config-race", "two operators make 200 changes at once", Event{Action: ActionRaceOperators}),
+		{Name: "config-race", Summary: "two operators make 200 changes at once", Duration: raceTime,
+			Events: []Event{{At: eventAt, Action: ActionRaceOperators}}},
 		one("drain-zone", "a zone drains as planned", Event{Action: ActionDrainZone, Target: targetZone}),
 		one("drain-server", "a server drains as planned", Event{Action: ActionDrainServer, Target: targetServer}),
 		{Name: "rolling-restart", Summary: "every entry VM is stopped and replaced in turn", Duration: 24 * time.Second,
--- a/internal/entry/meter.go
+++ b/internal/entry/meter.go
@@ -18,6 +18,8 @@
 	shifts      tally.Counter
 	truncations tally.Counter
 	budget      tally.Counter
+	spills      tally.Counter
+	hedges      tally.Counter
 	lookups     tally.Counter
 	tickets     tally.Counter
 }
@@ -31,6 +33,8 @@
 		shifts:      scope.Counter("shifted_requests"),
 		truncations: scope.Counter("truncated_answers"),
 		budget:      scope.Counter("retries_over_budget"),
+		spills:      scope.Counter("spilled_requests"),
+		hedges:      scope.Counter("hedged_requests"),
 		lookups:     scope.Counter("lookups"),
 		tickets:     scope.Counter("tickets_issued"),
 	}
@@ -55,6 +59,9 @@
 	m.scope.Tagged(map[string]string{"reason": string(r)}).Counter("retries").Inc(1)
 }
 
+func (m *meter) hedged()  { m.hedges.Inc(1) }
+func (m *meter) spilled() { m.spills.Inc(1) }
+
 func (m *meter) redirected(r model.Reason) {
 	m.scope.Tagged(map[string]string{"reason": string(r)}).Counter("redirects").Inc(1)
 }
