--- a/internal/config/follow.go
+++ b/internal/config/follow.go
@@ -67,7 +67,7 @@
 	}
 	if !confirmed {
 		decision.Reason = model.ReasonIsolated
-		decision.Detail = fmt.Sprintf("no evidence for %s that the revision in force is the newest: serves its own place only", confirmFor)
+		decision.Detail = fmt.Sprintf("no evidence for %s that the revision in force is the newest: serves its own place only", ConfirmFor)
 		s.scope.Counter("config_isolations").Inc(1)
 	}
 	s.log.Info("confirmation changed", "revision", decision.Revision, "confirmed", confirmed)
