--- a/internal/membership/contact.go
+++ b/internal/membership/contact.go
@@ -122,7 +122,7 @@
 	}
 	n.contacts.introduced[vm] = n.now
 	n.do(SendDelta{To: vm, Delta: Delta{
-		Records:  []Record{n.self},
+		Records:  []Record{n.self.sent(n.now)},
 		Digests:  n.digests(),
 		Exchange: true,
 	}})
--- a/internal/membership/duty.go
+++ b/internal/membership/duty.go
@@ -197,6 +197,7 @@
 // stored returns r without what changes too often for the store.
 func (r Record) stored() Record {
 	r.Seq = 0
+	r.Age = 0
 	if r.State == StateSuspect {
 		r.State = StateAlive
 	}
@@ -232,10 +233,8 @@
 		if !r.valid() {
 			continue
 		}
-		known, ok := n.table.get(r.VM)
-		newer := ok && r.identity().replaces(known.identity())
-		if r.VM == n.self.VM || newer {
-			n.merge(r, true, false)
+		if r.VM == n.self.VM {
+			n.mergeOwnStored(r)
 			continue
 		}
 		if r.State.present() {
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -11,12 +11,13 @@
 	if !r.valid() {
 		return
 	}
+	r = r.received(n.now)
 	if r.VM == n.self.VM {
 		n.mergeSelf(r)
 		return
 	}
 	old, known := n.table.get(r.VM)
-	if known && !r.supersedes(old) {
+	if known && (!r.supersedes(old) || r.isReturnOf(old)) {
 		n.correct(r, old)
 		return
 	}
@@ -36,7 +37,7 @@
 // correct answers a process that does not know of its replacement.
 func (n *Node) correct(r, newer Record) {
 	if n.source == r.VM && newer.identity() != r.identity() {
-		n.do(SendDelta{To: r.VM, Delta: Delta{Records: []Record{newer}}})
+		n.sendRecords(r.VM, []Record{newer}, false)
 	}
 }
 
@@ -44,6 +45,12 @@
 func (n *Node) store(r Record) {
 	old, known := n.table.get(r.VM)
 	replaced := known && old.identity() != r.identity()
+	switch {
+	case replaced:
+		r.addPrevious(old.Incarnation)
+	case known && old.born.Before(r.born):
+		r.born = old.born
+	}
 	n.table.put(r)
 	n.views.dirty = true
 	delete(n.monitor.verdicts, r.VM)
@@ -66,25 +73,6 @@
 	delete(n.spread.differs, vm)
 }
 
-// mergeSelf answers what others say of this VM's own slot.
-func (n *Node) mergeSelf(r Record) {
-	if r.identity() == n.self.identity() {
-		n.refute(r.Seq, r.State)
-		return
-	}
-	later := r.identity().replaces(n.self.identity())
-	switch {
-	case later && r.hasReplaced(n.self.Incarnation):
-		n.yield(r)
-	case later:
-		n.takeOver(r)
-	case !n.self.hasReplaced(r.Incarnation):
-		n.self.addPrevious(r.Incarnation)
-		n.self.Seq++
-		n.announceSelf()
-	}
-}
-
 // refute answers a claim that this process is suspect or dead. A process that
 // was declared dead may have been cut off, so it also takes back its own
 // verdicts on others.
@@ -100,22 +88,6 @@
 	}
 }
 
-// takeOver makes this process the successor of one that knew nothing of it.
-func (n *Node) takeOver(r Record) {
-	n.self.Epoch = r.Epoch + 1
-	n.self.addPrevious(r.Previous...)
-	n.self.addPrevious(r.Incarnation)
-	n.announceSelf()
-}
-
-// yield ends this Node, since another process has taken over the slot.
-func (n *Node) yield(r Record) {
-	n.stopped = true
-	n.self.State = StateDead
-	n.views.dirty = true
-	n.do(Superseded{By: r.Incarnation})
-}
-
 // withdrawVerdicts makes the members alive again that this VM alone declared
 // dead. Those that are dead will be reported by others or found silent again.
 func (n *Node) withdrawVerdicts() {
--- a/internal/membership/monitor.go
+++ b/internal/membership/monitor.go
@@ -199,7 +199,7 @@
 		n.introduce(e.From)
 		return
 	case h.identity() != known.identity():
-		n.do(SendDelta{To: e.From, Delta: Delta{Records: []Record{known}}})
+		n.sendRecords(e.From, []Record{known}, false)
 		return
 	}
 	n.hear(known)
@@ -209,7 +209,7 @@
 		n.refute(h.TargetSeq, h.TargetState)
 	}
 	if h.TargetEpoch < n.self.Epoch {
-		n.do(SendDelta{To: e.From, Delta: Delta{Records: []Record{n.self}}})
+		n.sendRecords(e.From, []Record{n.self}, false)
 	}
 	n.answer(e.From, h, contested)
 	n.report(e.From, h)
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -44,6 +44,8 @@
 
 	self  Record
 	table *table
+	// rivals is since when other processes of this VM's slot are known.
+	rivals map[model.Incarnation]time.Time
 
 	monitor  monitor
 	zones    zoneMonitor
@@ -70,8 +72,10 @@
 			Incarnation: opts.Self.Incarnation,
 			Seq:         1,
 			State:       StateAlive,
+			born:        now,
 		},
-		table: newTable(),
+		table:  newTable(),
+		rivals: map[model.Incarnation]time.Time{},
 	}
 	n.table.put(n.self)
 	n.monitor = newMonitor(now, n.jitter(n.pace.Heartbeat))
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"hash/fnv"
 	"slices"
+	"time"
 
 	"fuchsiaspar/internal/model"
 )
@@ -28,6 +29,33 @@
 	State State
 	// Previous names the newest incarnations that this one has replaced.
 	Previous []model.Incarnation
+	// Age is how long the process had run when the record was sent. It tells
+	// which of two processes of one slot is the replacement. A record that
+	// waited on its way makes its process look younger, never older.
+	Age time.Duration
+	// born is the process's start by the clock of the VM that holds the record.
+	born time.Time
+}
+
+// ageTolerance is the error that the age of a process may have gathered on its
+// way through other VMs.
+const ageTolerance = time.Second
+
+// received returns r as it is kept from now on.
+func (r Record) received(now time.Time) Record {
+	r.born = now.Add(-r.Age)
+	return r
+}
+
+// sent returns r as it is told to another VM.
+func (r Record) sent(now time.Time) Record {
+	r.Age = now.Sub(r.born).Truncate(time.Millisecond)
+	return r
+}
+
+// startedAfter reports whether r is of a process that started after other's.
+func (r Record) startedAfter(other Record) bool {
+	return r.born.Sub(other.born) > ageTolerance
 }
 
 // identity tells the processes of one slot apart.
@@ -79,10 +107,16 @@
 	r.Previous = previous
 }
 
+// isReturnOf reports whether r is of a process that newer has replaced. An
+// earlier process that wakes up may not know that yet.
+func (r Record) isReturnOf(newer Record) bool {
+	return newer.hasReplaced(r.Incarnation) && !r.startedAfter(newer)
+}
+
 // valid reports whether a received record is complete.
 func (r Record) valid() bool {
 	named := r.VM != "" && r.Zone != "" && r.Incarnation != 0
-	return named && r.State >= StateAlive && r.State <= stateLeft
+	return named && r.Age >= 0 && r.State >= StateAlive && r.State <= stateLeft
 }
 
 // hash covers what changes in a record during the life of its process.
--- a/internal/membership/sim_test.go
+++ b/internal/membership/sim_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand"
 	"sort"
 	"testing"
@@ -13,6 +14,9 @@
 	"fuchsiaspar/internal/platform"
 )
 
+// stormPerVM is the count of events a second of one VM that no fault explains.
+const stormPerVM = 200
+
 // sim runs Nodes in virtual time over an in-memory network and store.
 type sim struct {
 	now    time.Time
@@ -23,13 +27,18 @@
 	slots  []Self
 	procs  map[model.VMID]*proc
 	last   map[[2]model.VMID]time.Time
+	// routes holds the process that each VM last heard under a VMID: its link
+	// leads there also when a replacement has started since.
+	routes map[[2]model.VMID]*proc
+	ghosts []*proc
 	// cut reports whether two zones cannot reach one another.
 	cut   func(a, b model.Zone) bool
 	loss  float64
 	store *simStore
 	pace  Intervals
-	// mutate breaks a Node on purpose, to prove that the oracle notices.
-	mutate func(*Node)
+	// spoil breaks a Node after an event on purpose, given its records before,
+	// to prove that the oracle notices.
+	spoil func(n *Node, e Event, before map[model.VMID]Record)
 	// onView checks each published view.
 	onView  func(p *proc, v *View)
 	measure bool
@@ -46,7 +55,9 @@
 	sent     uint64
 	received uint64
 	messages uint64
-	stopped  bool
+	// stopped marks a process that gave its slot up, left one asked to leave.
+	stopped bool
+	left    bool
 }
 
 type simEvent struct {
@@ -109,8 +120,10 @@
 		slots: slots,
 		procs: map[model.VMID]*proc{},
 		last:  map[[2]model.VMID]time.Time{},
-		cut:   func(a, b model.Zone) bool { return false },
-		pace:  DefaultIntervals(),
+
+		routes: map[[2]model.VMID]*proc{},
+		cut:    func(a, b model.Zone) bool { return false },
+		pace:   DefaultIntervals(),
 		store: &simStore{
 			records: map[model.Zone]StoredZone{},
 			holder:  map[model.Zone]platform.LeaseID{},
@@ -127,7 +140,7 @@
 // run lets virtual time pass.
 func (s *sim) run(d time.Duration) {
 	end := s.now.Add(d)
-	for len(s.queue) > 0 && !s.queue[0].at.After(end) {
+	for len(s.queue) > 0 && !s.queue[0].at.After(end) && !s.storm() {
 		e := heap.Pop(&s.queue).(simEvent)
 		s.now = e.at
 		e.run()
@@ -135,9 +148,18 @@
 	s.now = end
 }
 
-// boot starts a new process in a slot; an earlier one is gone.
+// storm reports whether the Nodes exchange far more messages than they should.
+func (s *sim) storm() bool {
+	perSecond := uint64(stormPerVM * len(s.slots))
+	return s.number > perSecond*uint64(10+s.now.Sub(s.start)/time.Second)
+}
+
+// boot starts a new process in a slot. An earlier one is gone, unless it is
+// paused: then it may wake up later.
 func (s *sim) boot(slot Self) *proc {
-	if old := s.procs[slot.VM]; old != nil {
+	if old := s.procs[slot.VM]; old != nil && s.now.Before(old.paused) {
+		s.ghosts = append(s.ghosts, old)
+	} else if old != nil {
 		old.running = false
 	}
 	slot.Incarnation = model.Incarnation(s.rng.Uint64() | 1)
@@ -148,9 +170,6 @@
 		Rand:      rand.New(rand.NewSource(s.rng.Int63())),
 		Intervals: s.pace,
 	}, s.now)
-	if s.mutate != nil {
-		s.mutate(p.node)
-	}
 	s.procs[slot.VM] = p
 	s.at(s.now.Add(time.Duration(s.rng.Int63n(int64(s.pace.Tick)))), func() { s.tick(p) })
 	return p
@@ -193,12 +212,22 @@
 	backlog := p.backlog
 	p.backlog = nil
 	for _, late := range append(backlog, e) {
-		for _, action := range p.node.Step(s.now, late) {
+		for _, action := range s.step(p, late) {
 			s.carryOut(p, action)
 		}
 	}
 }
 
+func (s *sim) step(p *proc, e Event) []Action {
+	if s.spoil == nil {
+		return p.node.Step(s.now, e)
+	}
+	before := maps.Clone(p.node.table.records)
+	actions := p.node.Step(s.now, e)
+	s.spoil(p.node, e, before)
+	return actions
+}
+
 func (s *sim) carryOut(p *proc, action Action) {
 	switch a := action.(type) {
 	case SendHeartbeat:
@@ -221,7 +250,7 @@
 }
 
 func (s *sim) send(p *proc, to model.VMID, kind peer.Kind, body any, e Event) {
-	target := s.procs[to]
+	target := s.route(p.self.VM, to)
 	if target == nil || !target.running || s.cut(p.self.Zone, target.self.Zone) {
 		return
 	}
@@ -240,7 +269,18 @@
 		when = last
 	}
 	s.last[pair] = when
-	s.at(when, func() { s.deliver(target, e) })
+	s.at(when, func() {
+		s.routes[[2]model.VMID{to, p.self.VM}] = p
+		s.deliver(target, e)
+	})
+}
+
+// route returns the process that a message to a VMID reaches.
+func (s *sim) route(from, to model.VMID) *proc {
+	if linked := s.routes[[2]model.VMID{from, to}]; linked != nil && linked.running {
+		return linked
+	}
+	return s.procs[to]
 }
 
 // messageBytes is the size of a message on a link: the body, its envelope and
--- a/internal/membership/spread.go
+++ b/internal/membership/spread.go
@@ -65,7 +65,11 @@
 
 // sendRecords sends records in messages of bounded size.
 func (n *Node) sendRecords(to model.VMID, records []Record, bulk bool) {
-	for chunk := range slices.Chunk(records, maxRecordsPerDelta) {
+	told := make([]Record, 0, len(records))
+	for _, r := range records {
+		told = append(told, r.sent(n.now))
+	}
+	for chunk := range slices.Chunk(told, maxRecordsPerDelta) {
 		n.do(SendDelta{To: to, Delta: Delta{Records: chunk, Bulk: bulk}})
 	}
 }
