Settle rival processes of one slot and stale summaries

Cause: generated histories showed a paused process that came back over its replacement, two processes of a slot that never learned of one another, nodes that judged others by their own pause, and a zone's new leader whose summaries were refused as old. Change: a process yields only to one that names it as replaced, and replaces only one that is surely older or that it has known for 5 s; records keep who was replaced; a node throws away what waited through its own pause; members tell a new leader the newest summary.

--- a/internal/membership/history_test.go
+++ b/internal/membership/history_test.go
@@ -39,7 +39,7 @@
 
 var faultKinds = []func(s *sim, f fault){
 	func(s *sim, f fault) { s.victim(f).running = false },
-	func(s *sim, f fault) { s.boot(s.victim(f).self) },
+	func(s *sim, f fault) { s.replace(s.victim(f)) },
 	func(s *sim, f fault) {
 		s.victim(f).paused = s.now.Add(time.Duration(f.Amount) * 200 * time.Millisecond)
 	},
@@ -56,14 +56,19 @@
 
 func (s *sim) victim(f fault) *proc { return s.procs[s.slots[f.Pick%len(s.slots)].VM] }
 
-// replacePaused pauses a process and starts its replacement, which takes the
-// platform some seconds.
-func (s *sim) replacePaused(p *proc, f fault) {
-	p.paused = s.now.Add(time.Duration(f.Amount) * 200 * time.Millisecond)
+// replace starts another process in a slot, which takes the platform some
+// seconds.
+func (s *sim) replace(p *proc) {
 	s.run(replaceTime)
 	s.boot(p.self)
 }
 
+// replacePaused pauses a process and replaces it. It may wake up later.
+func (s *sim) replacePaused(p *proc, f fault) {
+	p.paused = s.now.Add(time.Duration(f.Amount) * 200 * time.Millisecond)
+	s.replace(p)
+}
+
 func (s *sim) leave(p *proc) {
 	p.left = true
 	s.deliver(p, LeaveRequested{})
@@ -281,7 +286,7 @@
 		return
 	}
 	for _, r := range d.Delta.Records {
-		if known, ok := before[r.VM]; ok && r.VM != n.self.VM && known.identity().replaces(r.identity()) {
+		if known, ok := before[r.VM]; ok && r.VM != n.self.VM && known.identity() != r.identity() {
 			n.table.put(r)
 		}
 	}
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -36,7 +36,14 @@
 
 // correct answers a process that does not know of its replacement.
 func (n *Node) correct(r, newer Record) {
-	if n.source == r.VM && newer.identity() != r.identity() {
+	if newer.identity() == r.identity() {
+		return
+	}
+	if newer.startedAfter(r) && !newer.hasReplaced(r.Incarnation) {
+		newer.addPrevious(r.Incarnation)
+		n.table.put(newer)
+	}
+	if n.source == r.VM {
 		n.sendRecords(r.VM, []Record{newer}, false)
 	}
 }
@@ -45,11 +52,8 @@
 func (n *Node) store(r Record) {
 	old, known := n.table.get(r.VM)
 	replaced := known && old.identity() != r.identity()
-	switch {
-	case replaced:
-		r.addPrevious(old.Incarnation)
-	case known && old.born.Before(r.born):
-		r.born = old.born
+	if known {
+		r.inherit(old)
 	}
 	n.table.put(r)
 	n.views.dirty = true
--- a/internal/membership/monitor.go
+++ b/internal/membership/monitor.go
@@ -41,6 +41,13 @@
 	}
 }
 
+// restart gives every watched VM the full time to be heard.
+func (m *monitor) restart(now time.Time) {
+	for vm := range m.watched {
+		m.watched[vm] = now
+	}
+}
+
 // neighbours returns the members of the zone that this VM watches.
 func (n *Node) neighbours() []model.VMID {
 	ring := n.table.present(n.self.Zone)
@@ -195,7 +202,7 @@
 	h := e.Heartbeat
 	known, ok := n.table.get(e.From)
 	switch {
-	case !ok || h.identity().replaces(known.identity()):
+	case !ok, h.identity() != known.identity() && h.Epoch >= known.Epoch:
 		n.introduce(e.From)
 		return
 	case h.identity() != known.identity():
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -7,6 +7,13 @@
 	"fuchsiaspar/internal/model"
 )
 
+const (
+	// pauseAfter is the time between two steps that counts as a pause.
+	pauseAfter = 700 * time.Millisecond
+	// staleFor is how long messages are thrown away after a pause.
+	staleFor = 50 * time.Millisecond
+)
+
 // Self describes the process that a Node runs in.
 type Self struct {
 	VM          model.VMID
@@ -36,6 +43,9 @@
 	pace Intervals
 	rng  *rand.Rand
 	now  time.Time
+	// staleUntil is set after a pause, until the messages that waited through
+	// it have been thrown away.
+	staleUntil time.Time
 	// source is the sender of the message being handled.
 	source  model.VMID
 	actions []Action
@@ -93,9 +103,13 @@
 	if n.stopped {
 		return nil
 	}
+	n.notePause(now)
 	n.now = now
 	n.actions = nil
 	n.source = ""
+	if n.now.Before(n.staleUntil) && received(event) {
+		return nil
+	}
 	event.apply(n)
 	n.flood()
 	if n.spread.urgent {
@@ -105,6 +119,27 @@
 	return n.actions
 }
 
+// notePause notices that this process has not run for a while. Its silence is
+// then not the others', and what waited for it meanwhile is out of date.
+func (n *Node) notePause(now time.Time) {
+	if now.Sub(n.now) < pauseAfter {
+		return
+	}
+	n.staleUntil = now.Add(staleFor)
+	n.monitor.restart(now)
+	n.zones.restart(now)
+}
+
+// received reports whether an event brings a message of another VM.
+func received(event Event) bool {
+	switch event.(type) {
+	case HeartbeatReceived, DeltaReceived, ProbeReceived:
+		return true
+	default:
+		return false
+	}
+}
+
 func (n *Node) do(a Action) { n.actions = append(n.actions, a) }
 
 // jitter returns a random duration below limit.
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -10,7 +10,7 @@
 )
 
 // maxPrevious bounds the replaced incarnations that a record names.
-const maxPrevious = 4
+const maxPrevious = 8
 
 // Record is what VMs tell one another of the process in one slot.
 type Record struct {
@@ -66,18 +66,25 @@
 
 func (r Record) identity() identity { return identity{r.Epoch, r.Incarnation} }
 
-// replaces reports whether i is a later process than other.
-func (i identity) replaces(other identity) bool {
-	if i.epoch != other.epoch {
-		return i.epoch > other.epoch
+// replaces reports whether r is of a later process than other. A process that
+// learns of its predecessor takes a higher epoch; until then the ages decide.
+func (r Record) replaces(other Record) bool {
+	switch {
+	case r.Epoch != other.Epoch:
+		return r.Epoch > other.Epoch
+	case r.startedAfter(other):
+		return true
+	case other.startedAfter(r):
+		return false
+	default:
+		return r.Incarnation > other.Incarnation
 	}
-	return i.incarnation > other.incarnation
 }
 
 // supersedes reports whether r is newer knowledge than other.
 func (r Record) supersedes(other Record) bool {
 	if r.identity() != other.identity() {
-		return r.identity().replaces(other.identity())
+		return r.replaces(other)
 	}
 	if r.Seq != other.Seq {
 		return r.Seq > other.Seq
@@ -88,6 +95,19 @@
 	return len(r.Previous) > len(other.Previous)
 }
 
+// inherit keeps what an earlier record of the slot tells: which processes have
+// been replaced, and the earliest start that fits the process.
+func (r *Record) inherit(old Record) {
+	r.addPrevious(old.Previous...)
+	if r.identity() != old.identity() {
+		r.addPrevious(old.Incarnation)
+		return
+	}
+	if old.born.Before(r.born) {
+		r.born = old.born
+	}
+}
+
 // hasReplaced reports whether r names incarnation as a predecessor.
 func (r Record) hasReplaced(incarnation model.Incarnation) bool {
 	return slices.Contains(r.Previous, incarnation)
--- a/internal/membership/rival.go
+++ b/internal/membership/rival.go
@@ -50,13 +50,13 @@
 }
 
 // replacedBy reports whether r names this process as replaced. When both name
-// one another, the later identity stays.
+// one another, the one that started later stays.
 func (n *Node) replacedBy(r Record) bool {
 	if !r.hasReplaced(n.self.Incarnation) {
 		return false
 	}
 	mutual := n.self.hasReplaced(r.Incarnation)
-	return !mutual || r.identity().replaces(n.self.identity())
+	return !mutual || r.startedAfter(n.self) || r.replaces(n.self)
 }
 
 // waitedFor reports whether another process of this slot has been known for
@@ -72,13 +72,10 @@
 
 // replace makes this process the successor of another one.
 func (n *Node) replace(r Record) {
-	later := r.identity().replaces(n.self.identity())
-	if !later && n.self.hasReplaced(r.Incarnation) {
+	if n.self.Epoch > r.Epoch && n.self.hasReplaced(r.Incarnation) {
 		return
 	}
-	if later {
-		n.self.Epoch = r.Epoch + 1
-	}
+	n.self.Epoch = max(n.self.Epoch, r.Epoch+1)
 	n.self.addPrevious(r.Previous...)
 	n.self.addPrevious(r.Incarnation)
 	n.self.Seq++
--- a/internal/membership/summary.go
+++ b/internal/membership/summary.go
@@ -35,6 +35,9 @@
 	// sentAt is when the last report or summary went out.
 	sentAt         time.Time
 	verdictChanged bool
+	// outdone asks for a summary that replaces one of another leader, or of an
+	// earlier process of this slot.
+	outdone bool
 }
 
 func newLocalState() localState {
@@ -121,7 +124,7 @@
 	old := l.summaries[n.self.Zone]
 	s := n.summary(old)
 	age := n.now.Sub(l.sentAt)
-	due := old.Leader != n.self.VM || l.verdictChanged ||
+	due := old.Leader != n.self.VM || l.outdone || l.verdictChanged ||
 		!slices.Equal(s.Silent, old.Silent) ||
 		age >= n.pace.Refresh ||
 		age >= minSummaryGap && !sameRevisions(s, old) ||
@@ -129,6 +132,7 @@
 	if !due {
 		return
 	}
+	l.outdone = false
 	l.verdictChanged = false
 	l.sentAt = n.now
 	s.Seq = old.Seq + 1
@@ -263,7 +267,11 @@
 // mergeSummary takes in a zone's summary and passes it on.
 func (n *Node) mergeSummary(s Summary) {
 	known, ok := n.local.summaries[s.Zone]
-	if s.Zone == "" || ok && !s.newerThan(known) {
+	if s.Zone == "" {
+		return
+	}
+	if ok && !s.newerThan(known) {
+		n.correctSummary(s, known)
 		return
 	}
 	n.local.summaries[s.Zone] = s
@@ -273,13 +281,23 @@
 	}
 	n.passSummary(s)
 	switch {
-	case s.Zone != n.self.Zone && n.leads():
+	case s.Zone == n.self.Zone && n.leads():
+		n.local.outdone = true
+	case n.leads():
 		n.verifySilent(s.Silent)
-	case s.Zone == n.self.Zone && !n.leads():
+	case s.Zone == n.self.Zone:
 		n.adoptVerdicts(s.Unreachable)
 	}
 }
 
+// correctSummary tells a new leader, which counts its summaries from an older
+// one or from none, what its zone's newest summary is.
+func (n *Node) correctSummary(s, known Summary) {
+	if n.source == s.Leader && (s.Seq < known.Seq || s.Leader != known.Leader) {
+		n.do(SendDelta{To: s.Leader, Delta: Delta{Summaries: []Summary{known}}})
+	}
+}
+
 // newerThan orders summaries also when two VMs lead a zone for a moment.
 func (s Summary) newerThan(other Summary) bool {
 	if s.Seq != other.Seq {
--- a/internal/membership/zones.go
+++ b/internal/membership/zones.go
@@ -45,6 +45,13 @@
 	}
 }
 
+// restart gives every watched zone the full time to be heard.
+func (z *zoneMonitor) restart(now time.Time) {
+	for zone := range z.watched {
+		z.watched[zone] = now
+	}
+}
+
 // zoneRing returns the zones with running members that can be reached, and
 // this VM's own.
 func (n *Node) zoneRing() []model.Zone {
