Keep asking a VM whose connection went silent, and show owned servers at once

Cause: an idempotent request whose relay connection went silent ended unknown, because the owner VM was then excluded (TestIdempotentRelayLeavesASilentConnection); right after a take-over requests found no owner for up to 100 ms, because loads were read before the assignment (TestOrderSurvivesTheLossOfItsRelay). Change: only a VM that failed otherwise is excluded; loads are read after the servers were assigned. Conclusion: silence of a connection is no longer taken for the loss of a VM.

--- a/internal/control/builder.go
+++ b/internal/control/builder.go
@@ -26,8 +26,6 @@
 	view     *membership.View
 	list     *servers.List
 	stopping bool
-	// loads are those of this VM's own pools.
-	loads []membership.ServiceLoad
 }
 
 // builder derives states and remembers what the last one was made from, so
@@ -43,6 +41,8 @@
 	// expected counts the slots of each place's live servers by owner.
 	expected map[owner.Key]map[model.VMID]int
 	base     base
+	// loads are those of this VM's own pools at the last build.
+	loads []membership.ServiceLoad
 }
 
 // tableKey tells whether the look-up table has to be built again.
@@ -83,11 +83,12 @@
 	if err := b.rebase(in); err != nil {
 		return nil, err
 	}
+	b.loads = b.options.Pools.Loads()
 	state := &entry.State{
 		Config:   in.config,
 		Table:    b.table,
 		Others:   b.base.others.owners,
-		Own:      b.own(in.loads),
+		Own:      b.own(),
 		Members:  b.base.members,
 		Drained:  b.base.drains.accounts,
 		Stopping: in.stopping,
--- a/internal/control/places.go
+++ b/internal/control/places.go
@@ -33,9 +33,9 @@
 }
 
 // own returns this VM as the owner of its servers.
-func (b *builder) own(loads []membership.ServiceLoad) map[owner.Key]entry.Owner {
-	owners := make(map[owner.Key]entry.Owner, len(loads))
-	for _, l := range loads {
+func (b *builder) own() map[owner.Key]entry.Owner {
+	owners := make(map[owner.Key]entry.Owner, len(b.loads))
+	for _, l := range b.loads {
 		if l.Slots > 0 {
 			owners[owner.Key{Service: l.Service, Zone: l.Zone}] = entry.Owner{VM: b.options.Self, Region: b.options.Region, Slots: l.Slots}
 		}
@@ -81,8 +81,8 @@
 
 // tellRouter tells the router what each place can take.
 func (b *builder) tellRouter(in inputs) {
-	own := make(map[owner.Key]membership.ServiceLoad, len(in.loads))
-	for _, l := range in.loads {
+	own := make(map[owner.Key]membership.ServiceLoad, len(b.loads))
+	for _, l := range b.loads {
 		own[owner.Key{Service: l.Service, Zone: l.Zone}] = l
 	}
 	for _, t := range in.config.Document().Templates {
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -192,7 +192,6 @@
 		view:     s.options.Members.View(),
 		list:     s.options.Servers.Current(),
 		stopping: s.stopping.Load(),
-		loads:    s.options.Pools.Loads(),
 	}
 	state, err := s.builder.build(in)
 	if err != nil {
@@ -204,5 +203,5 @@
 		s.options.Limits.ConfirmUntil(until)
 	}
 	s.progress.update(in, s.options.Pools, s.active())
-	s.options.Members.SetLocal(snapshot.Revision(), in.loads)
+	s.options.Members.SetLocal(snapshot.Revision(), s.builder.loads)
 }
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -37,6 +37,8 @@
 	daemons  []*Daemon
 	address  []string
 	backends []*standin.Server
+	// wires holds the connections that each daemon dialled.
+	wires []*wires
 }
 
 func testDocument(vms int) *config.Document {
@@ -113,8 +115,10 @@
 		}
 	}
 	client := f.store.Client(string(testVM(i)))
+	dialled := &wires{}
+	f.wires = append(f.wires, dialled)
 	d, err := New(s, Deps{
-		Store: client, VMs: client, Listener: l, Logger: log.New(io.Discard),
+		Store: client, VMs: client, Listener: l, Logger: log.New(io.Discard), Dial: dialled.dial,
 		Quota: quota.Timing{GrantTTL: 200 * time.Millisecond, Spread: 200 * time.Millisecond},
 	})
 	if err != nil {
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -178,11 +178,13 @@
 	return append(list[:len(list):len(list)], z)
 }
 
+// note remembers a failed attempt. An entry VM that failed without asking a
+// server is not asked again, unless only the connection to it went silent.
 func (p *progress) note(t target, f *Failure) {
 	p.last = f
 	p.mayHaveRun = p.mayHaveRun || f.Outcome != model.OutcomeNotRun
 	p.server = f.server
-	if f.server == "" {
+	if f.server == "" && f.Reason != model.ReasonSilent {
 		p.excluded = append(p.excluded, t.owner.VM)
 	}
 }
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -74,7 +74,7 @@
 	f := backendFailure(err)
 	var e *backend.Error
 	if !errors.As(err, &e) || e.Header == nil {
-		if f.Reason == model.ReasonReset || f.Reason == model.ReasonSilent {
+		if f.Reason == model.ReasonReset {
 			f.Reason = model.ReasonPeerLost
 		}
 		if f.Reason == model.ReasonConnect {
