--- a/internal/config/objects_test.go
+++ b/internal/config/objects_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -138,15 +139,22 @@
 	}
 }
 
-func BenchmarkAdoptChangeOf160kBlocks(b *testing.B) {
+// largeDocument holds 160,000 blocks over 800 accounts.
+func largeDocument() *Document {
+	const accounts, perAccount = 800, 200
 	doc := testDocument()
-	all := manyBlocks(160_000)
+	all := manyBlocks(accounts * perAccount)
 	doc.Accounts = nil
-	for i := range 800 {
+	for i := range accounts {
 		a := testAccount(model.AccountID(fmt.Sprintf("acct%04d", i)), 10)
-		a.Blocks = all[i*200 : (i+1)*200]
+		a.Blocks = all[i*perAccount : (i+1)*perAccount]
 		doc.Accounts = append(doc.Accounts, a)
 	}
+	return doc
+}
+
+func BenchmarkAdoptChangeOf160kBlocks(b *testing.B) {
+	doc := largeDocument()
 	encoded, err := encodeObjects(doc, nil, nil)
 	if err != nil {
 		b.Fatal(err)
@@ -162,6 +170,40 @@
 	}
 }
 
+// BenchmarkFetch160kBlocks builds a version from its objects, as a process
+// that starts does, and reports the memory that the version keeps.
+func BenchmarkFetch160kBlocks(b *testing.B) {
+	encoded, err := encodeObjects(largeDocument(), nil, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	stored := 0
+	for _, data := range encoded.data {
+		stored += len(data)
+	}
+	before := liveHeap()
+	var v *version
+	for b.Loop() {
+		v, err = newVersion(&Head{Commit: Commit{Revision: 1}}, encoded)
+		if err != nil {
+			b.Fatal(err)
+		}
+		v.snapshot = NewSnapshot(v.doc)
+	}
+	b.ReportMetric(float64(liveHeap()-before), "kept-B")
+	b.ReportMetric(float64(stored), "stored-B")
+	runtime.KeepAlive(v)
+	runtime.KeepAlive(encoded)
+}
+
+// liveHeap returns the bytes of the heap in use after a collection.
+func liveHeap() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
 func BenchmarkClassify(b *testing.B) {
 	s := NewSnapshot(testDocument())
 	b.ReportAllocs()
