--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -9,8 +9,12 @@
 	"fuchsiaspar/internal/model"
 )
 
-// maxPrevious bounds the replaced incarnations that a record names.
-const maxPrevious = 8
+const (
+	// maxPrevious bounds the replaced incarnations that a record names.
+	maxPrevious = 8
+	// maxCounter bounds epochs and sequence numbers, so that they never wrap.
+	maxCounter = 1 << 62
+)
 
 // Record is what VMs tell one another of the process in one slot.
 type Record struct {
@@ -143,7 +147,8 @@
 // valid reports whether a received record is complete.
 func (r Record) valid() bool {
 	named := r.VM != "" && r.Zone != "" && r.Incarnation != 0
-	return named && r.Age >= 0 && r.State >= StateAlive && r.State <= stateLeft
+	counted := r.Epoch < maxCounter && r.Seq < maxCounter && r.Age >= 0
+	return named && counted && r.State >= StateAlive && r.State <= stateLeft
 }
 
 // hash covers what changes in a record during the life of its process.
