Test a partition and a crash over sockets

Cause: the times of the simulation leave out dials and silent connections. Change: seven services with real links are cut apart, healed and crashed; the longest wait between two dials is 0.5 s instead of 1 s.

--- a/internal/membership/contact.go
+++ b/internal/membership/contact.go
@@ -1,7 +1,6 @@
 package membership
 
 import (
-	"slices"
 	"time"
 
 	"fuchsiaspar/internal/model"
@@ -18,11 +17,12 @@
 
 // contactBook holds the VMs that this VM may get in touch with.
 type contactBook struct {
-	addresses  map[model.VMID]string
-	order      []model.VMID
-	next       int
-	nextZone   int
-	due        time.Time
+	addresses map[model.VMID]string
+	order     []model.VMID
+	next      int
+	nextZone  int
+	due       time.Time
+	// introduced spaces introductions to one VM.
 	introduced map[model.VMID]time.Time
 }
 
@@ -135,14 +135,4 @@
 			n.contacts.add(model.VMID(vm.ID), vm.Address)
 		}
 	}
-	n.contacts.forgetIntroduced()
-}
-
-// forgetIntroduced bounds the memory of introductions.
-func (b *contactBook) forgetIntroduced() {
-	for vm := range b.introduced {
-		if !slices.Contains(b.order, vm) {
-			delete(b.introduced, vm)
-		}
-	}
 }
--- a/internal/membership/service_test.go
+++ b/internal/membership/service_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,12 +26,13 @@
 // fakeStore is a store that can be down, without watches.
 type fakeStore struct {
 	platform.Store
-	mu      sync.Mutex
-	down    bool
-	entries map[string]platform.Entry
-	leases  map[platform.LeaseID]string
-	next    platform.LeaseID
-	puts    int
+	partition partition
+	mu        sync.Mutex
+	down      bool
+	entries   map[string]platform.Entry
+	leases    map[platform.LeaseID]string
+	next      platform.LeaseID
+	puts      int
 }
 
 func newFakeStore() *fakeStore {
@@ -126,6 +128,14 @@
 
 func (f *fakeStore) VMs(context.Context) ([]platform.VM, error) { return nil, platform.ErrUnavailable }
 
+// partition cuts one zone off when it is set.
+type partition struct{ cut atomic.Bool }
+
+// blocked returns the hook of one VM's links.
+func (p *partition) blocked(self model.VMID, inside map[model.VMID]bool) func(model.VMID) bool {
+	return func(other model.VMID) bool { return p.cut.Load() && inside[self] != inside[other] }
+}
+
 // daemon is one VM with real links.
 type daemon struct {
 	self    Self
@@ -138,7 +148,10 @@
 func startDaemon(t *testing.T, slot Self, incarnation model.Incarnation, store *fakeStore, seeds []Seed) *daemon {
 	t.Helper()
 	d := &daemon{self: slot, ring: explain.NewRing(64)}
-	d.mesh = peer.New(peer.Options{Self: slot.VM, Incarnation: incarnation})
+	d.mesh = peer.New(peer.Options{
+		Self: slot.VM, Incarnation: incarnation,
+		Blocked: store.partition.blocked(slot.VM, map[model.VMID]bool{"vm-0000": true, "vm-0006": true}),
+	})
 	d.server = httptest.NewServer(d.mesh)
 	d.self.Incarnation = incarnation
 	d.self.Address = strings.TrimPrefix(d.server.URL, "http://")
@@ -240,6 +253,30 @@
 	}
 }
 
+func TestPartitionAndCrashOverSockets(t *testing.T) {
+	store := newFakeStore()
+	daemons := startSeven(t, store)
+	inside := []*daemon{daemons[0], daemons[6]}
+	outside := daemons[1:6]
+	alive := func(count int) func(*View) bool {
+		return func(v *View) bool { return countState(v, StateAlive) == count && countState(v, StateDead) == 7-count }
+	}
+	started := time.Now()
+	store.partition.cut.Store(true)
+	await(t, "cut off", inside, alive(2))
+	await(t, "others", outside, alive(5))
+	t.Logf("partition noticed after %s", time.Since(started))
+	started = time.Now()
+	store.partition.cut.Store(false)
+	await(t, "healed", daemons, alive(7))
+	t.Logf("healing noticed after %s", time.Since(started))
+	victim := outside[0]
+	started = time.Now()
+	victim.stop(t)
+	await(t, "crash", append(inside, outside[1:]...), alive(6))
+	t.Logf("crash noticed after %s", time.Since(started))
+}
+
 func TestZoneRecordsLeadToFirstContact(t *testing.T) {
 	store := newFakeStore()
 	first := startDaemon(t, simSlots(1, 1, 1)[0], 1, store, nil)
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -26,7 +26,7 @@
 // Bounds on the delay between two attempts to reach a VM.
 const (
 	minDialDelay = 50 * time.Millisecond
-	maxDialDelay = time.Second
+	maxDialDelay = 500 * time.Millisecond
 )
 
 // Options configure a Mesh. Zero durations and counts take the defaults.
