Measure how fast a revision becomes known; scale the pause limit with ticks

Cause: the time until every VM knows that all have a revision was not measured, and a slow tick setting would have looked like a pause. Change: BenchmarkFleet reports revision-s; a pause is at least four ticks.

--- a/internal/membership/capacity_test.go
+++ b/internal/membership/capacity_test.go
@@ -58,7 +58,8 @@
 	b.ReportMetric(float64(s.store.writes-writes), "storewrites")
 	b.ReportMetric(100*wall.Seconds()/seconds/float64(count), "sim-cpu-%/vm")
 
-	b.ReportMetric(s.timeDeath(b, zones).Seconds(), "death-s")
+	b.ReportMetric(s.timeRevision(b, 2).Seconds(), "revision-s")
+	b.ReportMetric(s.timeDeath(b).Seconds(), "death-s")
 }
 
 // changeLoads gives every VM another load each second, and a new revision once.
@@ -102,8 +103,36 @@
 	b.ReportMetric(float64(leader)/seconds, "leader-max-inout-B/s")
 }
 
+// timeRevision lets all VMs adopt a revision at once and waits until each knows
+// that all have.
+func (s *sim) timeRevision(b *testing.B, revision model.Revision) time.Duration {
+	from := s.now
+	for _, slot := range s.slots {
+		s.deliver(s.procs[slot.VM], LocalUpdated{Revision: revision})
+	}
+	for s.now.Sub(from) < time.Minute {
+		s.run(100 * time.Millisecond)
+		if s.allAt(revision) {
+			return s.now.Sub(from)
+		}
+	}
+	b.Fatal("the revision did not reach all views")
+	return 0
+}
+
+func (s *sim) allAt(revision model.Revision) bool {
+	for _, slot := range s.slots {
+		for _, m := range s.procs[slot.VM].view.Members {
+			if m.Revision != revision {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // timeDeath kills one VM that leads nothing and waits until all have noticed.
-func (s *sim) timeDeath(b *testing.B, zones int) time.Duration {
+func (s *sim) timeDeath(b *testing.B) time.Duration {
 	s.run(5 * time.Second)
 	s.procs[s.slots[len(s.slots)-1].VM].running = false
 	return s.waitAgreed(b, time.Minute)
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -10,6 +10,8 @@
 const (
 	// pauseAfter is the time between two steps that counts as a pause.
 	pauseAfter = 700 * time.Millisecond
+	// pauseTicks is the least count of missed ticks in a pause.
+	pauseTicks = 4
 	// staleFor is how long messages are thrown away after a pause.
 	staleFor = 50 * time.Millisecond
 )
@@ -122,7 +124,7 @@
 // notePause notices that this process has not run for a while. Its silence is
 // then not the others', and what waited for it meanwhile is out of date.
 func (n *Node) notePause(now time.Time) {
-	if now.Sub(n.now) < pauseAfter {
+	if now.Sub(n.now) < max(pauseAfter, pauseTicks*n.pace.Tick) {
 		return
 	}
 	n.staleUntil = now.Add(staleFor)
