--- a/internal/demo/events.go
+++ b/internal/demo/events.go
@@ -19,6 +19,8 @@
 	lapsePeriod = 500 * time.Millisecond
 	// serverDrainAfter is when a drain takes effect after it was proposed.
 	serverDrainAfter = 200 * time.Millisecond
+	// inForceLimit is how long a change may take to be in force everywhere.
+	inForceLimit = 5 * time.Second
 	// drainLimit is how long a drain may take to leave its target without new
 	// work.
 	drainLimit = 3 * time.Second
@@ -36,7 +38,10 @@
 type changeResult struct {
 	revision model.Revision
 	took     time.Duration
-	err      error
+	// inForce is the time from the proposal until every running entry VM that
+	// was not cut off had adopted it.
+	inForce time.Duration
+	err     error
 }
 
 // drainWatch holds the orders that a drained server had started when the drain
@@ -268,9 +273,22 @@
 func (r *run) change(ctx context.Context, e *entryVM, c config.Change) {
 	started := time.Now()
 	result, err := r.fleet.propose(context.WithoutCancel(ctx), e, c)
+	outcome := changeResult{revision: result.Revision, took: time.Since(started), err: err}
+	if err == nil {
+		outcome.inForce = r.awaitInForce(ctx, started, result.Revision)
+	}
 	r.events.mu.Lock()
 	defer r.events.mu.Unlock()
-	r.events.changes = append(r.events.changes, changeResult{revision: result.Revision, took: time.Since(started), err: err})
+	r.events.changes = append(r.events.changes, outcome)
+}
+
+// awaitInForce returns how long after started a revision was in force
+// everywhere, or the bound on the wait.
+func (r *run) awaitInForce(ctx context.Context, started time.Time, revision model.Revision) time.Duration {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), inForceLimit)
+	defer cancel()
+	_ = r.fleet.awaitRevision(ctx, revision)
+	return time.Since(started)
 }
 
 // race makes two operators change accounts at once, count changes each. Every
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -70,6 +70,9 @@
 	Proposed int     `json:"proposed"`
 	Accepted int     `json:"accepted"`
 	MaxMS    float64 `json:"max_ms"`
+	// InForceMaxMS is the longest time from a proposal until it was in force at
+	// every running entry VM; 5000 stands for longer.
+	InForceMaxMS float64 `json:"in_force_max_ms"`
 	// Refused counts the refused changes by their error.
 	Refused map[string]int `json:"refused"`
 }
@@ -190,6 +193,7 @@
 		}
 		c.Accepted++
 		c.MaxMS = max(c.MaxMS, float64(change.took.Microseconds())/1000)
+		c.InForceMaxMS = max(c.InForceMaxMS, float64(change.inForce.Microseconds())/1000)
 	}
 	return c
 }
@@ -213,7 +217,7 @@
 			reasons(p.Refused), reasons(p.Unknown), p.P50MS, p.P99MS, p.P999MS, p.SteadyShare, p.AfterPerSecond)
 	}
 	if r.Changes.Proposed > 0 {
-		fmt.Fprintf(t, "\nchanges\t%d proposed\t%d accepted\tslowest %.0f ms\n", r.Changes.Proposed, r.Changes.Accepted, r.Changes.MaxMS)
+		fmt.Fprintf(t, "\nchanges\t%d proposed\t%d accepted\tslowest %.0f ms\tin force everywhere after at most %.0f ms\n", r.Changes.Proposed, r.Changes.Accepted, r.Changes.MaxMS, r.Changes.InForceMaxMS)
 		for reason, n := range r.Changes.Refused {
 			fmt.Fprintf(t, "\t%d refused: %s\n", n, reason)
 		}
