--- a/internal/backend/standin/work.go
+++ b/internal/backend/standin/work.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"fuchsiaspar/internal/backend"
+	"fuchsiaspar/internal/background"
 )
 
 const (
@@ -169,14 +170,7 @@
 	if d <= 0 {
 		return ctx.Err() == nil
 	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return background.Sleep(ctx, d)
 }
 
 // answer writes as many bytes as the query parameter "bytes" asks for. With
--- /dev/null
+++ b/internal/background/background_test.go
@@ -0,0 +1,62 @@
+package background
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+func TestGroup(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var g Group
+		if g.Go(func(context.Context) {}) {
+			t.Fatal("ran before the start")
+		}
+		if err := g.Stop(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if err := g.Start(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if err := g.Start(t.Context()); !errors.Is(err, ErrStarted) {
+			t.Fatalf("second start: %v", err)
+		}
+		ticks := 0
+		g.Go(func(ctx context.Context) { Every(ctx, time.Second, func(time.Time) { ticks++ }) })
+		g.Go(func(ctx context.Context) {
+			<-ctx.Done()
+			time.Sleep(time.Minute)
+		})
+		time.Sleep(2500 * time.Millisecond)
+		short, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if err := g.Stop(short); !errors.Is(err, ErrRunning) {
+			t.Fatalf("stop of a slow goroutine: %v", err)
+		}
+		if err := g.Stop(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if ticks != 2 {
+			t.Fatalf("%d ticks in 2.5 s, want 2", ticks)
+		}
+		if g.Go(func(context.Context) {}) {
+			t.Fatal("ran after the stop")
+		}
+	})
+}
+
+func TestSleep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		if !Sleep(t.Context(), time.Hour) {
+			t.Fatal("a whole sleep was reported as cut short")
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if Sleep(ctx, time.Hour) {
+			t.Fatal("a sleep that was cut short was reported as whole")
+		}
+	})
+}
--- a/internal/config/service.go
+++ b/internal/config/service.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"fuchsiaspar/internal/background"
 	"fuchsiaspar/internal/explain"
 	"fuchsiaspar/internal/membership"
 	"fuchsiaspar/internal/model"
@@ -76,9 +77,8 @@
 	others  map[model.Zone]zoneEvidence
 	echoes  map[model.VMID]stamp
 
-	kick   chan struct{}
-	cancel context.CancelFunc
-	done   sync.WaitGroup
+	kick  chan struct{}
+	group background.Group
 }
 
 // rules are the decisions that tests replace to prove that they are noticed.
@@ -162,31 +162,17 @@
 // Start begins to follow the newest configuration. Current stays nil until one
 // has been found at the store or a peer.
 func (s *Service) Start(ctx context.Context) error {
-	ctx, s.cancel = context.WithCancel(context.WithoutCancel(ctx))
-	s.done.Go(func() { s.follow(ctx) })
-	s.done.Go(func() { s.watch(ctx) })
-	s.done.Go(func() { s.collectLoop(ctx) })
+	if err := s.group.Start(ctx); err != nil {
+		return err
+	}
+	s.group.Go(s.follow)
+	s.group.Go(s.watch)
+	s.group.Go(s.collectLoop)
 	return nil
 }
 
 // Stop ends following. It waits for the service's goroutines or for ctx.
-func (s *Service) Stop(ctx context.Context) error {
-	if s.cancel == nil {
-		return nil
-	}
-	s.cancel()
-	stopped := make(chan struct{})
-	go func() {
-		s.done.Wait()
-		close(stopped)
-	}()
-	select {
-	case <-stopped:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
+func (s *Service) Stop(ctx context.Context) error { return s.group.Stop(ctx) }
 
 // Current returns the configuration in force, nil before the first adoption.
 func (s *Service) Current() *Snapshot { return s.current.Load() }
--- a/internal/control/poller.go
+++ b/internal/control/poller.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"fuchsiaspar/internal/backend"
+	"fuchsiaspar/internal/background"
 	"fuchsiaspar/internal/health"
 	"fuchsiaspar/internal/model"
 	"fuchsiaspar/internal/owner"
@@ -32,8 +33,7 @@
 	mu       sync.Mutex
 	draining map[model.ServerID]bool
 	version  uint64
-	cancel   context.CancelFunc
-	done     sync.WaitGroup
+	group    background.Group
 }
 
 // NewPoller returns a stopped poller of the servers in pools.
@@ -70,32 +70,18 @@
 }
 
 // Start polls until Stop.
-func (p *Poller) Start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	p.cancel = cancel
-	p.done.Go(func() { p.loop(ctx) })
+func (p *Poller) Start(ctx context.Context) error {
+	if err := p.group.Start(ctx); err != nil {
+		return err
+	}
+	p.group.Go(func(ctx context.Context) {
+		background.Every(ctx, healthInterval, func(time.Time) { p.pollAll(ctx) })
+	})
 	return nil
 }
 
 // Stop ends the polling.
-func (p *Poller) Stop(context.Context) error {
-	p.cancel()
-	p.done.Wait()
-	return nil
-}
-
-func (p *Poller) loop(ctx context.Context) {
-	ticker := time.NewTicker(healthInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			p.pollAll(ctx)
-		}
-	}
-}
+func (p *Poller) Stop(ctx context.Context) error { return p.group.Stop(ctx) }
 
 func (p *Poller) pollAll(ctx context.Context) {
 	targets := p.pools.Targets()
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -5,10 +5,10 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
+	"fuchsiaspar/internal/background"
 	"fuchsiaspar/internal/config"
 	"fuchsiaspar/internal/entry"
 	"fuchsiaspar/internal/explain"
@@ -81,8 +81,7 @@
 	wake     chan struct{}
 	stopping atomic.Bool
 	activity atomic.Pointer[func() int64]
-	cancel   context.CancelFunc
-	done     sync.WaitGroup
+	group    background.Group
 	builder  builder
 	progress progress
 	rebuilds tally.Counter
@@ -121,25 +120,18 @@
 func (s *Service) Confirmed(now time.Time) bool { return s.options.Config.Confirmed(now) }
 
 // Start runs the control goroutine until Stop.
-func (s *Service) Start(context.Context) error {
+func (s *Service) Start(ctx context.Context) error {
 	s.options.Config.Subscribe(func(*config.Snapshot) { s.poke() })
 	s.options.Members.Subscribe(func(*membership.View) { s.poke() })
-	ctx, cancel := context.WithCancel(context.Background())
-	s.cancel = cancel
-	s.done.Add(1)
-	go func() {
-		defer s.done.Done()
-		s.loop(ctx)
-	}()
+	if err := s.group.Start(ctx); err != nil {
+		return err
+	}
+	s.group.Go(s.loop)
 	return nil
 }
 
 // Stop ends the control goroutine.
-func (s *Service) Stop(context.Context) error {
-	s.cancel()
-	s.done.Wait()
-	return nil
-}
+func (s *Service) Stop(ctx context.Context) error { return s.group.Stop(ctx) }
 
 // Leave takes this VM out of look-up answers and hands its servers over. Work
 // in flight goes on.
--- a/internal/daemon/expiry.go
+++ b/internal/daemon/expiry.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
+	"fuchsiaspar/internal/background"
 	"fuchsiaspar/internal/once"
 
 	"github.com/uber-go/tally/v4"
@@ -19,37 +19,20 @@
 	tickets  *once.Registry
 	attempts *once.Attempts
 	scope    tally.Scope
-	cancel   context.CancelFunc
-	done     sync.WaitGroup
+	group    background.Group
 }
 
 // Start drops records until Stop.
-func (e *expiry) Start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	e.cancel = cancel
-	e.done.Go(func() { e.loop(ctx) })
+func (e *expiry) Start(ctx context.Context) error {
+	if err := e.group.Start(ctx); err != nil {
+		return err
+	}
+	e.group.Go(func(ctx context.Context) { background.Every(ctx, expiryInterval, e.expire) })
 	return nil
 }
 
 // Stop ends the dropping.
-func (e *expiry) Stop(context.Context) error {
-	e.cancel()
-	e.done.Wait()
-	return nil
-}
-
-func (e *expiry) loop(ctx context.Context) {
-	ticker := time.NewTicker(expiryInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			e.expire(now)
-		}
-	}
-}
+func (e *expiry) Stop(ctx context.Context) error { return e.group.Stop(ctx) }
 
 func (e *expiry) expire(now time.Time) {
 	e.tickets.Expire(now)
--- a/internal/quota/agent.go
+++ b/internal/quota/agent.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"fuchsiaspar/internal/background"
 	"fuchsiaspar/internal/model"
 
 	"github.com/fxamacker/cbor/v2"
@@ -151,7 +152,7 @@
 			backoff = firstBackoff
 			continue
 		}
-		if !sleep(ctx, a.jitter.around(backoff)) {
+		if !background.Sleep(ctx, a.jitter.around(backoff)) {
 			return
 		}
 		backoff = nextBackoff(backoff, err)
@@ -169,7 +170,7 @@
 // step renews a held lease, or else finds the holder or takes the lease.
 func (a *agent) step(ctx context.Context) error {
 	if a.lease.held() {
-		if !a.renewing && !sleep(ctx, a.jitter.around(keepAliveInterval)) {
+		if !a.renewing && !background.Sleep(ctx, a.jitter.around(keepAliveInterval)) {
 			return nil
 		}
 		return a.renew(ctx)
@@ -195,7 +196,7 @@
 	if a.lease.held() {
 		return nil
 	}
-	if !sleep(ctx, a.jitter.around(a.patience())) {
+	if !background.Sleep(ctx, a.jitter.around(a.patience())) {
 		return nil
 	}
 	select {
@@ -248,7 +249,7 @@
 
 // compete waits for its turn and then takes the lease if it is still free.
 func (a *agent) compete(ctx context.Context) error {
-	if !sleep(ctx, a.turn()) {
+	if !background.Sleep(ctx, a.turn()) {
 		return nil
 	}
 	if err := a.find(ctx); !errors.Is(err, errNoLease) {
--- a/internal/quota/borrow.go
+++ b/internal/quota/borrow.go
@@ -5,19 +5,20 @@
 	"slices"
 	"time"
 
+	"fuchsiaspar/internal/background"
 	"fuchsiaspar/internal/model"
 )
 
 // borrow asks the lenders for what the ledger needs, until ctx ends.
 func (s *Service) borrow(ctx context.Context, pace jitter) {
-	for sleep(ctx, pace.around(s.opts.Timing.borrowInterval())) {
+	for background.Sleep(ctx, pace.around(s.opts.Timing.borrowInterval())) {
 		now := s.opts.Now()
 		demands := s.demandsByLender(now)
 		for _, a := range s.allAgents() {
 			if !a.due(now, demands[a.id]) {
 				continue
 			}
-			s.running.Go(func() { a.ask(ctx, demands[a.id]) })
+			s.group.Go(func(ctx context.Context) { a.ask(ctx, demands[a.id]) })
 		}
 	}
 }
--- a/internal/quota/service.go
+++ b/internal/quota/service.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"fuchsiaspar/internal/background"
 	"fuchsiaspar/internal/config"
 	"fuchsiaspar/internal/explain"
 	"fuchsiaspar/internal/model"
@@ -93,9 +94,7 @@
 	// confirmed is the latest argument of ConfirmUntil.
 	confirmed time.Time
 	agents    map[lenderID]*agent
-	runCtx    context.Context
-	cancel    context.CancelFunc
-	running   sync.WaitGroup
+	group     background.Group
 }
 
 // NewService returns a service that is not started. It registers its handler
@@ -121,36 +120,21 @@
 func (s *Service) Start(ctx context.Context) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.cancel != nil {
-		return ErrStarted
+	if err := s.group.Start(ctx); err != nil {
+		return errors.Wrap(ErrStarted, err.Error())
 	}
-	s.runCtx, s.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	for _, a := range s.agents {
-		s.startAgent(a)
+		s.group.Go(a.run)
 	}
 	pace := s.jitter.fork()
-	s.running.Go(func() { s.borrow(s.runCtx, pace) })
+	s.group.Go(func(ctx context.Context) { s.borrow(ctx, pace) })
 	return nil
 }
 
 // Stop ends lending and borrowing, gives up leases and waits until ctx ends.
 func (s *Service) Stop(ctx context.Context) error {
-	s.mu.Lock()
-	if s.cancel == nil {
-		s.mu.Unlock()
-		return nil
-	}
-	s.cancel()
-	s.mu.Unlock()
-	done := make(chan struct{})
-	go func() {
-		s.running.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
-		return errors.Wrap(ctx.Err(), "quota: stop")
+	if err := s.group.Stop(ctx); err != nil {
+		return errors.Wrap(err, "quota: stop")
 	}
 	for _, a := range s.allAgents() {
 		a.release(ctx)
@@ -207,9 +191,7 @@
 		a.confirmUntil(s.opts.Now(), s.confirmed)
 	}
 	s.agents[id] = a
-	if s.runCtx != nil && s.runCtx.Err() == nil {
-		s.startAgent(a)
-	}
+	s.group.Go(a.run)
 }
 
 // record keeps a change of a lease.
@@ -219,17 +201,11 @@
 	}
 	s.opts.Explain.Record(explain.Decision{
 		At:     s.opts.Now(),
-		VM:     s.opts.Self,
 		Kind:   explain.KindGrant,
 		Detail: detail,
 	})
 }
 
-func (s *Service) startAgent(a *agent) {
-	ctx := s.runCtx
-	s.running.Go(func() { a.run(ctx) })
-}
-
 func (s *Service) agent(id lenderID) *agent {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -273,15 +249,3 @@
 func (j jitter) around(d time.Duration) time.Duration {
 	return d/2 + time.Duration(j.rand.Int64N(int64(d)+1))
 }
-
-// sleep waits for d and reports false when ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -7,10 +7,10 @@
 	"context"
 	"hash/fnv"
 	"math/rand/v2"
-	"sync"
 	"sync/atomic"
 	"time"
 
+	"fuchsiaspar/internal/background"
 	"fuchsiaspar/internal/membership"
 	"fuchsiaspar/internal/model"
 	"fuchsiaspar/internal/peer"
@@ -66,8 +66,7 @@
 	heard   atomic.Int64
 	started time.Time
 	changed chan struct{}
-	cancel  context.CancelFunc
-	done    sync.WaitGroup
+	group   background.Group
 
 	reads    tally.Counter
 	failures tally.Counter
@@ -96,34 +95,19 @@
 // Start reads the list once and keeps it up to date until Stop.
 func (s *Service) Start(ctx context.Context) error {
 	s.poll(ctx)
-	run, cancel := context.WithCancel(context.Background())
-	s.cancel = cancel
-	s.done.Add(1)
-	go func() {
-		defer s.done.Done()
-		s.loop(run)
-	}()
+	if err := s.group.Start(ctx); err != nil {
+		return err
+	}
+	s.group.Go(s.loop)
 	return nil
 }
 
 // Stop ends the updates.
-func (s *Service) Stop(context.Context) error {
-	if s.cancel != nil {
-		s.cancel()
-	}
-	s.done.Wait()
-	return nil
-}
+func (s *Service) Stop(ctx context.Context) error { return s.group.Stop(ctx) }
 
 func (s *Service) loop(ctx context.Context) {
 	announced := time.Now()
-	for {
-		wait := pollInterval + rand.N(pollInterval/10)
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(wait):
-		}
+	for background.Sleep(ctx, pollInterval+rand.N(pollInterval/10)) {
 		if !s.mayRead(time.Now()) {
 			continue
 		}
