Fill buffers of large answers before writing them

Cause: reads of a socket return small pieces, and each was handed to the writer on its own. Change: a buffer is filled first; two buffers of 44 KiB.

--- a/internal/entry/transfer.go
+++ b/internal/entry/transfer.go
@@ -8,7 +8,7 @@
 
 const (
 	// chunkBytes is the size of one buffer of an open transfer.
-	chunkBytes = 32 << 10
+	chunkBytes = 44 << 10
 	// overlapChunks is the count of buffers of a large transfer: one is read
 	// into while another is written out.
 	overlapChunks = 2
@@ -87,9 +87,23 @@
 	return io.ErrUnexpectedEOF
 }
 
+// fill reads until p is full or the source fails. Few large writes cost less
+// than many small ones.
+func fill(src io.Reader, p []byte) (int, error) {
+	n := 0
+	for n < len(p) {
+		m, err := src.Read(p[n:])
+		n += m
+		if err != nil {
+			return n, err
+		}
+	}
+	return n, nil
+}
+
 func readAhead(src io.Reader, free <-chan *[]byte, full chan<- filled) {
 	for buffer := range free {
-		n, err := src.Read(*buffer)
+		n, err := fill(src, *buffer)
 		full <- filled{buffer: buffer, size: n, err: err}
 		if err != nil {
 			break
