--- a/internal/membership/rival.go
+++ b/internal/membership/duplicate.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// rivalWait is how long this VM waits for another process of its slot to
+	// duplicateWait is how long this VM waits for another process of its slot to
 	// prove itself the replacement.
-	rivalWait = 5 * time.Second
+	duplicateWait = 5 * time.Second
 	// freshFor is how long a process that was never paused counts as just
 	// started: nothing can have replaced it yet.
 	freshFor = 10 * time.Second
@@ -61,14 +61,14 @@
 }
 
 // waitedFor reports whether another process of this slot has been known for
-// rivalWait.
-func (n *Node) waitedFor(rival model.Incarnation) bool {
-	since, ok := n.rivals[rival]
+// duplicateWait.
+func (n *Node) waitedFor(duplicate model.Incarnation) bool {
+	since, ok := n.duplicates[duplicate]
 	if !ok {
-		n.rivals[rival] = n.now
+		n.duplicates[duplicate] = n.now
 		return false
 	}
-	return n.now.Sub(since) >= rivalWait
+	return n.now.Sub(since) >= duplicateWait
 }
 
 // replace makes this process the successor of another one.
--- a/internal/membership/history_test.go
+++ b/internal/membership/history_test.go
@@ -98,69 +98,69 @@
 	}, nil)
 }
 
-// judge watches every view that is published. It knows Views only.
-type judge struct {
+// viewChecker watches every view that is published. It knows Views only.
+type viewChecker struct {
 	seen      map[*proc]map[model.VMID][]model.Incarnation
 	leaving   map[*proc]map[model.Incarnation]bool
 	version   map[*proc]uint64
 	violation string
 }
 
-func newJudge() *judge {
-	return &judge{
+func newViewChecker() *viewChecker {
+	return &viewChecker{
 		seen:    map[*proc]map[model.VMID][]model.Incarnation{},
 		leaving: map[*proc]map[model.Incarnation]bool{},
 		version: map[*proc]uint64{},
 	}
 }
 
-func (j *judge) watch(p *proc, v *View) {
-	if j.seen[p] == nil {
-		j.seen[p] = map[model.VMID][]model.Incarnation{}
-		j.leaving[p] = map[model.Incarnation]bool{}
+func (c *viewChecker) watch(p *proc, v *View) {
+	if c.seen[p] == nil {
+		c.seen[p] = map[model.VMID][]model.Incarnation{}
+		c.leaving[p] = map[model.Incarnation]bool{}
 	}
-	if v.Version <= j.version[p] {
-		j.fail("%s published version %d after %d", p.self.VM, v.Version, j.version[p])
+	if v.Version <= c.version[p] {
+		c.fail("%s published version %d after %d", p.self.VM, v.Version, c.version[p])
 	}
-	j.version[p] = v.Version
+	c.version[p] = v.Version
 	for _, m := range v.Members {
-		j.watchMember(p, m)
+		c.watchMember(p, m)
 	}
 }
 
-func (j *judge) watchMember(p *proc, m Member) {
-	incs := j.seen[p][m.VM]
+func (c *viewChecker) watchMember(p *proc, m Member) {
+	incs := c.seen[p][m.VM]
 	newest := len(incs) - 1
 	for i, inc := range incs {
 		if inc == m.Incarnation && i != newest {
-			j.fail("%s shows incarnation %d of %s again", p.self.VM, inc, m.VM)
+			c.fail("%s shows incarnation %d of %s again", p.self.VM, inc, m.VM)
 		}
 	}
 	if newest < 0 || incs[newest] != m.Incarnation {
-		j.seen[p][m.VM] = append(incs, m.Incarnation)
+		c.seen[p][m.VM] = append(incs, m.Incarnation)
 	}
 	if m.State == StateLeaving {
-		j.leaving[p][m.Incarnation] = true
+		c.leaving[p][m.Incarnation] = true
 	}
-	if j.leaving[p][m.Incarnation] && m.CanOwn() {
-		j.fail("%s shows leaving %s as %s", p.self.VM, m.VM, m.State)
+	if c.leaving[p][m.Incarnation] && m.CanOwn() {
+		c.fail("%s shows leaving %s as %s", p.self.VM, m.VM, m.State)
 	}
 }
 
-func (j *judge) fail(format string, args ...any) {
-	if j.violation == "" {
-		j.violation = fmt.Sprintf(format, args...)
+func (c *viewChecker) fail(format string, args ...any) {
+	if c.violation == "" {
+		c.violation = fmt.Sprintf(format, args...)
 	}
 }
 
 // runHistory applies a history to a fresh deployment and returns what was
 // violated, or nothing.
-func runHistory(seed int64, history []fault, spoil func(*Node, Event, map[model.VMID]Record)) string {
+func runHistory(seed int64, history []fault, breakNode func(*Node, Event, map[model.VMID]Record)) string {
 	s := newSim(seed, simSlots(9, 5, 3))
-	s.spoil = spoil
+	s.breakNode = breakNode
 	s.bounded = true
-	j := newJudge()
-	s.onView = j.watch
+	c := newViewChecker()
+	s.onView = c.watch
 	s.bootAll()
 	s.run(6 * time.Second)
 	for _, f := range history {
@@ -171,8 +171,8 @@
 	if s.storm() {
 		return fmt.Sprintf("%d events in %s", s.number, s.now.Sub(s.start))
 	}
-	if j.violation != "" {
-		return j.violation
+	if c.violation != "" {
+		return c.violation
 	}
 	if diff := s.disagreement(); diff != "" {
 		return diff
@@ -192,7 +192,7 @@
 			p.running = false
 		}
 	}
-	for _, p := range s.ghosts {
+	for _, p := range s.replaced {
 		p.paused = time.Time{}
 		if !s.procs[p.self.VM].running {
 			p.running = false
@@ -220,7 +220,7 @@
 			return fmt.Sprintf("the newest process of %s gave its slot up", p.self.VM)
 		}
 	}
-	for _, p := range s.ghosts {
+	for _, p := range s.replaced {
 		if p.running && s.procs[p.self.VM].running {
 			return fmt.Sprintf("two processes of %s run", p.self.VM)
 		}
@@ -268,13 +268,13 @@
 		"suspicion is never withdrawn":  neverWithdraw,
 		"store is written without need": func(n *Node, _ Event, _ map[model.VMID]Record) { n.duty.stored = nil },
 	}
-	for name, spoil := range broken {
+	for name, breakNode := range broken {
 		t.Run(name, func(t *testing.T) {
 			rng := rand.New(rand.NewSource(*historySeed))
 			for range 200 {
 				history, _ := genHistory()(&gopter.GenParameters{Rng: rng, MinSize: 0, MaxSize: maxFaults}).Retrieve()
 				seed := rng.Int63()
-				found := runHistory(seed, history.([]fault), spoil)
+				found := runHistory(seed, history.([]fault), breakNode)
 				if found == "" {
 					continue
 				}
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -57,7 +57,7 @@
 	}
 	n.table.put(r)
 	n.views.dirty = true
-	delete(n.monitor.verdicts, r.VM)
+	delete(n.monitor.declaredDead, r.VM)
 	if replaced {
 		n.forgetProcess(r.VM)
 	}
@@ -79,7 +79,7 @@
 
 // refute answers a claim that this process is suspect or dead. A process that
 // was declared dead may have been cut off, so it also takes back its own
-// verdicts on others.
+// claims on others.
 func (n *Node) refute(seq uint64, claimed State) {
 	wrong := claimed == StateSuspect || !claimed.present()
 	if !wrong || seq < n.self.Seq {
@@ -88,14 +88,14 @@
 	n.self.Seq = seq + 1
 	n.announceSelf()
 	if !claimed.present() {
-		n.withdrawVerdicts()
+		n.withdrawDeaths()
 	}
 }
 
-// withdrawVerdicts makes the members alive again that this VM alone declared
+// withdrawDeaths makes the members alive again that this VM alone declared
 // dead. Those that are dead will be reported by others or found silent again.
-func (n *Node) withdrawVerdicts() {
-	for _, vm := range sortedKeys(n.monitor.verdicts) {
+func (n *Node) withdrawDeaths() {
+	for _, vm := range sortedKeys(n.monitor.declaredDead) {
 		r, _ := n.table.get(vm)
 		if r.State == StateDead {
 			r.State = StateAlive
@@ -103,5 +103,5 @@
 			delete(n.monitor.watched, vm)
 		}
 	}
-	clear(n.monitor.verdicts)
+	clear(n.monitor.declaredDead)
 }
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -39,7 +39,7 @@
 	Target model.VMID
 	// Reached marks the report.
 	Reached bool
-	// Epoch, Incarnation, Seq and State are Target's own words in a report.
+	// Epoch, Incarnation, Seq and State are what Target said of itself, in a report.
 	Epoch       uint64
 	Incarnation model.Incarnation
 	Seq         uint64
--- a/internal/membership/monitor.go
+++ b/internal/membership/monitor.go
@@ -21,8 +21,8 @@
 	// expected to.
 	heard   map[model.VMID]time.Time
 	watched map[model.VMID]time.Time
-	// verdicts are the members that this VM itself declared dead.
-	verdicts map[model.VMID]bool
+	// declaredDead are the members that this VM itself declared dead.
+	declaredDead map[model.VMID]bool
 	// wideUntil is how long all members of the zone are watched, because many
 	// neighbours went silent at once.
 	wideUntil     time.Time
@@ -35,7 +35,7 @@
 	return monitor{
 		heard:         map[model.VMID]time.Time{},
 		watched:       map[model.VMID]time.Time{},
-		verdicts:      map[model.VMID]bool{},
+		declaredDead:  map[model.VMID]bool{},
 		targets:       map[model.VMID]bool{},
 		nextHeartbeat: now.Add(offset),
 	}
@@ -57,7 +57,7 @@
 	return ringNeighbours(ring, n.self.VM, ringWidth)
 }
 
-// tickMonitor judges each neighbour by its silence.
+// tickMonitor assesses each neighbour by its silence.
 func (n *Node) tickMonitor() {
 	neighbours := n.neighbours()
 	n.watchOnly(neighbours)
@@ -66,7 +66,7 @@
 		if n.silence(vm) >= n.pace.SuspectAfter {
 			silent++
 		}
-		n.judge(vm)
+		n.assess(vm)
 	}
 	if silent > 1 && 2*silent >= len(neighbours) {
 		n.monitor.wideUntil = n.now.Add(2 * n.pace.DeadAfter)
@@ -94,13 +94,13 @@
 	return n.now.Sub(last)
 }
 
-func (n *Node) judge(vm model.VMID) {
+func (n *Node) assess(vm model.VMID) {
 	r, _ := n.table.get(vm)
 	silence := n.silence(vm)
 	switch {
 	case silence >= n.pace.DeadAfter:
 		n.claim(r, deadState(r.State))
-		n.monitor.verdicts[vm] = true
+		n.monitor.declaredDead[vm] = true
 	case silence >= n.pace.SuspectAfter && r.State == StateAlive:
 		n.claim(r, StateSuspect)
 	}
@@ -210,7 +210,7 @@
 		return
 	}
 	n.hear(known)
-	n.adoptOwnWords(known, h.Seq, h.State)
+	n.adoptOwnState(known, h.Seq, h.State)
 	contested := n.contested(h)
 	if contested {
 		n.refute(h.TargetSeq, h.TargetState)
@@ -223,8 +223,8 @@
 	n.compareDigest(e.From, h.Digest)
 }
 
-// adoptOwnWords takes in what a process says of itself.
-func (n *Node) adoptOwnWords(known Record, seq uint64, state State) {
+// adoptOwnState takes in what a process says of itself.
+func (n *Node) adoptOwnState(known Record, seq uint64, state State) {
 	own := known
 	own.Seq = seq
 	own.State = state
@@ -279,7 +279,7 @@
 		return
 	}
 	n.hear(known)
-	n.adoptOwnWords(known, e.Probe.Seq, e.Probe.State)
+	n.adoptOwnState(known, e.Probe.Seq, e.Probe.State)
 }
 
 func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -58,8 +58,8 @@
 
 	self  Record
 	table *table
-	// rivals is since when other processes of this VM's slot are known.
-	rivals map[model.Incarnation]time.Time
+	// duplicates is since when other processes of this VM's slot are known.
+	duplicates map[model.Incarnation]time.Time
 
 	monitor  monitor
 	zones    zoneMonitor
@@ -88,8 +88,8 @@
 			State:       StateAlive,
 			born:        now,
 		},
-		table:  newTable(),
-		rivals: map[model.Incarnation]time.Time{},
+		table:      newTable(),
+		duplicates: map[model.Incarnation]time.Time{},
 	}
 	n.table.put(n.self)
 	n.monitor = newMonitor(now, n.jitter(n.pace.Heartbeat))
--- a/internal/membership/sim_test.go
+++ b/internal/membership/sim_test.go
@@ -29,16 +29,16 @@
 	last   map[[2]model.VMID]time.Time
 	// routes holds the process that each VM last heard under a VMID: its link
 	// leads there also when a replacement has started since.
-	routes map[[2]model.VMID]*proc
-	ghosts []*proc
+	routes   map[[2]model.VMID]*proc
+	replaced []*proc
 	// cut reports whether two zones cannot reach one another.
 	cut   func(a, b model.Zone) bool
 	loss  float64
 	store *simStore
 	pace  Intervals
-	// spoil breaks a Node after an event on purpose, given its records before,
+	// breakNode changes a Node after an event on purpose, given its records before,
 	// to prove that the oracle notices.
-	spoil func(n *Node, e Event, before map[model.VMID]Record)
+	breakNode func(n *Node, e Event, before map[model.VMID]Record)
 	// onView checks each published view.
 	onView  func(p *proc, v *View)
 	measure bool
@@ -163,7 +163,7 @@
 // paused: then it may wake up later.
 func (s *sim) boot(slot Self) *proc {
 	if old := s.procs[slot.VM]; old != nil && s.now.Before(old.paused) {
-		s.ghosts = append(s.ghosts, old)
+		s.replaced = append(s.replaced, old)
 	} else if old != nil {
 		old.running = false
 	}
@@ -224,12 +224,12 @@
 }
 
 func (s *sim) step(p *proc, e Event) []Action {
-	if s.spoil == nil {
+	if s.breakNode == nil {
 		return p.node.Step(s.now, e)
 	}
 	before := maps.Clone(p.node.table.records)
 	actions := p.node.Step(s.now, e)
-	s.spoil(p.node, e, before)
+	s.breakNode(p.node, e, before)
 	return actions
 }
 
--- a/internal/membership/summary.go
+++ b/internal/membership/summary.go
@@ -33,11 +33,11 @@
 	reported   Report
 	reportedTo model.VMID
 	// sentAt is when the last report or summary went out.
-	sentAt         time.Time
-	verdictChanged bool
-	// outdone asks for a summary that replaces one of another leader, or of an
+	sentAt              time.Time
+	reachabilityChanged bool
+	// summaryReplaced asks for a summary that replaces one of another leader, or of an
 	// earlier process of this slot.
-	outdone bool
+	summaryReplaced bool
 }
 
 func newLocalState() localState {
@@ -124,7 +124,7 @@
 	old := l.summaries[n.self.Zone]
 	s := n.summary(old)
 	age := n.now.Sub(l.sentAt)
-	due := old.Leader != n.self.VM || l.outdone || l.verdictChanged ||
+	due := old.Leader != n.self.VM || l.summaryReplaced || l.reachabilityChanged ||
 		!slices.Equal(s.Silent, old.Silent) ||
 		age >= n.pace.Refresh ||
 		age >= minSummaryGap && !sameRevisions(s, old) ||
@@ -132,8 +132,8 @@
 	if !due {
 		return
 	}
-	l.outdone = false
-	l.verdictChanged = false
+	l.summaryReplaced = false
+	l.reachabilityChanged = false
 	l.sentAt = n.now
 	s.Seq = old.Seq + 1
 	l.summaries[n.self.Zone] = s
@@ -282,11 +282,11 @@
 	n.passSummary(s)
 	switch {
 	case s.Zone == n.self.Zone && n.leads():
-		n.local.outdone = true
+		n.local.summaryReplaced = true
 	case n.leads():
 		n.verifySilent(s.Silent)
 	case s.Zone == n.self.Zone:
-		n.adoptVerdicts(s.Unreachable)
+		n.adoptReachability(s.Unreachable)
 	}
 }
 
--- a/internal/membership/zones.go
+++ b/internal/membership/zones.go
@@ -20,8 +20,8 @@
 	verifyFor = 5 * time.Second
 )
 
-// zoneMonitor judges whether other zones can be reached. A verdict holds for
-// this zone only: each zone's leader measures for itself, so the verdicts of a
+// zoneMonitor assesses whether other zones can be reached. A finding holds for
+// this zone only: each zone's leader measures for itself, so the findings of a
 // cut-off zone cannot mislead others.
 type zoneMonitor struct {
 	heard   map[model.Zone]time.Time
@@ -29,7 +29,7 @@
 	// verify holds zones that other leaders called silent, with the end of
 	// the watch on them.
 	verify map[model.Zone]time.Time
-	// unreachable is this zone's verdict, from its leader's measurements.
+	// unreachable are the zones that the leader found cut off.
 	unreachable map[model.Zone]bool
 	// silent are the zones in doubt that the next summary names.
 	silent    []model.Zone
@@ -80,7 +80,7 @@
 	return watched
 }
 
-// tickZones judges other zones by their silence.
+// tickZones assesses other zones by their silence.
 func (n *Node) tickZones() {
 	if !n.leads() {
 		clear(n.zones.watched)
@@ -146,7 +146,7 @@
 	}
 	n.views.dirty = true
 	n.spread.urgent = true
-	n.local.verdictChanged = true
+	n.local.reachabilityChanged = true
 	if reachable {
 		delete(n.zones.unreachable, zone)
 		delete(n.zones.watched, zone)
@@ -162,8 +162,8 @@
 	}
 }
 
-// adoptVerdicts takes over the verdicts of this zone's leader.
-func (n *Node) adoptVerdicts(unreachable []model.Zone) {
+// adoptReachability takes over what this zone's leader found.
+func (n *Node) adoptReachability(unreachable []model.Zone) {
 	for _, zone := range n.table.names {
 		cut := slices.Contains(unreachable, zone)
 		if cut == n.zones.unreachable[zone] {
