Tell a hedged request not run only if neither attempt may have run

Ruled out: the caller's own repeats, which carry a lost outcome on; relays, as all three were served by the VM that owned the server. Change: two failures that competed are told together.

--- a/internal/demo/events.go
+++ b/internal/demo/events.go
@@ -260,7 +260,9 @@
 		Operator: "demo",
 		Drains:   []config.Drain{{ID: "demo-drain", Kind: kind, Target: target, Start: start, End: start.Add(time.Hour)}},
 	}
-	r.change(ctx, r.fleet.live()[0], change)
+	if !r.change(ctx, r.fleet.live()[1], change) {
+		return
+	}
 	time.Sleep(time.Until(start.Add(drainLimit)))
 	r.events.mu.Lock()
 	defer r.events.mu.Unlock()
@@ -269,8 +271,9 @@
 	}
 }
 
-// change proposes a change and notes what became of it.
-func (r *run) change(ctx context.Context, e *entryVM, c config.Change) {
+// change proposes a change, notes what became of it and reports whether it was
+// accepted.
+func (r *run) change(ctx context.Context, e *entryVM, c config.Change) bool {
 	started := time.Now()
 	result, err := r.fleet.propose(context.WithoutCancel(ctx), e, c)
 	outcome := changeResult{revision: result.Revision, took: time.Since(started), err: err}
@@ -280,6 +283,7 @@
 	r.events.mu.Lock()
 	defer r.events.mu.Unlock()
 	r.events.changes = append(r.events.changes, outcome)
+	return err == nil
 }
 
 // awaitInForce returns how long after started a revision was in force
--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -115,14 +115,17 @@
 	return end.answer, nil
 }
 
-// race returns the first answer, or the second failure, and cancels the other
-// attempt.
+// race returns the first answer and cancels the other attempt, or what both
+// failures say together.
 func (s *Server) race(ends chan attemptEnd, stopFirst, stopSecond context.CancelFunc) (*answer, *Failure) {
 	stops := map[bool]context.CancelFunc{false: stopFirst, true: stopSecond}
 	end := <-ends
 	if end.failure != nil {
 		stops[end.hedge]()
 		last := <-ends
+		if last.failure != nil {
+			last.failure = joined(end.failure, last.failure)
+		}
 		return s.soleEnd(last, stops[last.hedge])
 	}
 	stops[!end.hedge]()
@@ -134,6 +137,15 @@
 	return s.soleEnd(end, stops[end.hedge])
 }
 
+// joined returns the failure of two attempts at one request. It may have run
+// unless both did not.
+func joined(a, b *Failure) *Failure {
+	if a.Outcome != model.OutcomeNotRun {
+		return a
+	}
+	return b
+}
+
 // again returns the job as a hedge that avoids a server.
 func (j *job) again(exclude model.ServerID) *job {
 	hedge := *j
--- /dev/null
+++ b/internal/entry/hedge_test.go
@@ -0,0 +1,58 @@
+package entry
+
+import (
+	"context"
+	"testing"
+
+	"fuchsiaspar/internal/model"
+)
+
+// TestRaceOfFailures checks that two failed attempts are told not run only if
+// neither may have run, whichever ends first.
+func TestRaceOfFailures(t *testing.T) {
+	unknown := &Failure{Outcome: model.OutcomeUnknown, Reason: model.ReasonSilent}
+	refused := &Failure{Outcome: model.OutcomeNotRun, Reason: model.ReasonDeadline}
+	tests := []struct {
+		desc          string
+		first, second *Failure
+		want          model.Outcome
+	}{
+		{"first may have run", unknown, refused, model.OutcomeUnknown},
+		{"second may have run", refused, unknown, model.OutcomeUnknown},
+		{"neither ran", refused, refused, model.OutcomeNotRun},
+	}
+	for _, test := range tests {
+		for _, hedgeFirst := range []bool{false, true} {
+			t.Run(test.desc, func(t *testing.T) {
+				ends := make(chan attemptEnd, 2)
+				ends <- attemptEnd{failure: test.first, hedge: hedgeFirst}
+				ends <- attemptEnd{failure: test.second, hedge: !hedgeFirst}
+				_, stopFirst := context.WithCancel(t.Context())
+				_, stopSecond := context.WithCancel(t.Context())
+				s := &Server{}
+				_, f := s.race(ends, stopFirst, stopSecond)
+				if f == nil || f.Outcome != test.want {
+					t.Fatalf("got %v, want outcome %s", f, test.want)
+				}
+			})
+		}
+	}
+}
+
+// TestFinalOutcome checks that a request of which one attempt may have run is
+// never told not run.
+func TestFinalOutcome(t *testing.T) {
+	refused := &Failure{Outcome: model.OutcomeNotRun, Reason: model.ReasonNoServer}
+	p := &progress{}
+	if f := p.final(refused); f.Outcome != model.OutcomeNotRun {
+		t.Fatalf("nothing was tried: outcome %s", f.Outcome)
+	}
+	p.note(target{}, &Failure{Outcome: model.OutcomeUnknown, Reason: model.ReasonReset})
+	p.note(target{}, refused)
+	if f := p.final(refused); f.Outcome != model.OutcomeUnknown || f.Reason != model.ReasonNoServer {
+		t.Fatalf("an attempt may have run: %v", f)
+	}
+	if refused.Outcome != model.OutcomeNotRun {
+		t.Fatal("the shared failure was changed")
+	}
+}
