End a process whose slot a newer one has taken over

Cause: membership told when another process had taken over the slot, and nobody listened; two processes of one slot spend its floor shares of caps twice. Change: the older process ends at once with exit code 2. Conclusion: a slot has one spender.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -84,11 +84,13 @@
 	entry   *entry.Server
 	tickets *once.Registry
 	server  *httpServer
+	// superseded is closed once a newer process has taken over this VM's slot.
+	superseded chan struct{}
 }
 
 // New assembles a daemon that has not started.
 func New(s settings.Settings, deps Deps) (*Daemon, error) {
-	d := &Daemon{settings: s, kernel: kernel.New(), logger: deps.Logger}
+	d := &Daemon{settings: s, kernel: kernel.New(), logger: deps.Logger, superseded: make(chan struct{})}
 	b := assembly{daemon: d, settings: s, deps: deps}
 	if err := b.assemble(); err != nil {
 		return nil, err
@@ -215,6 +217,9 @@
 		Logger:  b.deps.Logger.WithPrefix("membership"),
 		Scope:   b.metrics.Scope,
 		Explain: b.ring,
+		OnSuperseded: func(by model.Incarnation) {
+			go b.daemon.giveWay(by)
+		},
 	})
 	return b.add(NameMembers, b.members)
 }
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -82,10 +82,7 @@
 	f.store.SetVM(platform.VM{ID: "desk-1", Role: platform.RoleBackend, Zone: testZone, Address: server.Address(), Service: "desk", State: platform.VMLive})
 	listeners := make([]net.Listener, vms)
 	for i := range vms {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
+		l := listen(t)
 		listeners[i] = l
 		f.address = append(f.address, l.Addr().String())
 	}
@@ -96,6 +93,16 @@
 	return f
 }
 
+// listen binds a port that the kernel chooses.
+func listen(t testing.TB) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
 // testServiceTime makes a path that starts with /order/slow take a while.
 func testServiceTime(path string) time.Duration {
 	if path == "/order/slow" || path == "/lookup/slow" {
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -20,6 +20,9 @@
 	exitFailed   = 2
 )
 
+// ErrSuperseded reports that a newer process runs under this VM's name.
+var ErrSuperseded = errors.New("another process has taken over this VM's slot")
+
 // startTimeout bounds the start of all services.
 const startTimeout = 30 * time.Second
 
@@ -94,6 +97,10 @@
 		return errors.Wrap(err, "start")
 	}
 	logger.Info("started", "zone", s.VM.Zone, "region", s.VM.Region, "address", s.VM.Listen)
-	<-ctx.Done()
-	return d.Stop(context.WithoutCancel(ctx))
+	select {
+	case <-d.superseded:
+		return ErrSuperseded
+	case <-ctx.Done():
+		return d.Stop(context.WithoutCancel(ctx))
+	}
 }
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"fuchsiaspar/internal/model"
 )
 
 // drainPoll is how often a leaving daemon looks whether work is in flight.
@@ -56,3 +58,11 @@
 	cancel()
 	_ = d.kernel.Stop(ctx)
 }
+
+// giveWay ends the process at once after a newer one has taken over its slot:
+// two processes of one slot would spend its floor shares twice.
+func (d *Daemon) giveWay(by model.Incarnation) {
+	d.logger.Error("superseded", "vm", d.settings.VM.Name, "by", uint64(by))
+	d.Kill()
+	close(d.superseded)
+}
