Take the hedge apart into small steps

Cause: one function of 45 lines started, timed and joined attempts, and counted failures as latencies of answers. Change: a contest of attempts with short methods; only answers feed the timer. Before and after: TestRaceOfFailures and the daemon's tests pass as before. Conclusion: none beyond that.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -37,25 +37,33 @@
 
 // Names under which services are registered.
 const (
-	NameMetrics    = "core.metrics"
-	NameExplain    = "core.explain"
-	NameLinks      = "peer.links"
-	NameMembers    = "peer.members"
-	NameConfig     = "config.agreement"
-	NameServers    = "platform.servers"
-	NameLimits     = "quota.limits"
-	NamePools      = "owner.pools"
-	NameBackends   = "backend.client"
-	NamePoller     = "backend.poller"
-	NameControl    = "control.state"
-	NameEntry      = "entry.path"
-	NameExpiry     = "once.expiry"
-	NameFleet      = "operator.fleet"
-	NameHTTP       = "entry.http"
+	NameMetrics  = "core.metrics"
+	NameExplain  = "core.explain"
+	NameLinks    = "peer.links"
+	NameMembers  = "peer.members"
+	NameConfig   = "config.agreement"
+	NameServers  = "platform.servers"
+	NameLimits   = "quota.limits"
+	NamePools    = "owner.pools"
+	NameBackends = "backend.client"
+	NamePoller   = "backend.poller"
+	NameControl  = "control.state"
+	NameEntry    = "entry.path"
+	NameExpiry   = "once.expiry"
+	NameFleet    = "operator.fleet"
+	NameHTTP     = "entry.http"
+)
+
+const (
+	// explainEntries is the count of decisions that are kept.
 	explainEntries = 4096
-	retryPercent   = 10
-	tokenValidity  = 15 * time.Second
-	maxAttempts    = 65_536
+	// retryPercent bounds retries of services whose template is not known yet.
+	retryPercent = 10
+	// tokenValidity is the age up to which tokens of relayed attempts are
+	// accepted.
+	tokenValidity = 15 * time.Second
+	// maxAttempts bounds the relayed attempts that are remembered.
+	maxAttempts = 65_536
 	// keptAnswers is the count of whole kept answers that fit in memory.
 	keptAnswers = 256
 )
--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"sync/atomic"
 	"time"
 
@@ -15,41 +16,22 @@
 	timers atomic.Pointer[map[model.ServiceName]*retry.HedgeTimer]
 }
 
-// timer returns the timer of a service, nil before set knew it.
+// timer returns the timer of a service.
 func (h *hedges) timer(service model.ServiceName) *retry.HedgeTimer {
-	timers := h.timers.Load()
-	if timers == nil {
-		return nil
-	}
-	return (*timers)[service]
-}
-
-// add makes sure that a service has a timer.
-func (h *hedges) add(service model.ServiceName) *retry.HedgeTimer {
 	for {
 		old := h.timers.Load()
+		if old != nil && (*old)[service] != nil {
+			return (*old)[service]
+		}
 		next := make(map[model.ServiceName]*retry.HedgeTimer)
 		if old != nil {
-			for name, timer := range *old {
-				next[name] = timer
-			}
-		}
-		if next[service] == nil {
-			next[service] = retry.NewHedgeTimer()
-		}
-		if h.timers.CompareAndSwap(old, &next) {
-			return next[service]
+			maps.Copy(next, *old)
 		}
+		next[service] = retry.NewHedgeTimer()
+		h.timers.CompareAndSwap(old, &next)
 	}
 }
 
-// attemptEnd is how one of two competing attempts ended.
-type attemptEnd struct {
-	answer  *answer
-	failure *Failure
-	hedge   bool
-}
-
 // hedgeable reports whether a second attempt may compete with the first: the
 // request is urgent and idempotent, its body can be sent again, and this VM
 // owns the server, so that it can choose another one.
@@ -62,85 +44,122 @@
 // more on another server. The first answer wins and the other attempt is
 // cancelled.
 func (s *Server) runHedged(ctx context.Context, q *request, j *job) (*answer, *Failure) {
-	timer := s.hedges.timer(q.service)
-	if timer == nil {
-		timer = s.hedges.add(q.service)
-	}
-	started := make(chan model.ServerID, 1)
-	j.onSlot = func(id model.ServerID) { started <- id }
-	ends := make(chan attemptEnd, 2)
-	first, stopFirst := context.WithCancel(ctx)
-	go func() {
-		a, f := s.run(first, j)
-		ends <- attemptEnd{answer: a, failure: f}
-	}()
-	var server model.ServerID
+	c := newContest()
+	slot := make(chan model.ServerID, 1)
+	j.onSlot = func(id model.ServerID) { slot <- id }
+	c.enter(ctx, s, j)
 	select {
-	case end := <-ends:
-		return s.soleEnd(end, stopFirst)
-	case server = <-started:
+	case end := <-c.ends:
+		c.ends <- end
+		return c.result()
+	case server := <-slot:
+		return s.watch(ctx, q, c, j.again(server))
 	}
+}
+
+// watch waits for the first attempt and enters the hedge when the attempt
+// outlasts most others and the retry budget allows it.
+func (s *Server) watch(ctx context.Context, q *request, c *contest, hedge *job) (*answer, *Failure) {
+	timer := s.hedges.timer(q.service)
 	begun := time.Now()
-	wait, ok := timer.Delay(begun, q.deadline)
-	if !ok {
-		wait = time.Until(q.deadline)
-	}
-	select {
-	case end := <-ends:
-		timer.Observe(time.Since(begun))
-		return s.soleEnd(end, stopFirst)
-	case <-time.After(wait):
+	delay, ok := timer.Delay(begun, q.deadline)
+	if ok && c.outlasts(delay) && s.options.Retries.Take(time.Now(), q.service, q.priority) {
+		s.meter.hedged()
+		c.enter(ctx, s, hedge)
 	}
-	if !ok || !s.options.Retries.Take(time.Now(), q.service, q.priority) {
-		end := <-ends
+	a, f := c.result()
+	if f == nil {
 		timer.Observe(time.Since(begun))
-		return s.soleEnd(end, stopFirst)
 	}
-	s.meter.hedged()
-	second, stopSecond := context.WithCancel(ctx)
+	return a, f
+}
+
+// contest is one or two attempts at a request that compete.
+type contest struct {
+	ends  chan attemptEnd
+	stops []context.CancelFunc
+	// running counts the attempts whose ends were not taken yet.
+	running int
+}
+
+// attemptEnd is how the attempt with an index ended.
+type attemptEnd struct {
+	index   int
+	answer  *answer
+	failure *Failure
+}
+
+// maxContestants is the count of attempts that may compete.
+const maxContestants = 2
+
+func newContest() *contest {
+	return &contest{ends: make(chan attemptEnd, maxContestants)}
+}
+
+// enter starts an attempt.
+func (c *contest) enter(ctx context.Context, s *Server, j *job) {
+	ctx, stop := context.WithCancel(ctx)
+	index := len(c.stops)
+	c.stops = append(c.stops, stop)
+	c.running++
 	go func() {
-		a, f := s.run(second, j.again(server))
-		ends <- attemptEnd{answer: a, failure: f, hedge: true}
+		a, f := s.run(ctx, j)
+		c.ends <- attemptEnd{index: index, answer: a, failure: f}
 	}()
-	return s.race(ends, stopFirst, stopSecond)
 }
 
-// soleEnd ties the context of the only attempt to its answer's body.
-func (s *Server) soleEnd(end attemptEnd, stop context.CancelFunc) (*answer, *Failure) {
-	if end.failure != nil {
-		stop()
-		return nil, end.failure
+// outlasts reports whether no attempt ends within delay.
+func (c *contest) outlasts(delay time.Duration) bool {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case end := <-c.ends:
+		c.ends <- end
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// result returns the first answer and cancels the other attempt, or what the
+// failures of all say together.
+func (c *contest) result() (*answer, *Failure) {
+	var lost *Failure
+	for c.running > 0 {
+		end := <-c.ends
+		c.running--
+		if end.failure == nil {
+			c.dismiss(end.index)
+			end.answer.body = &stopBody{ReadCloser: end.answer.body, stop: c.stops[end.index]}
+			return end.answer, nil
+		}
+		c.stops[end.index]()
+		lost = joined(lost, end.failure)
 	}
-	end.answer.body = &stopBody{ReadCloser: end.answer.body, stop: stop}
-	return end.answer, nil
-}
-
-// race returns the first answer and cancels the other attempt, or what both
-// failures say together.
-func (s *Server) race(ends chan attemptEnd, stopFirst, stopSecond context.CancelFunc) (*answer, *Failure) {
-	stops := map[bool]context.CancelFunc{false: stopFirst, true: stopSecond}
-	end := <-ends
-	if end.failure != nil {
-		stops[end.hedge]()
-		last := <-ends
-		if last.failure != nil {
-			last.failure = joined(end.failure, last.failure)
+	return nil, lost
+}
+
+// dismiss cancels all attempts but the winner and closes their answers.
+func (c *contest) dismiss(winner int) {
+	for i, stop := range c.stops {
+		if i != winner {
+			stop()
 		}
-		return s.soleEnd(last, stops[last.hedge])
 	}
-	stops[!end.hedge]()
+	if c.running == 0 {
+		return
+	}
 	go func() {
-		if loser := <-ends; loser.answer != nil {
+		if loser := <-c.ends; loser.answer != nil {
 			_ = loser.answer.body.Close()
 		}
 	}()
-	return s.soleEnd(end, stops[end.hedge])
 }
 
 // joined returns the failure of two attempts at one request. It may have run
 // unless both did not.
 func joined(a, b *Failure) *Failure {
-	if a.Outcome != model.OutcomeNotRun {
+	if a != nil && a.Outcome != model.OutcomeNotRun {
 		return a
 	}
 	return b
--- a/internal/entry/hedge_test.go
+++ b/internal/entry/hedge_test.go
@@ -22,15 +22,14 @@
 		{"neither ran", refused, refused, model.OutcomeNotRun},
 	}
 	for _, test := range tests {
-		for _, hedgeFirst := range []bool{false, true} {
+		for first := range 2 {
 			t.Run(test.desc, func(t *testing.T) {
-				ends := make(chan attemptEnd, 2)
-				ends <- attemptEnd{failure: test.first, hedge: hedgeFirst}
-				ends <- attemptEnd{failure: test.second, hedge: !hedgeFirst}
-				_, stopFirst := context.WithCancel(t.Context())
-				_, stopSecond := context.WithCancel(t.Context())
-				s := &Server{}
-				_, f := s.race(ends, stopFirst, stopSecond)
+				c := newContest()
+				c.running = 2
+				c.stops = []context.CancelFunc{func() {}, func() {}}
+				c.ends <- attemptEnd{index: first, failure: test.first}
+				c.ends <- attemptEnd{index: 1 - first, failure: test.second}
+				_, f := c.result()
 				if f == nil || f.Outcome != test.want {
 					t.Fatalf("got %v, want outcome %s", f, test.want)
 				}
