--- a/internal/control/builder_test.go
+++ b/internal/control/builder_test.go
@@ -113,6 +113,27 @@
 	}
 }
 
+func TestLoadOfALargeZoneComesFromItsSums(t *testing.T) {
+	in := size{zones: 2, vmsPerZone: 5, serversPerZone: 5}.inputs()
+	in.view.Zones = []membership.ZoneStatus{{
+		Zone: zoneName(1), Reachable: true,
+		Load: []membership.ServiceLoad{{Service: "desk", Zone: zoneName(1), Slots: 12, Busy: 7, Queued: 2}},
+	}}
+	b := testBuilder()
+	state := mustBuild(t, b, in)
+	load := b.base.others.loads[owner.Key{Service: "desk", Zone: zoneName(1)}]
+	if load.Slots != 12 || load.Busy != 7 || load.Queued != 2 {
+		t.Fatalf("load %+v, want the zone's sums", load)
+	}
+	slots := 0
+	for _, o := range ownersOf(state, zoneName(1)) {
+		slots += o.Slots
+	}
+	if slots != 15 {
+		t.Fatalf("computed owners have %d slots, want those of 5 servers", slots)
+	}
+}
+
 func TestLossOfAZonesVMs(t *testing.T) {
 	in := size{zones: 2, vmsPerZone: 1, serversPerZone: 2}.inputs()
 	b := testBuilder()
--- a/internal/control/places.go
+++ b/internal/control/places.go
@@ -29,9 +29,26 @@
 		}
 	}
 	b.expectOwners(in, &p)
+	b.addZoneSums(in, &p)
 	return p
 }
 
+// addZoneSums takes the load of places in other, large zones from the zone's
+// sums, since the members of a large zone are not reported one by one.
+func (b *builder) addZoneSums(in inputs, p *places) {
+	for _, z := range in.view.Zones {
+		if z.Zone == b.options.Zone || !z.Reachable {
+			continue
+		}
+		for _, l := range z.Load {
+			key := owner.Key{Service: l.Service, Zone: l.Zone}
+			if !p.reported[key] && len(p.owners[key]) > 0 {
+				p.loads[key] = l
+			}
+		}
+	}
+}
+
 // own returns this VM as the owner of its servers.
 func (b *builder) own() map[owner.Key]entry.Owner {
 	owners := make(map[owner.Key]entry.Owner, len(b.loads))
@@ -61,6 +78,14 @@
 	}
 }
 
+// expect adds an owner that has not reported.
+func (p *places) expect(key owner.Key, o entry.Owner) {
+	p.owners[key] = append(p.owners[key], o)
+	sum := p.loads[key]
+	sum.Slots += o.Slots
+	p.loads[key] = sum
+}
+
 // expectOwners adds the computed owners of the servers in places that nobody
 // reports on.
 func (b *builder) expectOwners(in inputs, p *places) {
@@ -73,8 +98,7 @@
 			if !ok || vm == b.options.Self {
 				continue
 			}
-			load := membership.ServiceLoad{Service: key.Service, Zone: key.Zone, Slots: slots}
-			p.add(entry.Owner{VM: vm, Region: m.Region, Address: m.Address}, []membership.ServiceLoad{load})
+			p.expect(key, entry.Owner{VM: vm, Region: m.Region, Address: m.Address, Slots: slots})
 		}
 	}
 }
