Keep the names and rules of headers in one package

Cause: the list of headers of one connection and the names of three headers stood in package header and again in package backend. Change: package header has them; backend's names follow it. Conclusion: none beyond that.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"fuchsiaspar/internal/header"
 	"fuchsiaspar/internal/model"
 )
 
@@ -73,7 +74,7 @@
 	}
 	u.Scheme = "http"
 	u.Host = target.Address
-	out := &http.Request{Method: req.Method, URL: u, Host: target.Address, Header: endToEnd(req.Header)}
+	out := &http.Request{Method: req.Method, URL: u, Host: target.Address, Header: header.EndToEnd(req.Header)}
 	out.Header.Set(HeaderAttempt, string(req.Attempt))
 	out.Header.Del(HeaderDeadline)
 	if !req.Deadline.IsZero() {
@@ -252,7 +253,7 @@
 		Outcome:  model.OutcomeNotRun,
 		Reason:   model.ReasonShed,
 		Draining: draining,
-		Header:   endToEnd(resp.Header),
+		Header:   header.EndToEnd(resp.Header),
 	}
 }
 
--- a/internal/backend/protocol.go
+++ b/internal/backend/protocol.go
@@ -1,18 +1,21 @@
 package backend
 
 import (
+	"net/http"
+
+	"fuchsiaspar/internal/header"
 	"fuchsiaspar/internal/model"
 )
 
 // Headers of the protocol towards backend servers.
 const (
 	// HeaderAttempt names the attempt in a request and is echoed in its answer.
-	HeaderAttempt = "Fuchsiaspar-Attempt"
+	HeaderAttempt = header.Attempt
 	// HeaderDeadline is the remaining time for a request in milliseconds.
-	HeaderDeadline = "Fuchsiaspar-Deadline-Ms"
+	HeaderDeadline = header.DeadlineMS
 	// HeaderNotStarted is "true" in a 503 answer to a request that the server
 	// did not start and never will.
-	HeaderNotStarted = "Fuchsiaspar-Not-Started"
+	HeaderNotStarted = header.NotStarted
 	// HeaderDraining is "true" in any answer of a server that is leaving.
 	HeaderDraining = "Fuchsiaspar-Draining"
 	// HeaderInstance names the process of a backend server. It differs after
@@ -77,3 +80,15 @@
 		return model.OutcomeUnknown
 	}
 }
+
+// answerHeaders are between the server and this client and are not passed on.
+var answerHeaders = []string{HeaderAttempt, HeaderInstance, HeaderNotStarted, HeaderDraining}
+
+// forCaller returns a copy of the headers of an answer that its caller may see.
+func forCaller(h http.Header) http.Header {
+	out := header.EndToEnd(h)
+	for _, name := range answerHeaders {
+		delete(out, name)
+	}
+	return out
+}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -20,10 +20,6 @@
 // minAttemptTime is the least time left that is worth another attempt.
 const minAttemptTime = 2 * time.Millisecond
 
-func deadlineContext(parent context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
-	return context.WithDeadline(parent, deadline)
-}
-
 // progress is what the attempts at one request have found so far.
 type progress struct {
 	tried    []model.Zone
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -79,7 +79,7 @@
 // runOnce runs the request to its end even when the caller goes away, since a
 // repeat may come for the answer.
 func (s *Server) runOnce(w http.ResponseWriter, r *http.Request, q *request, id once.TicketID) {
-	ctx, cancel := deadlineContext(context.WithoutCancel(r.Context()), q.deadline)
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(r.Context()), q.deadline)
 	defer cancel()
 	a, f := s.dispatch(ctx, q)
 	if f != nil {
@@ -126,7 +126,7 @@
 
 // join waits for the run of an earlier copy of the request.
 func (s *Server) join(w http.ResponseWriter, r *http.Request, q *request, claim once.Claim) {
-	ctx, cancel := deadlineContext(r.Context(), q.deadline.Add(joinPatience))
+	ctx, cancel := context.WithDeadline(r.Context(), q.deadline.Add(joinPatience))
 	defer cancel()
 	result, err := claim.Wait(ctx)
 	if err != nil {
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -49,7 +49,7 @@
 	if !j.work.Idempotent {
 		parent = context.WithoutCancel(parent)
 	}
-	ctx, cancel := deadlineContext(parent, j.deadline)
+	ctx, cancel := context.WithDeadline(parent, j.deadline)
 	defer cancel()
 	a, f := s.run(ctx, &j.job)
 	if f != nil {
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -135,7 +135,7 @@
 		s.fail(w, q, unknownTicket("the entry VM that issued the ticket is gone"))
 		return
 	}
-	ctx, cancel := deadlineContext(r.Context(), q.deadline)
+	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
 	a, f := s.forwardTo(ctx, q, to, member)
 	if f != nil {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -105,7 +106,7 @@
 		s.fail(w, q, refuse(http.StatusBadRequest, model.ReasonMalformed, "the request body ended early"))
 		return
 	}
-	ctx, cancel := deadlineContext(r.Context(), q.deadline)
+	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
 	a, f := s.dispatch(ctx, q)
 	if f != nil {
--- a/internal/header/header.go
+++ b/internal/header/header.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/http"
+	"net/textproto"
 	"strings"
 )
 
@@ -67,35 +68,37 @@
 // prefix starts every header of this package.
 const prefix = "Fuchsiaspar-"
 
-// hopByHop are the headers that belong to one connection (RFC 9110, 7.6.1).
+// hopByHop are the headers that belong to one connection (RFC 9110, 7.6.1), and
+// Expect, which is answered on each.
 var hopByHop = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
 }
 
-// CopyEndToEnd adds to dst the headers of src that belong to the request or
-// answer itself, without those of one connection or of this package.
-func CopyEndToEnd(dst, src http.Header) {
-	for name, values := range src {
-		if strings.HasPrefix(name, prefix) || isHopByHop(name, src) {
-			continue
+// EndToEnd returns a copy of h without the headers of one connection. The
+// values are shared.
+func EndToEnd(h http.Header) http.Header {
+	out := make(http.Header, len(h))
+	for name, values := range h {
+		out[name] = values
+	}
+	for _, list := range h["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			delete(out, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
 		}
-		dst[name] = append([]string(nil), values...)
 	}
+	for _, name := range hopByHop {
+		delete(out, name)
+	}
+	return out
 }
 
-func isHopByHop(name string, h http.Header) bool {
-	for _, n := range hopByHop {
-		if n == name {
-			return true
-		}
-	}
-	for _, list := range h["Connection"] {
-		for _, n := range strings.Split(list, ",") {
-			if strings.EqualFold(strings.TrimSpace(n), name) {
-				return true
-			}
+// CopyEndToEnd adds to dst the headers of src that belong to the request or
+// answer itself, without those of one connection or of this package.
+func CopyEndToEnd(dst, src http.Header) {
+	for name, values := range EndToEnd(src) {
+		if !strings.HasPrefix(name, prefix) {
+			dst[name] = append([]string(nil), values...)
 		}
 	}
-	return false
 }
