Send only the changed rows of the VM list

Cause: each change sent the whole list to every VM of a zone, 216 KB at 2,400 servers, and a VM that missed one read the platform itself. Change: announcements carry changed rows and names that left, from one digest to the next; a VM without the base fetches the list from the reader. Conclusion: the list's bytes grow with changes, not with servers.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -26,7 +26,8 @@
 	KindConfigFetch    Kind = 32 // config: fetch objects of a revision
 	KindStatus         Kind = 40 // operator: status of one entry VM
 	KindExplain        Kind = 41 // operator: recent decisions of one entry VM
-	KindServers        Kind = 50 // servers: VM list of a zone's reader
+	KindServers        Kind = 50 // servers: changes of the VM list at a zone's reader
+	KindServerFetch    Kind = 51 // servers: fetch the whole VM list
 	KindToken          Kind = 22 // entry: token for relayed attempts
 	KindSeal           Kind = 21 // entry: seal a ticket
 )
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -34,19 +33,6 @@
 	callTimeout = 2 * time.Second
 )
 
-// List is an immutable list of VMs.
-type List struct {
-	// Digest tells two lists apart.
-	Digest uint64
-	VMs    []platform.VM
-}
-
-// announcement tells the VMs of a zone which list its reader has.
-type announcement struct {
-	Digest uint64        `cbor:"1,keyasint"`
-	VMs    []platform.VM `cbor:"2,keyasint,omitempty"`
-}
-
 // Options configures a Service.
 type Options struct {
 	Self   model.VMID
@@ -82,7 +68,8 @@
 		failures: o.Scope.Counter("vm_list_failures"),
 	}
 	s.list.Store(&List{})
-	o.Links.Handle(peer.KindServers, s.receive)
+	o.Links.HandleSlow(peer.KindServers, s.receive)
+	o.Links.Handle(peer.KindServerFetch, s.answerFetch)
 	return s
 }
 
@@ -111,11 +98,11 @@
 		if !s.mayRead(time.Now()) {
 			continue
 		}
-		before := s.Current().Digest
+		before := s.Current()
 		s.poll(ctx)
 		now := time.Now()
-		if s.Current().Digest != before || now.Sub(announced) >= announceInterval {
-			s.announce(s.Current().Digest != before)
+		if s.Current() != before || now.Sub(announced) >= announceInterval {
+			s.announce(before)
 			announced = now
 		}
 	}
@@ -153,34 +140,22 @@
 	s.adopt(vms)
 }
 
+// adopt takes over a list, whose rows it sorts by name.
 func (s *Service) adopt(vms []platform.VM) {
-	digest := digestOf(vms)
-	if digest == s.Current().Digest {
+	next := newList(vms)
+	if next.Digest == s.Current().Digest {
 		return
 	}
-	s.list.Store(&List{Digest: digest, VMs: vms})
+	s.list.Store(next)
 	select {
 	case s.changed <- struct{}{}:
 	default:
 	}
 }
 
-func digestOf(vms []platform.VM) uint64 {
-	h := fnv.New64a()
-	for _, vm := range vms {
-		for _, part := range []string{vm.ID, string(vm.Role), string(vm.Zone), vm.Address, string(vm.Service), string(vm.State)} {
-			_, _ = h.Write([]byte(part))
-			_, _ = h.Write([]byte{0})
-		}
-	}
-	return h.Sum64()
-}
-
-func (s *Service) announce(whole bool) {
-	a := announcement{Digest: s.Current().Digest}
-	if whole {
-		a.VMs = s.Current().VMs
-	}
+// announce tells the other VMs of the zone what has changed since old.
+func (s *Service) announce(old *List) {
+	a := difference(old, s.Current())
 	for _, m := range s.options.View().Members {
 		if m.Zone != s.options.Zone || m.VM == s.options.Self || !m.CanOwn() {
 			continue
@@ -189,20 +164,37 @@
 	}
 }
 
-// receive adopts the list of the zone's reader. A digest without its list that
-// differs from ours makes this VM read the list itself.
-func (s *Service) receive(_ context.Context, _ model.VMID, body []byte) (any, error) {
+// receive applies what has changed at the zone's reader. A VM that lacks the
+// list which the changes start from asks the reader for all of it.
+func (s *Service) receive(ctx context.Context, from model.VMID, body []byte) (any, error) {
 	var a announcement
 	if err := cbor.Unmarshal(body, &a); err != nil {
 		return nil, errors.Wrap(err, "decode VM list")
 	}
-	if a.VMs != nil {
-		s.adopt(a.VMs)
-	}
-	if a.Digest == s.Current().Digest {
-		s.heard.Store(int64(time.Since(s.started)))
+	vms, ok := a.apply(s.Current())
+	if !ok {
+		if err := s.fetch(ctx, from); err != nil {
+			return nil, err
+		}
 	} else {
-		s.heard.Store(-int64(fallbackAfter))
+		s.adopt(vms)
 	}
+	s.heard.Store(int64(time.Since(s.started)))
 	return nil, nil
 }
+
+// fetch asks another VM of the zone for its whole list.
+func (s *Service) fetch(ctx context.Context, from model.VMID) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var vms []platform.VM
+	if err := s.options.Links.Call(ctx, from, peer.KindServerFetch, nil, &vms); err != nil {
+		return errors.Wrap(err, "fetch VM list")
+	}
+	s.adopt(vms)
+	return nil
+}
+
+func (s *Service) answerFetch(context.Context, model.VMID, []byte) (any, error) {
+	return s.Current().VMs, nil
+}
