Give a zone's leader, watcher and list reader to three VMs

Cause: the VM with the lowest name spread membership, watched the configuration and read the VM list; at 61 VMs a zone that is 3.9 + 3.6 + 0.6 KB/s. Change: the first spreads, the last watches, the middle one reads.

--- a/internal/config/plan.go
+++ b/internal/config/plan.go
@@ -185,18 +185,13 @@
 	return out
 }
 
-// watcherOf returns the entry VM that reads the store for a zone: the holder
-// of the zone's lease, else the first live member by name.
+// watcherOf returns the entry VM that reads the store for a zone: the last live
+// member by name. The first one spreads membership, and both cost bytes.
 func watcherOf(view *membership.View, zone model.Zone) (model.VMID, bool) {
 	if view == nil {
 		return "", false
 	}
-	for _, l := range view.Leaders {
-		if m, ok := view.Find(l.VM); ok && l.Zone == zone && m.Zone == zone && answers(m) {
-			return l.VM, true
-		}
-	}
-	for _, m := range view.Members {
+	for _, m := range slices.Backward(view.Members) {
 		if m.Zone == zone && answers(m) {
 			return m.VM, true
 		}
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -117,14 +117,19 @@
 	return now.Sub(s.started)-time.Duration(s.heard.Load()) > fallbackAfter
 }
 
-// reader returns the alive member of this zone with the lowest name.
+// reader returns the alive member in the middle of this zone by name. The first
+// and the last one have other duties.
 func (s *Service) reader() model.VMID {
+	var alive []model.VMID
 	for _, m := range s.options.View().Members {
 		if m.Zone == s.options.Zone && m.State == membership.StateAlive {
-			return m.VM
+			alive = append(alive, m.VM)
 		}
 	}
-	return s.options.Self
+	if len(alive) == 0 {
+		return s.options.Self
+	}
+	return alive[len(alive)/2]
 }
 
 func (s *Service) poll(ctx context.Context) {
--- a/internal/servers/servers_test.go
+++ b/internal/servers/servers_test.go
@@ -16,7 +16,7 @@
 	"github.com/uber-go/tally/v4"
 )
 
-// zoneOf returns the services of a zone's VMs; the first one is the reader.
+// zoneOf returns the services of a zone's VMs; the middle one is the reader.
 func zoneOf(net *peertest.Net, store *standin.Store, vms ...model.VMID) []*Service {
 	view := &membership.View{}
 	for _, vm := range vms {
@@ -46,7 +46,7 @@
 	net := peertest.New(1)
 	store := standin.New(standin.Options{})
 	services := zoneOf(net, store, "vm-1", "vm-2", "vm-3")
-	reader := services[0]
+	reader := services[1]
 	for round := range 200 {
 		for range rng.IntN(4) {
 			if n := rng.IntN(10); rng.IntN(3) == 0 {
@@ -73,7 +73,7 @@
 			}
 		}
 	}
-	if n := store.Calls("vm-2", standin.CallVMs); n != 0 {
+	if n := store.Calls("vm-3", standin.CallVMs); n != 0 {
 		t.Fatalf("a VM that is not the reader read the platform's list %d times", n)
 	}
 }
