Refuse at once what may not cross a link yet, and let failover queue

Normal work of a lost region was refused queue_full while its failover places were busy for a moment. Ruled out: backend servers, whose failures there were all refused connections. A refusal that the issuer of a ticket gives with another status than 503 is told not run, not unknown. The demo's caller no longer repeats a refused order under its old ticket.

--- a/internal/daemon/caps.go
+++ b/internal/daemon/caps.go
@@ -42,6 +42,13 @@
 	return w
 }
 
+// Open reports whether this VM may send over a link at all. A VM that has just
+// started, or can't confirm its configuration, may not.
+func (c *linkCaps) Open(from, to model.Region) bool {
+	key := quota.LinkKey(from, to)
+	return !c.ledger.Capped(key) || c.ledger.Allowance(time.Now(), key) > 0
+}
+
 // linkSource takes the bytes of one link from the ledger.
 type linkSource struct {
 	ledger *quota.Ledger
--- a/internal/demo/caller.go
+++ b/internal/demo/caller.go
@@ -247,8 +247,11 @@
 
 // mayAskElsewhere reports whether another entry VM could do better.
 func (c *caller) mayAskElsewhere(o *order, r *result) bool {
+	if !o.kind.Idempotent && r.outcome == model.OutcomeNotRun {
+		return false
+	}
 	switch r.reason {
-	case model.ReasonNoConfig, model.ReasonIsolated, model.ReasonStopping:
+	case model.ReasonNoConfig, model.ReasonIsolated, model.ReasonStopping, model.ReasonLinkCap:
 		return true
 	case model.ReasonTimeout:
 		return false
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -101,10 +101,14 @@
 			return target{}, refuse(http.StatusServiceUnavailable, model.ReasonIsolated, "this entry VM is cut off and shifts no traffic; try another")
 		}
 		o, ok := s.pickOwner(q, choice.Zone, p.excluded)
-		if ok {
+		if ok && s.linkOpen(o.Region) {
 			s.noteShift(q, choice)
 			return target{zone: choice.Zone, owner: o}, nil
 		}
+		if ok && p.last == nil {
+			p.last = refuse(http.StatusServiceUnavailable, model.ReasonLinkCap, "this entry VM may not use the link to "+string(o.Region)+" yet; try another")
+		}
+		s.options.Router.Failed(time.Now(), q.service, choice.Zone)
 		p.tried = appendZone(p.tried, choice.Zone)
 	}
 }
@@ -190,7 +194,7 @@
 // retry and needs no budget.
 func redirect(r model.Reason) bool {
 	switch r {
-	case model.ReasonNotOwner, model.ReasonNoServer, model.ReasonPeerUnreachable, model.ReasonStaleToken:
+	case model.ReasonNotOwner, model.ReasonLinkCap, model.ReasonNoServer, model.ReasonPeerUnreachable, model.ReasonStaleToken:
 		return true
 	}
 	return false
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -37,6 +37,10 @@
 		s.failRelay(w, nil, f)
 		return
 	}
+	if to := s.regionOf(j.origin); !s.linkOpen(to) {
+		s.failRelay(w, j, refuse(http.StatusServiceUnavailable, model.ReasonLinkCap, "this entry VM may not use the link to "+string(to)+" yet"))
+		return
+	}
 	if err := s.options.Attempts.Accept(time.Now(), j.attempt, time.Until(j.deadline)); err != nil {
 		s.failRelay(w, j, acceptFailure(err))
 		return
--- a/internal/entry/paced.go
+++ b/internal/entry/paced.go
@@ -22,6 +22,11 @@
 	return &pacedReader{ctx: ctx, src: src, waiter: waiter, priority: p, owed: headBytes}
 }
 
+// linkOpen reports whether this VM may send to a region.
+func (s *Server) linkOpen(to model.Region) bool {
+	return to == s.options.Region || s.options.Caps.Open(s.options.Region, to)
+}
+
 func (s *Server) waiter(from, to model.Region) *pace.Waiter {
 	if from == to {
 		return nil
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -112,6 +112,9 @@
 		Message: "reported by the owner of the backend server",
 		server:  model.ServerID(response.Header.Get(header.Server)),
 	}
+	if outcome == model.OutcomeNotRun.String() {
+		f.Outcome = model.OutcomeNotRun
+	}
 	if f.Reason == model.ReasonNone {
 		f.Reason = model.ReasonBadAnswer
 		f.Status = http.StatusBadGateway
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -52,6 +52,8 @@
 // cap applies.
 type LinkCaps interface {
 	Waiter(from, to model.Region) *pace.Waiter
+	// Open reports whether this VM may send over a link at all.
+	Open(from, to model.Region) bool
 }
 
 // Server is the data path. It is safe for concurrent use.
--- a/internal/retry/classify.go
+++ b/internal/retry/classify.go
@@ -44,7 +44,8 @@
 		model.ReasonPeerLost,
 		model.ReasonPreempted,
 		model.ReasonStaleToken,
-		model.ReasonAttemptsFull:
+		model.ReasonAttemptsFull,
+		model.ReasonLinkCap:
 		return true
 	default:
 		return false
--- a/internal/steer/router.go
+++ b/internal/steer/router.go
@@ -306,8 +306,9 @@
 	return Choice{Zone: target.state.Zone, Shift: true, OK: true}
 }
 
-// target returns the first place that fits, or why none does. Urgent work may
-// go to a place without free slots when no other fits.
+// target returns the first place that fits, or why none does. All but bulk work
+// may go to a place without free slots when no other fits: its owners admit by
+// priority and deadline.
 func (s *serviceRouter) target(now time.Time, req Request, order []*place, entries int) (*place, model.Reason) {
 	closest := fitNoServer
 	var crowded *place
@@ -324,7 +325,7 @@
 		}
 		closest = max(closest, f)
 	}
-	if crowded != nil && req.Priority == model.PriorityUrgent && !req.Roomy {
+	if crowded != nil && req.Priority != model.PriorityBulk && !req.Roomy {
 		return crowded, model.ReasonNone
 	}
 	return nil, closest.reason()
