Wait a moment for new owners before refusing

Change: a request that did not run and failed only for the lack of an owner looks again every 50 ms, up to 12 times and within its deadline.

--- a/internal/demo/caller.go
+++ b/internal/demo/caller.go
@@ -193,6 +193,9 @@
 		if !again || time.Now().After(o.deadline) {
 			return
 		}
+		if o.ticket != "" && r.outcome == model.OutcomeNotRun && !c.renew(ctx, o, addresses, n+1) {
+			return
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -201,6 +204,13 @@
 	}
 }
 
+// renew takes a new ticket for an order that did not run, from the entry VM
+// that is asked next.
+func (c *caller) renew(ctx context.Context, o *order, addresses []string, next int) bool {
+	at := next % len(addresses)
+	return c.takeTicket(ctx, o, append(addresses[at:len(addresses):len(addresses)], addresses[:at]...)) == nil
+}
+
 // reasonNoEntry is the caller's own reason when no entry VM answered.
 const reasonNoEntry model.Reason = "no_entry_vm"
 
@@ -247,9 +257,6 @@
 
 // mayAskElsewhere reports whether another entry VM could do better.
 func (c *caller) mayAskElsewhere(o *order, r *result) bool {
-	if !o.kind.Idempotent && r.outcome == model.OutcomeNotRun {
-		return false
-	}
 	switch r.reason {
 	case model.ReasonNoConfig, model.ReasonIsolated, model.ReasonStopping, model.ReasonLinkCap:
 		return true
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"fuchsiaspar/internal/background"
 	"fuchsiaspar/internal/explain"
 	"fuchsiaspar/internal/model"
 	"fuchsiaspar/internal/owner"
@@ -14,7 +15,7 @@
 	"fuchsiaspar/internal/steer"
 )
 
-// maxAttempts bounds the attempts at one request.
+// maxAttempts bounds the attempts at one request by one picture of the owners.
 const maxAttempts = 4
 
 // minAttemptTime is the least time left that is worth another attempt.
@@ -26,6 +27,8 @@
 	excluded []model.VMID
 	server   model.ServerID
 	last     *Failure
+	// attempts and looks count attempts and waits for new owners.
+	attempts, looks int
 	// crowded is set once a place refused for too much waiting work.
 	crowded bool
 	// mayHaveRun is set once an attempt has ended without proof that it did
@@ -34,17 +37,31 @@
 }
 
 // dispatch runs the request at one place after another until one answers, a
-// failure forbids another attempt, or nothing is left to try.
+// failure forbids another attempt, or nothing is left to try. While owners
+// change hands it waits for the new ones.
 func (s *Server) dispatch(ctx context.Context, q *request) (*answer, *Failure) {
-	now := time.Now()
-	s.options.Retries.FirstTry(now, q.service, q.priority)
+	s.options.Retries.FirstTry(time.Now(), q.service, q.priority)
 	p := &progress{tried: q.state.Drained[q.account]}
-	for n := 1; n <= maxAttempts; n++ {
+	for {
+		a, f := s.round(ctx, q, p)
+		if f == nil {
+			return a, nil
+		}
+		if !s.awaitOwner(ctx, q, p, f) {
+			return nil, p.final(f)
+		}
+	}
+}
+
+// round makes attempts by one picture of the owners.
+func (s *Server) round(ctx context.Context, q *request, p *progress) (*answer, *Failure) {
+	for range maxAttempts {
 		target, f := s.choose(q, p)
 		if f != nil {
-			return nil, p.final(f)
+			return nil, f
 		}
-		a, f := s.attempt(ctx, q, target, attemptID(q.id, n), p.server)
+		p.attempts++
+		a, f := s.attempt(ctx, q, target, attemptID(q.id, p.attempts), p.server)
 		if f == nil {
 			s.options.Router.Answered(time.Now(), q.service, target.zone)
 			return a, nil
@@ -52,10 +69,36 @@
 		s.options.Router.Failed(time.Now(), q.service, target.zone)
 		p.note(target, f)
 		if !s.mayRetry(ctx, q, f) && !s.maySpill(ctx, q, p, target) {
-			return nil, p.final(f)
+			return nil, f
 		}
 	}
-	return nil, p.final(p.last)
+	return nil, p.last
+}
+
+const (
+	// ownerPause is the time between two looks at the owners, and ownerLooks
+	// the count of looks. A planned hand-over takes less than a second.
+	ownerPause = 50 * time.Millisecond
+	ownerLooks = 12
+)
+
+// awaitOwner waits a moment for the owners of servers to change when a request
+// that did not run failed only for the lack of them. It reports whether another
+// round is worth it.
+func (s *Server) awaitOwner(ctx context.Context, q *request, p *progress, f *Failure) bool {
+	f = p.final(f)
+	if !redirect(f.Reason) || f.Outcome != model.OutcomeNotRun || p.looks == ownerLooks || !q.body.replayable() {
+		return false
+	}
+	if !retry.Worth(time.Now(), q.deadline, ownerPause+minAttemptTime) || !background.Sleep(ctx, ownerPause) {
+		return false
+	}
+	q.state = s.source.State()
+	p.looks++
+	p.tried = q.state.Drained[q.account]
+	p.excluded = nil
+	p.last = nil
+	return true
 }
 
 // final returns the failure to tell the caller. The failure of an attempt says
