Explain drains, and drop what nothing uses

Cause: a drain's start and end were not among the recorded decisions; a method and a reason had no use left. Before and after: 0 decisions for a drain, now 2 (TestDrainIsExplained). Conclusion: none beyond that.

--- a/internal/control/builder_test.go
+++ b/internal/control/builder_test.go
@@ -190,6 +190,27 @@
 	}
 }
 
+// TestDrainIsExplained checks that a drain is recorded when it comes into force
+// and when its target is empty, and not at each look.
+func TestDrainIsExplained(t *testing.T) {
+	in := size{zones: 1, vmsPerZone: 1, serversPerZone: 1}.inputs()
+	doc := *in.config.Document()
+	doc.Drains = []config.Drain{{ID: "d", Kind: config.DrainEntry, Target: "vm-00-00", Start: start, End: start.Add(time.Hour)}}
+	in.config = config.NewSnapshot(&doc)
+	ring := explain.NewRing("vm-00-00", 16)
+	var p progress
+	for _, active := range []int64{3, 2, 0, 0} {
+		p.update(in, owner.NewPools(ring), active, ring)
+	}
+	found := ring.Find(explain.Filter{Kind: explain.KindDrain})
+	if len(found) != 2 {
+		t.Fatalf("%d decisions, want one at the start and one when empty: %v", len(found), found)
+	}
+	if states := p.list(); len(states) != 1 || !states[0].Empty {
+		t.Fatalf("states %v, want one that is empty", states)
+	}
+}
+
 // slots counts the slots of this VM's pools.
 func slots(b *builder) int {
 	sum := 0
--- a/internal/control/progress.go
+++ b/internal/control/progress.go
@@ -1,9 +1,11 @@
 package control
 
 import (
+	"fmt"
 	"sync"
 
 	"fuchsiaspar/internal/config"
+	"fuchsiaspar/internal/explain"
 	"fuchsiaspar/internal/fleet"
 	"fuchsiaspar/internal/model"
 	"fuchsiaspar/internal/owner"
@@ -16,13 +18,14 @@
 }
 
 // update notes what is still in flight at the target of each active drain.
-func (p *progress) update(in inputs, pools *owner.Pools, entryActive int64) {
+func (p *progress) update(in inputs, pools *owner.Pools, entryActive int64, recorder explain.Recorder) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	next := make(map[string]fleet.DrainState)
 	for _, d := range in.config.Document().Drains {
 		if d.Active(in.now) {
 			next[d.ID] = p.advance(in, d, inFlight(in, d, pools, entryActive))
+			p.explain(in, d, next[d.ID], recorder)
 		}
 	}
 	p.states = next
@@ -41,6 +44,25 @@
 	return state
 }
 
+// explain records that a drain came into force and that its target is empty.
+func (p *progress) explain(in inputs, d config.Drain, now fleet.DrainState, recorder explain.Recorder) {
+	old, known := p.states[d.ID]
+	if known && old.Empty == now.Empty {
+		return
+	}
+	detail := fmt.Sprintf("drain %s of %s %s: %d requests in flight here", d.ID, d.Kind, d.Target, now.InFlight)
+	if now.Empty {
+		detail = fmt.Sprintf("drain %s of %s %s: empty here %s after its start", d.ID, d.Kind, d.Target, now.Drained)
+	}
+	recorder.Record(explain.Decision{
+		At:       in.now,
+		Kind:     explain.KindDrain,
+		Revision: in.config.Revision(),
+		Account:  d.Account,
+		Detail:   detail,
+	})
+}
+
 // inFlight counts the requests of this VM that run at the target of a drain.
 func inFlight(in inputs, d config.Drain, pools *owner.Pools, entryActive int64) int {
 	if d.Kind == config.DrainEntry {
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -194,6 +194,6 @@
 	if until, ok := s.options.Config.ConfirmedUntil(); ok {
 		s.options.Limits.ConfirmUntil(until)
 	}
-	s.progress.update(in, s.options.Pools, s.active())
+	s.progress.update(in, s.options.Pools, s.active(), s.options.Explain)
 	s.options.Members.SetLocal(snapshot.Revision(), s.builder.loads)
 }
--- a/internal/model/reason.go
+++ b/internal/model/reason.go
@@ -35,7 +35,6 @@
 	ReasonStopping        Reason = "stopping"
 	ReasonNotOwner        Reason = "not_owner"
 	ReasonRevoked         Reason = "revoked"
-	ReasonRetryBudget     Reason = "retry_budget"
 	ReasonPlaceRamping    Reason = "place_ramping"
 	ReasonPlaceDraining   Reason = "place_draining"
 	ReasonCallerGone      Reason = "caller_gone"
--- a/internal/owner/pools.go
+++ b/internal/owner/pools.go
@@ -167,17 +167,6 @@
 	return p.queue.Stats(), !p.retired
 }
 
-// Idle reports whether no request holds or waits for a slot.
-func (p *Pools) Idle() bool {
-	for _, pool := range *p.pools.Load() {
-		stats := pool.Stats()
-		if stats.Busy > 0 || sum(stats.Queued) > 0 {
-			return false
-		}
-	}
-	return true
-}
-
 func sum(counts [model.NumPriorities]int) int {
 	total := 0
 	for _, n := range counts {
