Let membership use the shared lifetime of goroutines

Cause: membership kept a copy of starting and stopping goroutines that package background already has. Change: it uses background.Group; errors of Start and Stop are wrapped as before. Conclusion: no copy is left.

--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"fuchsiaspar/internal/background"
 	"fuchsiaspar/internal/explain"
 	"fuchsiaspar/internal/model"
 	"fuchsiaspar/internal/peer"
@@ -56,11 +57,7 @@
 	subscribersMu sync.Mutex
 	subscribers   []func(*View)
 
-	// mu guards the start and stop of the Service.
-	mu     sync.Mutex
-	ctx    context.Context
-	cancel context.CancelFunc
-	wg     sync.WaitGroup
+	group background.Group
 }
 
 // NewService returns a Service and registers its handlers with the links.
@@ -119,8 +116,8 @@
 
 // Start publishes the first view and starts the control goroutine.
 func (s *Service) Start(ctx context.Context) error {
-	if !s.begin(ctx) {
-		return errors.New("membership: service was already started")
+	if err := s.group.Start(ctx); err != nil {
+		return errors.Wrap(err, "membership: start")
 	}
 	node := NewNode(NodeOptions{
 		Self:      s.opts.Self,
@@ -129,44 +126,14 @@
 		Intervals: s.pace,
 	}, s.clock())
 	s.step(node, Tick{})
-	s.wg.Add(1)
-	go s.run(node)
+	s.group.Go(func(ctx context.Context) { s.run(ctx, node) })
 	return nil
 }
 
-// begin sets the lifetime of the goroutines. It reports false when that was
-// done before.
-func (s *Service) begin(ctx context.Context) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.ctx != nil {
-		return false
-	}
-	s.ctx, s.cancel = context.WithCancel(context.WithoutCancel(ctx))
-	return true
-}
-
 // Stop ends the control goroutine and the calls under way, or gives up with
 // ctx. It does not announce that the VM leaves; see Leave.
 func (s *Service) Stop(ctx context.Context) error {
-	s.mu.Lock()
-	cancel := s.cancel
-	s.mu.Unlock()
-	if cancel == nil {
-		return nil
-	}
-	cancel()
-	done := make(chan struct{})
-	go func() {
-		s.wg.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return errors.Wrap(ctx.Err(), "membership: stop")
-	}
+	return errors.Wrap(s.group.Stop(ctx), "membership: stop")
 }
 
 // View returns the current view. It is never nil.
@@ -210,13 +177,12 @@
 	}
 }
 
-func (s *Service) run(node *Node) {
-	defer s.wg.Done()
+func (s *Service) run(ctx context.Context, node *Node) {
 	ticker := time.NewTicker(s.pace.Tick)
 	defer ticker.Stop()
 	for {
 		select {
-		case <-s.ctx.Done():
+		case <-ctx.Done():
 			return
 		case e := <-s.events:
 			s.step(node, e)
--- a/internal/membership/store.go
+++ b/internal/membership/store.go
@@ -48,21 +48,19 @@
 	default:
 		return
 	}
-	s.wg.Add(1)
-	go func() {
-		defer s.wg.Done()
-		ctx, cancel := context.WithTimeout(s.ctx, platformTimeout)
+	s.group.Go(func(ctx context.Context) {
+		timed, cancel := context.WithTimeout(ctx, platformTimeout)
 		defer cancel()
-		if e := call(ctx); e != nil {
-			s.postResult(e)
+		if e := call(timed); e != nil {
+			s.postResult(ctx, e)
 		}
-	}()
+	})
 }
 
-func (s *Service) postResult(e Event) {
+func (s *Service) postResult(ctx context.Context, e Event) {
 	select {
 	case s.events <- e:
-	case <-s.ctx.Done():
+	case <-ctx.Done():
 	}
 }
 
