Run on the users' platform: store feed, warm choice of servers, front

Cause: the daemon spoke only its own protocols; on the platform the store holds configuration, servers and evacuations, and callers and servers speak other headers. Ruled out: owners with relays as the first path. The platform's servers tell their load in each answer, and equal objects must meet at one server from every VM, which a ranking by hash gives without a hop. Change: platform/ translates; internal/replica, feed and state keep a copy of the store by revision, read by one VM of each region and handed on; liveness gossips heartbeats; pick, allow, upstream, front and directory carry requests. Before: no path.

--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"io"
+	"os"
 	"time"
 
+	"fuchsiaspar/internal/node"
 	"fuchsiaspar/internal/platform/httpstore"
 	"fuchsiaspar/internal/settings"
+	"fuchsiaspar/platform"
 
 	"github.com/charmbracelet/log"
 	"github.com/pkg/errors"
@@ -37,13 +40,17 @@
 		Writer:    out,
 		ErrWriter: out,
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "settings", Required: true, Usage: "`FILE` with this process's settings"},
+			&cli.StringFlag{Name: "settings", Usage: "`FILE` with this process's settings"},
 			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
+			if !c.IsSet("settings") {
+				return errors.New(`Required flag "settings" not set`)
+			}
 			code = runFile(ctx, c.String("settings"), c.Bool("check"), out)
 			return nil
 		},
+		Commands: []*cli.Command{platformCommand(ctx, out, &code)},
 	}
 	if err := command.Run(ctx, args); err != nil {
 		_, _ = io.WriteString(out, err.Error()+"\n")
@@ -52,6 +59,21 @@
 	return code
 }
 
+// platformCommand runs the entry VM with the settings that the platform wrote.
+func platformCommand(ctx context.Context, out io.Writer, code *int) *cli.Command {
+	return &cli.Command{
+		Name:  "platform",
+		Usage: "run as an entry VM on the users' platform; " + platform.SettingsVariable + " names the settings",
+		Action: func(context.Context, *cli.Command) error {
+			if err := node.Run(ctx, os.Getenv(platform.SettingsVariable), os.Stdout); err != nil {
+				_, _ = io.WriteString(out, err.Error()+"\n")
+				*code = exitFailed
+			}
+			return nil
+		},
+	}
+}
+
 func runFile(ctx context.Context, path string, checkOnly bool, out io.Writer) int {
 	s, err := settings.Load(path)
 	if err != nil {
@@ -83,11 +105,11 @@
 
 // serve starts the daemon, waits for ctx and stops it as planned.
 func serve(ctx context.Context, s settings.Settings, logger *log.Logger) error {
-	platform := httpstore.New(httpstore.Options{
+	store := httpstore.New(httpstore.Options{
 		BaseURL: "http://" + s.Platform.Address,
 		Client:  string(s.VM.Name),
 	})
-	d, err := New(s, Deps{Store: platform, VMs: platform, Logger: logger})
+	d, err := New(s, Deps{Store: store, VMs: store, Logger: logger})
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/front/attempt.go
@@ -0,0 +1,153 @@
+package front
+
+import (
+	"net/http"
+	"time"
+
+	"fuchsiaspar/internal/pick"
+	"fuchsiaspar/internal/upstream"
+	"fuchsiaspar/platform"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// maxConnects bounds the servers to which no connection could be had.
+	maxConnects = 4
+	// minAttempt is the shortest time left with which an attempt is worth its
+	// slot.
+	minAttempt = 20 * time.Millisecond
+)
+
+// run tries servers until one has answered, or gives up.
+func (q *request) run() {
+	for connects := 0; ; {
+		now := time.Now()
+		if q.deadline.Sub(now) < minAttempt {
+			q.giveUp(reasonTimeout)
+			return
+		}
+		choice, reason := q.server.opts.Fleet.Pick(pick.Query{
+			Service: q.service, Regions: q.route.Regions, Object: q.object, Exclude: q.tried,
+		}, now)
+		if reason != "" {
+			q.giveUp(string(reason))
+			return
+		}
+		q.last = choice
+		verdict := q.attempt(choice)
+		if verdict == verdictDone {
+			return
+		}
+		if verdict == verdictRepeat {
+			q.tried = append(q.tried, choice.Target.ID)
+			continue
+		}
+		q.tried = append(q.tried, choice.Target.ID)
+		if verdict == verdictNotSent {
+			if connects++; connects >= maxConnects {
+				q.giveUp(reasonConnect)
+				return
+			}
+			continue
+		}
+		if reason := q.mayRepeat(); reason != "" {
+			q.giveUp(reason)
+			return
+		}
+	}
+}
+
+// mayRepeat spends a repeat, or says why the request is not tried again.
+func (q *request) mayRepeat() string {
+	switch {
+	case q.r.Context().Err() != nil:
+		return reasonClientLeft
+	case q.maybeRun && !q.route.Kind.Repeatable():
+		return reasonUnknown
+	case q.body.stream != nil:
+		return reasonStreamed
+	case q.attempts >= q.route.MaxAttempts:
+		return reasonAttempts
+	case !q.server.opts.Repeats.Take(q.service):
+		return reasonBudget
+	}
+	return ""
+}
+
+// verdict says how an attempt ended.
+type verdict uint8
+
+const (
+	// verdictDone means that the client has its answer.
+	verdictDone verdict = iota
+	// verdictRepeat means that the server failed and a repeat is spent.
+	verdictRepeat
+	// verdictNotSent means that the server got nothing.
+	verdictNotSent
+	// verdictFailed means that the server got the request and gave no answer
+	// that can be handed on.
+	verdictFailed
+)
+
+func (q *request) attempt(choice pick.Choice) verdict {
+	answer, err := q.server.opts.Client.Do(q.r.Context(), choice.Target, &upstream.Request{
+		ID:         q.id,
+		Method:     q.r.Method,
+		URI:        q.r.RequestURI,
+		Host:       q.r.Host,
+		Header:     q.forward,
+		Body:       q.body.kept,
+		Stream:     q.body.stream,
+		Length:     q.body.length,
+		Repeatable: q.route.Kind.Repeatable(),
+		Deadline:   q.deadline,
+	})
+	if err != nil {
+		return q.noAnswer(choice, err)
+	}
+	q.attempts++
+	report := reportOf(answer.Header)
+	if platform.NotRun(answer.Status, answer.Header) {
+		answer.Body.Close()
+		q.done(choice, pick.Refused, report)
+		q.logFailed("server refused", "status", answer.Status)
+		return verdictFailed
+	}
+	return q.handOn(choice, answer, report)
+}
+
+func (q *request) noAnswer(choice pick.Choice, err error) verdict {
+	if errors.Is(err, upstream.ErrConnect) || errors.Is(err, upstream.ErrNotSent) {
+		outcome := pick.Lost
+		if q.r.Context().Err() != nil {
+			outcome = pick.Abandoned
+		}
+		q.done(choice, outcome, nil)
+		q.logFailed("no connection", "cause", err)
+		return verdictNotSent
+	}
+	q.attempts++
+	q.maybeRun = true
+	outcome := pick.Lost
+	if q.r.Context().Err() != nil {
+		outcome = pick.Abandoned
+	} else if errors.Is(err, upstream.ErrTimeout) {
+		outcome = pick.Failed
+	}
+	q.done(choice, outcome, nil)
+	q.logFailed("no answer", "cause", err)
+	return verdictFailed
+}
+
+func (q *request) done(choice pick.Choice, outcome pick.Outcome, report *pick.Report) {
+	q.server.opts.Fleet.Done(choice.Server, outcome, report, time.Now())
+}
+
+func reportOf(h http.Header) *pick.Report {
+	load, ok := platform.ParseLoad(h)
+	if !ok {
+		return nil
+	}
+	return &pick.Report{Running: load.Running, Waiting: load.Waiting, Slots: load.Slots}
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,226 @@
+// Package node assembles the entry VM as it runs on the platform.
+package node
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"io"
+	"math/rand"
+	randv2 "math/rand/v2"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"fuchsiaspar/internal/allow"
+	"fuchsiaspar/internal/catalog"
+	"fuchsiaspar/internal/decisions"
+	"fuchsiaspar/internal/feed"
+	"fuchsiaspar/internal/front"
+	"fuchsiaspar/internal/kernel"
+	"fuchsiaspar/internal/liveness"
+	"fuchsiaspar/internal/metrics"
+	"fuchsiaspar/internal/model"
+	"fuchsiaspar/internal/peer"
+	"fuchsiaspar/internal/pick"
+	"fuchsiaspar/internal/replica"
+	"fuchsiaspar/internal/state"
+	"fuchsiaspar/internal/upstream"
+	"fuchsiaspar/platform"
+
+	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
+)
+
+// Names under which services are registered.
+const (
+	NameMetrics  = "core.metrics"
+	NameLog      = "core.log"
+	NameLinks    = "peer.links"
+	NameLiveness = "peer.liveness"
+	NameFeed     = "store.feed"
+	NameState    = "control.state"
+	NameRecord   = "store.record"
+	NameSeeds    = "peer.seeds"
+	NameHTTP     = "front.http"
+)
+
+// memoryShare is the part of the VM's memory that the heap may use before the
+// collector works harder. The rest is for stacks, buffers of the kernel and
+// the program itself.
+const memoryShare = 0.6
+
+// Node is one entry VM.
+type Node struct {
+	settings platform.Node
+	kernel   *kernel.Kernel
+	log      *decisions.Log
+	live     *liveness.Service
+	front    *front.Server
+	state    *state.Service
+	servers  *servers
+	leaving  atomic.Bool
+}
+
+// New assembles an entry VM that has not started.
+func New(settings platform.Node, out io.Writer) (*Node, error) {
+	debug.SetMemoryLimit(int64(float64(settings.Limits.MemoryMB) * memoryShare * (1 << 20)))
+	n := &Node{settings: settings, kernel: kernel.New()}
+	b, err := newAssembly(n, out)
+	if err != nil {
+		return nil, err
+	}
+	for _, step := range []func() error{b.core, b.peers, b.storeFeed, b.control, b.traffic} {
+		if err := step(); err != nil {
+			return nil, errors.Wrap(err, "assemble entry VM")
+		}
+	}
+	return n, nil
+}
+
+// Ready says whether this VM can serve requests.
+func (n *Node) Ready() bool {
+	return !n.leaving.Load() && n.state.Current().Config != nil
+}
+
+type assembly struct {
+	node     *Node
+	settings platform.Node
+	self     catalog.VM
+	logger   *log.Logger
+	random   *randv2.Rand
+
+	metrics *metrics.Metrics
+	mesh    *peer.Mesh
+	store   *platform.Client
+	copy    *replica.Replica
+	feed    *feed.Service
+	fleet   *pick.Fleet
+	client  *upstream.Client
+	repeats *allow.Repeats
+}
+
+func newAssembly(n *Node, out io.Writer) (*assembly, error) {
+	var seed [16]byte
+	if _, err := crand.Read(seed[:]); err != nil {
+		return nil, errors.Wrap(err, "draw seed")
+	}
+	s := n.settings
+	return &assembly{
+		node:     n,
+		settings: s,
+		logger: log.NewWithOptions(out, log.Options{
+			Formatter: log.LogfmtFormatter, ReportTimestamp: true, TimeFormat: time.RFC3339Nano,
+		}).With("vm", s.Name),
+		random: randv2.New(randv2.NewPCG(binary.BigEndian.Uint64(seed[:8]), binary.BigEndian.Uint64(seed[8:]))),
+		self: catalog.VM{
+			Name: s.Name, Zone: s.Zone, Region: s.Region,
+			Front: s.Listen.Front, Peer: s.Listen.Peer, Started: time.Now().UnixMilli(),
+		},
+	}, nil
+}
+
+func (b *assembly) add(name string, service any) error { return b.node.kernel.Register(name, service) }
+
+func (b *assembly) core() error {
+	m, err := metrics.New(string(b.settings.Name))
+	if err != nil {
+		return err
+	}
+	b.metrics = m
+	b.node.log = decisions.New(b.logger, m.Scope)
+	if err := b.add(NameMetrics, &metricsService{m}); err != nil {
+		return err
+	}
+	return b.add(NameLog, b.node.log)
+}
+
+type metricsService struct{ *metrics.Metrics }
+
+// Stop ends the reporting of metrics.
+func (m *metricsService) Stop(context.Context) error { return m.Close() }
+
+func (b *assembly) peers() error {
+	b.mesh = peer.New(peer.Options{
+		Self:        b.settings.Name,
+		Incarnation: model.Incarnation(b.random.Uint64() | 1),
+		Scope:       b.metrics.Scope,
+		Rand:        rand.New(rand.NewSource(b.random.Int64())),
+	})
+	b.node.live = liveness.NewService(b.self, b.mesh, b.random, b.node.log)
+	if err := b.add(NameLinks, b.mesh); err != nil {
+		return err
+	}
+	return b.add(NameLiveness, b.node.live)
+}
+
+func (b *assembly) storeFeed() error {
+	b.copy = replica.New()
+	calls := b.metrics.Scope
+	b.store = platform.NewClient(b.settings.Store, func(call string, took time.Duration, err error) {
+		outcome := "ok"
+		if err != nil {
+			outcome = "failed"
+		}
+		calls.Tagged(map[string]string{"call": call, "outcome": outcome}).Counter("store_calls").Inc(1)
+	})
+	b.feed = feed.New(feed.Options{
+		Self: b.self, Store: b.store, Links: b.mesh, Copy: b.copy, Alive: b.node.live.Alive,
+		Random: randv2.New(randv2.NewPCG(b.random.Uint64(), b.random.Uint64())), Log: b.node.log,
+		Compacted: func(err error) bool { return errors.Is(err, platform.ErrCompacted) },
+	})
+	if err := b.add(NameFeed, b.feed); err != nil {
+		return err
+	}
+	key := platform.PrefixVMs + string(b.settings.Name)
+	value := func() ([]byte, error) { return platform.EncodeVM(b.node.live.Self()) }
+	listed := func() bool { _, ok := b.copy.Item(key); return ok }
+	return b.add(NameRecord, feed.NewRegistrar(b.store, key, value, listed, b.node.log))
+}
+
+func (b *assembly) control() error {
+	s := b.settings
+	b.fleet = pick.NewFleet(pick.Options{
+		Self: s.Name, Region: s.Region, ColdFactor: s.Bounds.ColdFactor, ColdSlack: s.Bounds.ColdSlack,
+	})
+	b.client = upstream.NewClient(b.metrics.Scope)
+	b.repeats = allow.NewRepeats(s.Bounds.RetryRatio, s.Bounds.RetrySlack)
+	b.node.state = state.New(state.Options{
+		Copy: b.copy,
+		Builder: state.NewBuilder(state.Decoder{
+			ConfigKey: platform.KeyConfig, EvacuatePrefix: platform.PrefixEvacuate,
+			ServerPrefix: platform.PrefixServers, VMPrefix: platform.PrefixVMs,
+			Config: platform.DecodeConfig,
+			Server: func(key string, value []byte) (*catalog.Server, error) {
+				return platform.DecodeServer(key, value, s.Regions)
+			},
+			VM: platform.DecodeVM,
+		}, b.node.log),
+		Outage: func(now time.Time) state.Outage {
+			at, cut := b.feed.Returned(now)
+			return state.Outage{Cut: cut, ReturnedAt: at}
+		},
+		Publish: func(snapshot *catalog.Snapshot, now time.Time) {
+			b.client.Forget(b.fleet.SetSnapshot(snapshot, now))
+			b.node.live.SetListed(snapshot.VMs)
+		},
+		Tick: func() {
+			alive := b.node.live.Alive()
+			b.fleet.SetVMs(alive)
+			b.repeats.SetVMs(len(alive))
+		},
+	})
+	return b.add(NameState, b.node.state)
+}
+
+func (b *assembly) traffic() error {
+	b.node.front = front.NewServer(front.Options{
+		Snapshot: b.node.state.Current, Age: b.feed.Age, Fleet: b.fleet, Client: b.client,
+		Repeats: b.repeats, Log: b.node.log, Scope: b.metrics.Scope,
+	})
+	b.node.servers = newServers(b)
+	if err := b.add(NameHTTP, b.node.servers); err != nil {
+		return err
+	}
+	return b.add(NameSeeds, newSeeds(b))
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -30,6 +30,8 @@
 	KindServerFetch    Kind = 51 // servers: fetch the whole VM list
 	KindToken          Kind = 22 // entry: token for relayed attempts
 	KindSeal           Kind = 21 // entry: seal a ticket
+	KindGossip         Kind = 60 // liveness: heartbeats of entry VMs
+	KindFeed           Kind = 61 // feed: changes of the store after a revision
 )
 
 // Errors that Links return. Test for them with errors.Is.
@@ -79,6 +81,8 @@
 	KindConfigAnnounce: "config_announce",
 	KindConfigFetch:    "config_fetch",
 	KindStatus:         "status",
+	KindGossip:         "gossip",
+	KindFeed:           "feed",
 }
 
 // String returns the name of k that counters carry. Replies and pings have no
--- /dev/null
+++ b/internal/pick/pick.go
@@ -0,0 +1,199 @@
+package pick
+
+import (
+	"math"
+	"time"
+
+	"fuchsiaspar/internal/catalog"
+	"fuchsiaspar/internal/model"
+)
+
+const (
+	// rankCost is the cost of one step along an object's ranking, in units of
+	// a full set of slots: going to a server that does not know the object is
+	// worth a queue of one full set of slots.
+	rankCost = 1.0
+	// coldCost is the cost of a cold server, which works at half speed.
+	coldCost = 2.0
+	// queuePerSlot is the count of requests that a server queues for each of
+	// its slots before it refuses.
+	queuePerSlot = 3
+	// reportFor is how long a server's own report of its load is preferred to
+	// the count of this VM's requests: about the time of one request.
+	reportFor = 400 * time.Millisecond
+	// coldWindow is the window of the rate of cold servers with a margin for
+	// differing delays on the way.
+	coldWindow = 1100 * time.Millisecond
+	// coldShare is the part of a cold server's bound that the VMs plan to use.
+	coldShare = 0.75
+)
+
+// Reason says why no server was chosen.
+type Reason string
+
+// The reasons.
+const (
+	// NoServers means that the service has no usable server.
+	NoServers Reason = "no_servers"
+	// AllFull means that every server has a full queue, is ejected or has had
+	// its share of requests while cold.
+	AllFull Reason = "all_full"
+)
+
+// Query asks for the server of one request.
+type Query struct {
+	Service model.ServiceName
+	Regions []model.Region
+	Object  uint64
+	// Exclude lists the servers that failed the request already.
+	Exclude []model.ServerID
+}
+
+// Choice is a chosen server with what decided.
+type Choice struct {
+	Server *Server
+	// Target is the server's entry at the moment of the choice.
+	Target *catalog.Server
+	Rank   int
+	Cost   float64
+	Load   float64
+	Cold   bool
+}
+
+// Pick chooses the server with the lowest cost and counts the request there
+// until Done.
+func (f *Fleet) Pick(q Query, now time.Time) (Choice, Reason) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	any := false
+	top := topRanked(f.byGroup[q.Service], q.Object, func(s *Server) bool {
+		if !f.allowed(s, q.Regions) {
+			return false
+		}
+		any = true
+		return !excluded(q.Exclude, s.ID) && f.open(s, now)
+	})
+	best := Choice{Cost: math.Inf(1)}
+	for rank, entry := range top {
+		load := entry.server.load(now)
+		cold := now.Before(entry.server.coldUntil)
+		cost := load + rankCost*float64(rank) + failureCost*entry.server.health.rate(now)
+		if cold {
+			cost += coldCost
+		}
+		if cost < best.Cost {
+			best = Choice{Server: entry.server, Target: entry.server.Server, Rank: rank, Cost: cost, Load: load, Cold: cold}
+		}
+	}
+	if best.Server == nil {
+		if any {
+			return best, AllFull
+		}
+		return best, NoServers
+	}
+	f.begin(best, now)
+	return best, ""
+}
+
+func excluded(list []model.ServerID, id model.ServerID) bool {
+	for _, e := range list {
+		if e == id {
+			return true
+		}
+	}
+	return false
+}
+
+// open says whether a server may get a request now.
+func (f *Fleet) open(s *Server, now time.Time) bool {
+	if s.health.ejected(now) {
+		return false
+	}
+	if s.load(now) >= 1+queuePerSlot {
+		return false
+	}
+	return !now.Before(s.coldUntil) || f.coldRoom(s, now)
+}
+
+// coldRoom says whether this VM may send one more request to a cold server.
+// The VMs that may send divide the rate among them, so that the bound over all
+// VMs holds without messages.
+func (f *Fleet) coldRoom(s *Server, now time.Time) bool {
+	owns, owners := ownsCold(s, f.options.Self, f.vms)
+	if !owns || f.config == nil {
+		return false
+	}
+	rate := f.config.Services[s.Service].ColdPerSecond*f.options.ColdFactor + f.options.ColdSlack
+	share := int(rate * coldShare / float64(owners))
+	recent := s.coldSends[:0]
+	for _, at := range s.coldSends {
+		if now.Sub(at) < coldWindow {
+			recent = append(recent, at)
+		}
+	}
+	s.coldSends = recent
+	return len(recent) < share
+}
+
+func (f *Fleet) begin(c Choice, now time.Time) {
+	c.Server.outstanding++
+	if c.Cold {
+		c.Server.coldSends = append(c.Server.coldSends, now)
+	}
+}
+
+// load returns the requests at a server over its slots.
+func (s *Server) load(now time.Time) float64 {
+	count := s.outstanding
+	if now.Sub(s.reportedAt) < reportFor {
+		count = max(count, s.report.Running+s.report.Waiting)
+	}
+	return float64(count) / float64(max(s.Slots, 1))
+}
+
+// Outcome is how a request ended at a server.
+type Outcome uint8
+
+// The outcomes.
+const (
+	// Answered is an answer other than a failure of the server.
+	Answered Outcome = iota
+	// Failed is an answer that shows a failure of the server.
+	Failed
+	// Refused is an answer by which the server refused the request unrun.
+	Refused
+	// Lost is a request without an answer.
+	Lost
+	// Abandoned is a request whose client left; it says nothing of the server.
+	Abandoned
+)
+
+// Done ends the count of a request and judges the server by it. report is nil
+// when the server did not tell its load.
+func (f *Fleet) Done(server *Server, outcome Outcome, report *Report, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	server.outstanding--
+	if report != nil {
+		// The report counts the request that has just ended.
+		report.Running = max(report.Running-1, 0)
+		server.report, server.reportedAt = *report, now
+	}
+	switch outcome {
+	case Answered:
+		server.health.answered(false, now)
+	case Failed:
+		server.health.answered(true, now)
+	case Refused:
+		server.health.answered(true, now)
+		if report == nil {
+			server.report = Report{Running: server.Slots, Waiting: queuePerSlot * server.Slots, Slots: server.Slots}
+			server.reportedAt = now
+		}
+	case Lost:
+		server.health.lost(now)
+		if server.health.unreachable == suspectAfter {
+			f.setCold(server, f.coldFor(server.Service)+server.health.ejectUntil.Sub(now), now)
+		}
+	}
+}
