--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -28,7 +28,7 @@
 			return
 		}
 		choice, reason := q.server.opts.Fleet.Pick(pick.Query{
-			Service: q.service, Regions: q.route.Regions, Object: q.object, Exclude: q.tried,
+			Route: q.route, Service: q.service, Object: q.object, Exclude: q.tried,
 		}, now)
 		if reason != "" {
 			q.giveUp(string(reason))
--- a/internal/front/report.go
+++ b/internal/front/report.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"time"
 
+	"fuchsiaspar/platform"
+
 	"github.com/uber-go/tally/v4"
 )
 
@@ -54,7 +56,8 @@
 	fields := []any{"request", q.id, "ms", now.Sub(q.start).Milliseconds(), "revision", q.snapshot.Revision,
 		"age", q.server.opts.Age(now).Round(time.Millisecond)}
 	if q.route != nil {
-		fields = append(fields, "version", q.snapshot.Config.Version, "route", q.route.Name, "kind", q.route.Kind)
+		fields = append(fields, "version", q.snapshot.Config.Version, "route", q.route.Name, "kind", q.route.Kind,
+			"object", q.r.Header.Get(platform.HeaderObject))
 	}
 	if q.last.Server != nil {
 		fields = append(fields, "server", q.last.Target.ID, "zone", q.last.Target.Zone, "rank", q.last.Rank,
--- a/internal/pick/fleet.go
+++ b/internal/pick/fleet.go
@@ -160,6 +160,6 @@
 	return sizes
 }
 
-func (f *Fleet) allowed(server *Server, regions []model.Region) bool {
+func allowed(server *Server, regions []model.Region) bool {
 	return len(regions) == 0 || slices.Contains(regions, server.Region)
 }
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -42,8 +42,8 @@
 
 // Query asks for the server of one request.
 type Query struct {
+	Route   *catalog.Route
 	Service model.ServiceName
-	Regions []model.Region
 	Object  uint64
 	// Exclude lists the servers that failed the request already.
 	Exclude []model.ServerID
@@ -66,8 +66,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	any := false
-	top := topRanked(f.byGroup[q.Service], q.Object, func(s *Server) bool {
-		if !f.allowed(s, q.Regions) {
+	top := topRanked(f.byGroup[q.Service], q.Object, f.tierOf(q.Route), func(s *Server) bool {
+		if !allowed(s, q.Route.Regions) {
 			return false
 		}
 		any = true
--- a/internal/pick/rank.go
+++ b/internal/pick/rank.go
@@ -4,6 +4,7 @@
 	"hash/fnv"
 	"math/bits"
 
+	"fuchsiaspar/internal/catalog"
 	"fuchsiaspar/internal/model"
 )
 
@@ -37,30 +38,55 @@
 	return hashOf(host + "\x00" + prefix + "\x00" + object)
 }
 
+// tier orders servers before the hash does; a lower one comes first.
+type tier func(*Server) int
+
+// tierOf returns the tiers of a route. Large answers stay in the region of
+// this VM while it has servers for them.
+func (f *Fleet) tierOf(route *catalog.Route) tier {
+	if route.Kind != catalog.Download {
+		return func(*Server) int { return 0 }
+	}
+	return func(s *Server) int {
+		if s.Region == f.options.Region {
+			return 0
+		}
+		return 1
+	}
+}
+
 type ranked struct {
 	server *Server
+	tier   int
 	weight uint64
 }
 
-// topRanked returns the servers of an object in falling order of weight, at
+func (a ranked) before(b ranked) bool {
+	if a.tier != b.tier {
+		return a.tier < b.tier
+	}
+	return a.weight > b.weight
+}
+
+// topRanked returns the servers of an object by tier and falling weight, at
 // most maxRank of those that usable accepts.
-func topRanked(list []*Server, object uint64, usable func(*Server) bool) []ranked {
+func topRanked(list []*Server, object uint64, tierOf tier, usable func(*Server) bool) []ranked {
 	top := make([]ranked, 0, maxRank+1)
 	for _, server := range list {
 		if !usable(server) {
 			continue
 		}
-		w := weightOf(object, server.hash)
-		if len(top) == maxRank && w <= top[maxRank-1].weight {
+		entry := ranked{server, tierOf(server), weightOf(object, server.hash)}
+		if len(top) == maxRank && !entry.before(top[maxRank-1]) {
 			continue
 		}
 		at := len(top)
-		for at > 0 && top[at-1].weight < w {
+		for at > 0 && entry.before(top[at-1]) {
 			at--
 		}
 		top = append(top, ranked{})
 		copy(top[at+1:], top[at:])
-		top[at] = ranked{server, w}
+		top[at] = entry
 		top = top[:min(len(top), maxRank)]
 	}
 	return top
