--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -91,6 +91,9 @@
 	if keep == 0 {
 		keep = defaultIdle
 	}
+	// A deadline that passes while the connection rests would make it look
+	// broken. A connection that refuses this fails its next use.
+	_ = c.SetDeadline(time.Time{})
 	c.idleSince = now
 	c.usableUntil = now.Add(keep - idleMargin)
 	c.reused = true
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -42,7 +42,7 @@
 	// reuseFresh is how recently a connection must have been used to carry a
 	// request that must not run twice. A connection that died idle loses such
 	// a request for good.
-	reuseFresh = 2 * time.Second
+	reuseFresh = 60 * time.Second
 )
 
 // Request is one attempt at one server.
