--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -10,9 +10,10 @@
 
 const (
 	// rankCost is the cost of one step along an object's ranking, in units of
-	// a full set of slots: going to a server that does not know the object is
-	// worth a queue of one full set of slots.
-	rankCost = 1.0
+	// a full set of slots. A server that does not know an object holds a slot
+	// over three times as long, so another one is worth two full sets of slots
+	// of waiting.
+	rankCost = 2.0
 	// coldCost is the cost of a cold server, which works at half speed.
 	coldCost = 2.0
 	// queuePerSlot is the count of requests that a server queues for each of
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,251 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"fuchsiaspar/internal/catalog"
+	"fuchsiaspar/platform"
+
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+)
+
+// standIn is a backend server whose connections are handled by a script.
+type standIn struct {
+	listener net.Listener
+	server   *catalog.Server
+	conns    chan net.Conn
+}
+
+// newStandIn calls handle for each request; handle writes the raw answer and
+// reports whether the connection goes on.
+func newStandIn(t *testing.T, handle func(c net.Conn, r *http.Request) bool) *standIn {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &standIn{
+		listener: listener,
+		server:   &catalog.Server{ID: "i-1", Address: listener.Addr().String()},
+		conns:    make(chan net.Conn, 16),
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.conns <- c
+			go serveConn(c, handle)
+		}
+	}()
+	return s
+}
+
+func serveConn(c net.Conn, handle func(net.Conn, *http.Request) bool) {
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		if !handle(c, r) {
+			return
+		}
+	}
+}
+
+func answer(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\nKeep-Alive: timeout=10\r\n\r\n%s",
+		platform.HeaderRequest, id, len(body), body)
+}
+
+func echo(c net.Conn, r *http.Request) bool {
+	id := r.Header.Get(platform.HeaderRequest)
+	_, err := io.WriteString(c, answer(id, "body of "+id))
+	return err == nil
+}
+
+func request(id string, within time.Duration) *Request {
+	return &Request{
+		ID: id, Method: http.MethodGet, URI: "/a/b?c=d", Host: "h.example", Repeatable: true,
+		Header: http.Header{platform.HeaderRequest: {id}}, Deadline: time.Now().Add(within),
+	}
+}
+
+func do(t *testing.T, c *Client, s *standIn, req *Request) (string, error) {
+	t.Helper()
+	got, err := c.Do(context.Background(), s.server, req)
+	if err != nil {
+		return "", err
+	}
+	defer got.Body.Close()
+	body, err := io.ReadAll(got.Body)
+	return string(body), err
+}
+
+func TestConnectionOutlivesTheDeadlineOfItsLastExchange(t *testing.T) {
+	s := newStandIn(t, echo)
+	c := NewClient(tally.NoopScope)
+	defer c.Close()
+	first := request("one", 200*time.Millisecond)
+	if _, err := do(t, c, s, first); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(time.Until(first.Deadline) + 20*time.Millisecond)
+	if body, err := do(t, c, s, request("two", time.Minute)); err != nil || body != "body of two" {
+		t.Fatalf("got %q, %v", body, err)
+	}
+	if opened := len(s.conns); opened != 1 {
+		t.Errorf("%d connections were opened, want 1", opened)
+	}
+}
+
+func TestOnlyTheOwnAnswerIsHandedOn(t *testing.T) {
+	tests := []struct {
+		desc   string
+		handle func(c net.Conn, r *http.Request) bool
+		want   string
+		err    error
+	}{
+		{
+			desc: "a late answer of another request comes first",
+			handle: func(c net.Conn, r *http.Request) bool {
+				_, _ = io.WriteString(c, answer("other", "not yours"))
+				return echo(c, r)
+			},
+			want: "body of one",
+		},
+		{
+			desc: "only answers of other requests come",
+			handle: func(c net.Conn, _ *http.Request) bool {
+				for range maxForeign + 1 {
+					_, _ = io.WriteString(c, answer("other", "not yours"))
+				}
+				return true
+			},
+			err: ErrForeign,
+		},
+		{
+			desc: "the body ends early",
+			handle: func(c net.Conn, _ *http.Request) bool {
+				_, _ = io.WriteString(c, answer("one", "whole body")[:len(answer("one", "whole body"))-3])
+				return false
+			},
+			err: ErrCut,
+		},
+		{
+			desc: "bytes that are no answer",
+			handle: func(c net.Conn, _ *http.Request) bool {
+				_, _ = io.WriteString(c, "\x00\x01 nonsense\r\n\r\n")
+				return false
+			},
+			err: ErrNoAnswer,
+		},
+		{
+			desc: "an answer without an id that says it ran",
+			handle: func(c net.Conn, _ *http.Request) bool {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+				return false
+			},
+			err: ErrNoAnswer,
+		},
+		{
+			desc: "an answer without a length ends with its connection",
+			handle: func(c net.Conn, _ *http.Request) bool {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+platform.HeaderRequest+": one\r\n\r\nwhole")
+				return false
+			},
+			want: "whole",
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			s := newStandIn(t, tt.handle)
+			c := NewClient(tally.NoopScope)
+			defer c.Close()
+			body, err := do(t, c, s, request("one", time.Minute))
+			if !errors.Is(err, tt.err) || (tt.err == nil && body != tt.want) {
+				t.Errorf("got %q, %v; want %q, %v", body, err, tt.want, tt.err)
+			}
+		})
+	}
+}
+
+func TestConnectionWithExtraBytesIsNotReused(t *testing.T) {
+	s := newStandIn(t, func(c net.Conn, r *http.Request) bool {
+		id := r.Header.Get(platform.HeaderRequest)
+		_, err := io.WriteString(c, answer(id, "body of "+id)+answer(id, "again"))
+		return err == nil
+	})
+	c := NewClient(tally.NoopScope)
+	defer c.Close()
+	for _, id := range []string{"one", "two"} {
+		if body, err := do(t, c, s, request(id, time.Minute)); err != nil || body != "body of "+id {
+			t.Fatalf("got %q, %v", body, err)
+		}
+	}
+	if opened := len(s.conns); opened != 2 {
+		t.Errorf("%d connections were opened, want 2", opened)
+	}
+}
+
+func TestFailureSaysWhetherTheRequestMayHaveRun(t *testing.T) {
+	t.Run("nobody listens", func(t *testing.T) {
+		s := newStandIn(t, echo)
+		s.listener.Close()
+		c := NewClient(tally.NoopScope)
+		if _, err := do(t, c, s, request("one", time.Minute)); !errors.Is(err, ErrConnect) {
+			t.Errorf("got %v, want %v", err, ErrConnect)
+		}
+	})
+	t.Run("closed without an answer", func(t *testing.T) {
+		s := newStandIn(t, func(net.Conn, *http.Request) bool { return false })
+		c := NewClient(tally.NoopScope)
+		if _, err := do(t, c, s, request("one", time.Minute)); !errors.Is(err, ErrNoAnswer) {
+			t.Errorf("got %v, want %v", err, ErrNoAnswer)
+		}
+	})
+	t.Run("silent until the deadline", func(t *testing.T) {
+		s := newStandIn(t, func(net.Conn, *http.Request) bool { return true })
+		c := NewClient(tally.NoopScope)
+		if _, err := do(t, c, s, request("one", 50*time.Millisecond)); !errors.Is(err, ErrTimeout) {
+			t.Errorf("got %v, want %v", err, ErrTimeout)
+		}
+	})
+}
+
+func TestClientThatLeavesEndsTheServersConnection(t *testing.T) {
+	arrived := make(chan struct{})
+	s := newStandIn(t, func(net.Conn, *http.Request) bool { close(arrived); return true })
+	c := NewClient(tally.NoopScope)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() {
+		_, err := c.Do(ctx, s.server, request("one", time.Minute))
+		done <- err
+	}()
+	<-arrived
+	cancel()
+	if err := <-done; !errors.Is(err, ErrNoAnswer) {
+		t.Errorf("got %v, want %v", err, ErrNoAnswer)
+	}
+	conn := <-s.conns
+	// The server's read ends because the connection is closed.
+	if _, err := conn.Read(make([]byte, 1)); err == nil {
+		t.Error("the connection goes on")
+	}
+}
