Test the path of a request, choices, budgets, logs and the whole VM

Cause: the path on the platform had no tests above the store. Where the slack of the budget divides into less than one repeat a VM, a VM earns its first: 300 VMs together would otherwise have started with 300 repeats for a bound of 60.

--- a/internal/allow/budget.go
+++ b/internal/allow/budget.go
@@ -63,9 +63,11 @@
 func (r *Repeats) held(service model.ServiceName) float64 {
 	held, ok := r.tokens[service]
 	if !ok {
-		return r.burst()
+		return r.slack / float64(r.vms)
 	}
 	return min(held, r.burst())
 }
 
+// burst is the most that a VM saves up. Where the slack divides into less than
+// one repeat a VM, a VM must earn the rest of its first.
 func (r *Repeats) burst() float64 { return max(r.slack/float64(r.vms), 1) }
--- /dev/null
+++ b/internal/allow/budget_test.go
@@ -0,0 +1,54 @@
+package allow
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+// TestRepeatsOfAllVMsKeepToTheBudget lets every VM repeat whatever it may and
+// compares the sum with the bound, from the first request on.
+func TestRepeatsOfAllVMsKeepToTheBudget(t *testing.T) {
+	const ratio, slack = 0.2, 60.0
+	parameters := gopter.DefaultTestParametersWithSeed(20404)
+	properties := gopter.NewProperties(parameters)
+	properties.Property("budget", prop.ForAll(func(seed uint64, count int) string {
+		random := rand.New(rand.NewPCG(seed, 5))
+		budgets := make([]*Repeats, count)
+		for i := range budgets {
+			budgets[i] = NewRepeats(ratio, slack)
+			budgets[i].SetVMs(count)
+		}
+		requests, repeats := 0.0, 0.0
+		for range 2000 {
+			b := budgets[random.IntN(count)]
+			b.Earn("desk")
+			requests++
+			for range random.IntN(3) {
+				if b.Take("desk") {
+					repeats++
+				}
+			}
+			if repeats > ratio*requests+slack {
+				return fmt.Sprintf("%.0f repeats for %.0f requests from %d VMs", repeats, requests, count)
+			}
+		}
+		if repeats == 0 {
+			return "nothing may be repeated"
+		}
+		return ""
+	}, gen.UInt64(), gen.IntRange(1, 300)))
+	properties.TestingRun(t)
+}
+
+func TestServicesHaveBudgetsOfTheirOwn(t *testing.T) {
+	b := NewRepeats(0, 2)
+	b.SetVMs(1)
+	if !b.Take("desk") || b.Take("desk") || !b.Take("vault") {
+		t.Error("the budgets of two services are mixed")
+	}
+}
--- /dev/null
+++ b/internal/decisions/log_test.go
@@ -0,0 +1,75 @@
+package decisions
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+)
+
+// stalled is an output whose reader has stopped.
+type stalled struct {
+	entered chan struct{}
+	release chan struct{}
+	once    sync.Once
+}
+
+func (s *stalled) Write(p []byte) (int, error) {
+	s.once.Do(func() { close(s.entered) })
+	<-s.release
+	return len(p), nil
+}
+
+func newLog(out io.Writer) *Log {
+	return New(log.NewWithOptions(out, log.Options{Formatter: log.LogfmtFormatter}), tally.NoopScope)
+}
+
+func TestStalledOutputDelaysNobody(t *testing.T) {
+	out := &stalled{entered: make(chan struct{}), release: make(chan struct{})}
+	l := newLog(out)
+	if err := l.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	l.Belief("first")
+	<-out.entered
+	// None of these may wait: the test would hang.
+	for range 2 * queueLines {
+		l.Belief("more")
+	}
+	if dropped := l.dropped.Load(); dropped != queueLines {
+		t.Errorf("%d lines dropped, want %d", dropped, queueLines)
+	}
+	close(out.release)
+	if err := l.Stop(context.Background()); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestLinesAboutRequestsAreBoundedAndCounted(t *testing.T) {
+	var out bytes.Buffer
+	l := newLog(&out)
+	if err := l.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	for range burstLines + 500 {
+		l.Served("answered", "request", "id")
+	}
+	l.Belief("configuration in force", "version", 7)
+	if err := l.Stop(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	text := out.String()
+	if n := strings.Count(text, "msg=answered"); n < burstLines || n > burstLines+linesPerSecond {
+		t.Errorf("%d lines about requests", n)
+	}
+	for _, want := range []string{`msg="configuration in force" version=7`, `msg="log lines dropped" count=`} {
+		if !strings.Contains(text, want) {
+			t.Errorf("no line with %s", want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/front/front_test.go
@@ -0,0 +1,302 @@
+package front
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"fuchsiaspar/internal/allow"
+	"fuchsiaspar/internal/catalog"
+	"fuchsiaspar/internal/decisions"
+	"fuchsiaspar/internal/model"
+	"fuchsiaspar/internal/pick"
+	"fuchsiaspar/internal/upstream"
+	"fuchsiaspar/platform"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// behaviour is how a backend server handles one request that arrived.
+type behaviour func(w http.ResponseWriter, r *http.Request)
+
+// backends counts what its servers got.
+type backends struct {
+	mu      sync.Mutex
+	arrived map[string]int
+	last    http.Header
+	body    string
+}
+
+func (b *backends) count(id string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.arrived[id]
+}
+
+func serveOK(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(platform.HeaderRequest, r.Header.Get(platform.HeaderRequest))
+	w.Header().Set(platform.HeaderSeal, "seal")
+	_, _ = io.WriteString(w, "whole body")
+}
+
+func serveStatus(status int, notRun bool) behaviour {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(platform.HeaderRequest, r.Header.Get(platform.HeaderRequest))
+		if notRun {
+			w.Header().Set(platform.HeaderNotRun, "1")
+		} else {
+			w.Header().Set(platform.HeaderSeal, "seal")
+		}
+		w.WriteHeader(status)
+	}
+}
+
+func reset(w http.ResponseWriter, _ *http.Request) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err == nil {
+		conn.Close()
+	}
+}
+
+func cutShort(w http.ResponseWriter, r *http.Request) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal\r\nContent-Length: 10\r\n\r\nwho",
+		platform.HeaderRequest, r.Header.Get(platform.HeaderRequest), platform.HeaderSeal)
+	conn.Close()
+}
+
+func silent(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+
+// newFront returns an entry VM before one server for each behaviour.
+func newFront(t *testing.T, behaviours ...behaviour) (*httptest.Server, *backends) {
+	t.Helper()
+	b := &backends{arrived: map[string]int{}}
+	var servers []*catalog.Server
+	for i, behave := range behaviours {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			body, _ := io.ReadAll(r.Body)
+			b.mu.Lock()
+			b.arrived[r.Header.Get(platform.HeaderRequest)]++
+			b.last, b.body = r.Header.Clone(), string(body)
+			b.mu.Unlock()
+			behave(w, r)
+		}))
+		t.Cleanup(server.Close)
+		servers = append(servers, &catalog.Server{
+			ID: model.ServerID(fmt.Sprint("i-", i)), Service: "desk", Address: server.Listener.Addr().String(), Slots: 3,
+		})
+	}
+	config := &catalog.Config{Version: 3, Services: map[model.ServiceName]catalog.Service{"desk": {}}}
+	for _, route := range []catalog.Route{
+		{Name: "read", Prefix: "/read/", Kind: catalog.Idempotent},
+		{Name: "order", Prefix: "/order/", Kind: catalog.NonIdempotent},
+		{Name: "nested", Prefix: "/read/nested/", Kind: catalog.NonIdempotent},
+	} {
+		route.Host, route.MaxAttempts, route.Timeout = "h.example", 2, 400*time.Millisecond
+		route.Parts = []catalog.Part{{Service: "desk", Weight: 1}}
+		config.Routes = append(config.Routes, route)
+	}
+	config.Limits.MaxBodyBytes = 1 << 20
+	return startFront(t, catalog.NewSnapshot(9, config, servers, nil, nil)), b
+}
+
+func startFront(t *testing.T, snapshot *catalog.Snapshot) *httptest.Server {
+	fleet := pick.NewFleet(pick.Options{Self: "vm-0"})
+	fleet.SetSnapshot(snapshot, time.Now())
+	repeats := allow.NewRepeats(0.2, 60)
+	client := upstream.NewClient(tally.NoopScope)
+	t.Cleanup(client.Close)
+	front := httptest.NewServer(NewServer(Options{
+		Snapshot: func() *catalog.Snapshot { return snapshot },
+		Age:      func(time.Time) time.Duration { return 0 },
+		Fleet:    fleet, Client: client, Repeats: repeats, Log: decisions.Discard(), Scope: tally.NoopScope,
+	}))
+	t.Cleanup(front.Close)
+	return front
+}
+
+func call(t *testing.T, front *httptest.Server, method, path, body string) (int, string, http.Header) {
+	t.Helper()
+	req, err := http.NewRequest(method, front.URL+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h.example"
+	req.Header.Set(platform.HeaderRequest, "id-1")
+	req.Header.Set(platform.HeaderDeadline, "5000")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err.Error(), nil
+	}
+	defer resp.Body.Close()
+	got, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return resp.StatusCode, err.Error(), resp.Header
+	}
+	return resp.StatusCode, string(got), resp.Header
+}
+
+func TestOutcomes(t *testing.T) {
+	full := serveStatus(http.StatusServiceUnavailable, true)
+	failing := serveStatus(http.StatusInternalServerError, false)
+	tests := []struct {
+		desc       string
+		method     string
+		path       string
+		behaviours []behaviour
+		status     int
+		arrivals   int
+	}{
+		{"served", "GET", "/read/a", []behaviour{serveOK}, 200, 1},
+		{"order served", "POST", "/order/a", []behaviour{serveOK}, 200, 1},
+		{"longest prefix wins: no repeat", "POST", "/read/nested/a", []behaviour{reset, reset}, 502, 1},
+		{"no route", "GET", "/elsewhere", []behaviour{serveOK}, 404, 0},
+		{"no server", "GET", "/read/a", nil, 503, 0},
+		{"full: refused, not run", "POST", "/order/a", []behaviour{full}, 503, 1},
+		{"full everywhere: two attempts, no more", "GET", "/read/a", []behaviour{full, full, full}, 503, 2},
+		{"order on a reset connection may have run", "POST", "/order/a", []behaviour{reset, reset}, 502, 1},
+		{"read on a reset connection is repeated", "GET", "/read/a", []behaviour{reset, reset, reset}, 502, 2},
+		{"a failure of the server is handed on", "POST", "/order/a", []behaviour{failing}, 500, 1},
+		{"failures of two servers", "GET", "/read/a", []behaviour{failing, failing}, 500, 2},
+		{"order cut short may have run", "POST", "/order/a", []behaviour{cutShort, cutShort}, 502, 1},
+		{"silent until the route's timeout", "POST", "/order/a", []behaviour{silent}, 504, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			front, b := newFront(t, tt.behaviours...)
+			status, body, h := call(t, front, tt.method, tt.path, "")
+			if status != tt.status || b.count("id-1") != tt.arrivals {
+				t.Errorf("got %d %q after %d arrivals, want %d after %d", status, body, b.count("id-1"), tt.status, tt.arrivals)
+			}
+			if status == http.StatusServiceUnavailable && h.Get("Retry-After") == "" {
+				t.Error("a refusal does not say when to come back")
+			}
+			if sealed := h.Get(platform.HeaderSeal) != ""; sealed != (status == 200 || status == 500) {
+				t.Errorf("the answer %d is sealed: %v", status, sealed)
+			}
+		})
+	}
+}
+
+// TestOneWorkingServerIsFound has one server that works among failing ones.
+func TestOneWorkingServerIsFound(t *testing.T) {
+	for name, bad := range map[string]behaviour{
+		"full": serveStatus(http.StatusServiceUnavailable, true), "reset": reset, "cut short": cutShort,
+		"failing": serveStatus(http.StatusInternalServerError, false),
+	} {
+		t.Run(name, func(t *testing.T) {
+			front, _ := newFront(t, bad, serveOK)
+			for i := range 5 {
+				if status, body, _ := call(t, front, "GET", fmt.Sprint("/read/", i), ""); status != 200 || body != "whole body" {
+					t.Errorf("got %d %q", status, body)
+				}
+			}
+		})
+	}
+}
+
+func TestRequestIsPassedOnUnchanged(t *testing.T) {
+	front, b := newFront(t, serveOK)
+	if status, _, _ := call(t, front, "POST", "/order/a%2Fb?x=%20y", "the order"); status != 200 {
+		t.Fatalf("got %d", status)
+	}
+	if b.body != "the order" {
+		t.Errorf("the server got body %q", b.body)
+	}
+	left, err := strconv.Atoi(b.last.Get(platform.HeaderDeadline))
+	if err != nil || left <= 0 || left > 400 {
+		t.Errorf("the server may work for %q ms, want up to the route's 400", b.last.Get(platform.HeaderDeadline))
+	}
+	if b.last.Get(platform.HeaderExpect) != "i-0" {
+		t.Errorf("the request names the process %q", b.last.Get(platform.HeaderExpect))
+	}
+}
+
+func TestBodyOverTheLimit(t *testing.T) {
+	front, b := newFront(t, serveOK)
+	status, _, _ := call(t, front, "POST", "/order/a", strings.Repeat("x", 2<<20))
+	if status != http.StatusRequestEntityTooLarge || b.count("id-1") != 0 {
+		t.Errorf("got %d after %d arrivals", status, b.count("id-1"))
+	}
+}
+
+func TestLargeBodyIsStreamedWhole(t *testing.T) {
+	front, b := newFront(t, serveOK)
+	body := strings.Repeat("0123456789", 60_000)
+	if status, _, _ := call(t, front, "POST", "/order/a", body); status != 200 || b.body != body {
+		t.Errorf("got %d, the server got %d bytes of %d", status, len(b.body), len(body))
+	}
+}
+
+func TestWithoutConfigurationNothingIsSaidToBeMissing(t *testing.T) {
+	front := startFront(t, catalog.NewSnapshot(0, nil, nil, nil, nil))
+	if status, _, h := call(t, front, "GET", "/read/a", ""); status != 503 || h.Get("Retry-After") == "" {
+		t.Errorf("got %d", status)
+	}
+}
+
+// TestAnswerThatBreaksOffMidwayLooksBrokenOff streams an answer too large to
+// be kept.
+func TestAnswerThatBreaksOffMidwayLooksBrokenOff(t *testing.T) {
+	front, _ := newFront(t, func(w http.ResponseWriter, r *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: id-1\r\n%s: seal\r\nContent-Length: %d\r\n\r\n",
+			platform.HeaderRequest, platform.HeaderSeal, 2*keptAnswer)
+		_, _ = conn.Write(make([]byte, keptAnswer))
+		conn.Close()
+	})
+	if status, body, _ := call(t, front, "GET", "/read/a", ""); status == 200 && len(body) >= keptAnswer {
+		t.Errorf("an answer of %d bytes that broke off looks whole", len(body))
+	}
+}
+
+func TestClientThatLeavesStopsTheServersWork(t *testing.T) {
+	stopped := make(chan struct{})
+	front, _ := newFront(t, func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		close(stopped)
+	})
+	conn, err := net.Dial("tcp", front.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprintf(conn, "GET /read/a HTTP/1.1\r\nHost: h.example\r\n%s: id-1\r\n\r\n", platform.HeaderRequest)
+	time.Sleep(50 * time.Millisecond)
+	conn.Close()
+	<-stopped
+}
+
+func TestLeavingVMAsksClientsToReconnect(t *testing.T) {
+	config := &catalog.Config{}
+	server := NewServer(Options{
+		Snapshot: func() *catalog.Snapshot { return catalog.NewSnapshot(1, config, nil, nil, nil) },
+		Age:      func(time.Time) time.Duration { return 0 }, Log: decisions.Discard(), Scope: tally.NoopScope,
+	})
+	server.Leave()
+	front := httptest.NewServer(server)
+	defer front.Close()
+	conn, err := net.Dial("tcp", front.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprintf(conn, "GET /a HTTP/1.1\r\nHost: h\r\n%s: id-1\r\n\r\n", platform.HeaderRequest)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil || !resp.Close {
+		t.Errorf("got %+v, %v; want Connection: close", resp, err)
+	}
+}
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,195 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"fuchsiaspar/internal/model"
+	"fuchsiaspar/platform"
+	"fuchsiaspar/platform/storetest"
+)
+
+// eventually waits for what other goroutines bring about.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for range 1000 {
+		if holds() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("never: %s", what)
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// startNode runs an entry VM of region r against a store.
+func startNode(t *testing.T, name string, store *storetest.Store, seeds ...string) *Node {
+	t.Helper()
+	n, err := New(platform.Node{
+		Name: model.VMID(name), Zone: "z", Region: "r", Regions: map[model.Zone]model.Region{"z": "r"},
+		Listen: platform.Listen{
+			Front: freeAddress(t), Ready: freeAddress(t), Directory: freeAddress(t), Peer: freeAddress(t),
+		},
+		Seeds: seeds, Store: store.Address(), Limits: platform.NodeLimits{MemoryMB: 284},
+		Bounds: platform.Bounds{
+			Grace: 3 * time.Second, RetryRatio: 0.2, RetrySlack: 60, ColdFactor: 1.5, ColdSlack: 5, MaxTTL: 5 * time.Second,
+		},
+	}, io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := n.kernel.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = n.kernel.Stop(context.Background()) })
+	return n
+}
+
+// startBackend runs a backend server that takes delay for a request.
+func startBackend(t *testing.T, store *storetest.Store, id, service string, delay time.Duration) {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(delay)
+		w.Header().Set(platform.HeaderRequest, r.Header.Get(platform.HeaderRequest))
+		w.Header().Set(platform.HeaderSeal, "seal")
+		_, _ = io.WriteString(w, service)
+	}))
+	t.Cleanup(server.Close)
+	store.Put(platform.PrefixServers+id, fmt.Appendf(nil,
+		`{"address":%q,"info":{"service":%q,"version":"v1","zone":"z","slots":3},"status":{"state":"ready","sequence":1,"cold_left_ms":0}}`,
+		server.Listener.Addr().String(), service))
+}
+
+func configure(store *storetest.Store, version int, service string) {
+	store.Put(platform.KeyConfig, fmt.Appendf(nil,
+		`{"version":%d,"routes":{"r":{"host":"h","path_prefix":"/a/","kind":"idempotent","timeout_ms":2000,"service":%q,"max_attempts":2}},
+		"services":{%q:{"health_path":"/health"}},"limits":{"max_body_bytes":1000}}`, version, service, service))
+}
+
+func get(address, path, host string) (int, string) {
+	req, err := http.NewRequest(http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return 0, err.Error()
+	}
+	req.Host = host
+	req.Header.Set(platform.HeaderRequest, "id-1")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return resp.StatusCode, err.Error()
+	}
+	return resp.StatusCode, string(body)
+}
+
+func (n *Node) served(want string) func() bool {
+	return func() bool {
+		status, body := get(n.settings.Listen.Front, "/a/x", "h")
+		return status == http.StatusOK && body == want
+	}
+}
+
+func (n *Node) named() []string {
+	_, body := get(n.settings.Listen.Directory, platform.PathResolve+"?name=h&region=r&zone=z", "x")
+	var answer platform.ResolveAnswer
+	if json.Unmarshal([]byte(body), &answer) != nil {
+		return nil
+	}
+	return answer.Addresses
+}
+
+func TestWholePath(t *testing.T) {
+	store := storetest.Start(t, 2)
+	n := startNode(t, "vm-a", store)
+	ready := func() bool {
+		status, _ := get(n.settings.Listen.Ready, platform.PathReady, "x")
+		return status == http.StatusOK
+	}
+	if ready() {
+		t.Error("ready without a configuration")
+	}
+	startBackend(t, store, "i-1", "one", 0)
+	startBackend(t, store, "i-2", "two", 0)
+	configure(store, 1, "one")
+	eventually(t, "ready", ready)
+	eventually(t, "served by the first service", n.served("one"))
+	configure(store, 2, "two")
+	eventually(t, "served by the second service", n.served("two"))
+	eventually(t, "named by itself", func() bool { return len(n.named()) == 1 })
+	eventually(t, "a record in the store", func() bool { _, ok := store.Item(platform.PrefixVMs + "vm-a"); return ok })
+	store.Lapse()
+	eventually(t, "a record after its lease lapsed", func() bool { _, ok := store.Item(platform.PrefixVMs + "vm-a"); return ok })
+	if _, body := get(n.settings.Listen.Ready, metricsPath, "x"); !strings.Contains(body, "store_calls") {
+		t.Error("no metrics on the readiness address")
+	}
+}
+
+func TestConfigurationReachesAVMThatTheStoreTurnsAway(t *testing.T) {
+	store, away := storetest.Start(t, 100), storetest.Start(t, 100)
+	away.Set(storetest.Faults{Refuse: http.StatusTooManyRequests})
+	startBackend(t, store, "i-1", "one", 0)
+	startBackend(t, store, "i-2", "two", 0)
+	configure(store, 1, "one")
+	a := startNode(t, "vm-a", store)
+	eventually(t, "the first VM serves", a.served("one"))
+	b := startNode(t, "vm-b", away, a.settings.Listen.Peer)
+	eventually(t, "the VM without a store serves", b.served("one"))
+	configure(store, 2, "two")
+	eventually(t, "the change reaches it", b.served("two"))
+	eventually(t, "both name both", func() bool { return len(a.named()) == 2 && len(b.named()) == 2 })
+}
+
+func TestPlannedStopCutsNothing(t *testing.T) {
+	store := storetest.Start(t, 100)
+	startBackend(t, store, "i-1", "one", 600*time.Millisecond)
+	configure(store, 1, "one")
+	n, other := startNode(t, "vm-a", store), startNode(t, "vm-b", store)
+	eventually(t, "served", n.served("one"))
+	eventually(t, "both are named", func() bool { return len(other.named()) == 2 })
+	answers := make(chan string, 8)
+	for range cap(answers) {
+		go func() {
+			status, body := get(n.settings.Listen.Front, "/a/x", "h")
+			answers <- fmt.Sprint(status, body)
+		}()
+	}
+	eventually(t, "requests in progress", func() bool { return n.front.Active() == int64(cap(answers)) })
+	stopped := make(chan error, 1)
+	go func() { stopped <- n.stop(context.Background()) }()
+	eventually(t, "not ready", func() bool {
+		status, _ := get(n.settings.Listen.Ready, platform.PathReady, "x")
+		return status != http.StatusOK
+	})
+	eventually(t, "no longer named", func() bool { return len(other.named()) == 1 })
+	for range cap(answers) {
+		if got := <-answers; got != "200one" {
+			t.Errorf("got %q", got)
+		}
+	}
+	if err := <-stopped; err != nil {
+		t.Errorf("stop: %v", err)
+	}
+	if _, ok := store.Item(platform.PrefixVMs + "vm-a"); ok {
+		t.Error("the record is left in the store")
+	}
+}
