--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -141,7 +141,7 @@
 }
 
 func (q *request) done(choice pick.Choice, outcome pick.Outcome, report *pick.Report) {
-	q.server.opts.Fleet.Done(choice.Server, outcome, report, time.Now())
+	q.server.opts.Fleet.Done(choice, outcome, report, time.Now())
 }
 
 func reportOf(h http.Header) *pick.Report {
--- a/internal/pick/fleet.go
+++ b/internal/pick/fleet.go
@@ -40,6 +40,7 @@
 	mu      sync.Mutex
 	servers map[model.ServerID]*Server
 	byGroup map[model.ServiceName][]*Server
+	memory  memory
 	config  *catalog.Config
 	// evacuated is the set of zones at the last snapshot.
 	evacuated map[model.Zone]bool
@@ -56,7 +57,7 @@
 
 // NewFleet returns a Fleet without servers.
 func NewFleet(options Options) *Fleet {
-	return &Fleet{options: options, servers: map[model.ServerID]*Server{}, byGroup: map[model.ServiceName][]*Server{}}
+	return &Fleet{options: options, servers: map[model.ServerID]*Server{}, byGroup: map[model.ServiceName][]*Server{}, memory: newMemory()}
 }
 
 // SetVMs tells which entry VMs share the rates of cold servers.
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -59,6 +59,7 @@
 	Cost   float64
 	Load   float64
 	Cold   bool
+	object uint64
 }
 
 // Pick chooses the server with the lowest cost and counts the request there
@@ -78,12 +79,12 @@
 	for rank, entry := range top {
 		load := entry.server.load(now)
 		cold := now.Before(entry.server.coldUntil)
-		cost := load + rankCost*float64(rank) + failureCost*entry.server.health.rate(now)
+		cost := load + f.step(q.Object, entry.server, rank, now) + failureCost*entry.server.health.rate(now)
 		if cold {
 			cost += coldCost
 		}
 		if cost < best.Cost {
-			best = Choice{Server: entry.server, Target: entry.server.Server, Rank: rank, Cost: cost, Load: load, Cold: cold}
+			best = Choice{Server: entry.server, Target: entry.server.Server, Rank: rank, Cost: cost, Load: load, Cold: cold, object: q.Object}
 		}
 	}
 	if best.Server == nil {
@@ -96,6 +97,14 @@
 	return best, ""
 }
 
+// step is the cost of the place of a server in an object's ranking.
+func (f *Fleet) step(object uint64, server *Server, rank int, now time.Time) float64 {
+	if rank > 0 && f.memory.knows(object, server, now) {
+		return warmCost
+	}
+	return rankCost * float64(rank)
+}
+
 func excluded(list []model.ServerID, id model.ServerID) bool {
 	for _, e := range list {
 		if e == id {
@@ -171,9 +180,10 @@
 
 // Done ends the count of a request and judges the server by it. report is nil
 // when the server did not tell its load.
-func (f *Fleet) Done(server *Server, outcome Outcome, report *Report, now time.Time) {
+func (f *Fleet) Done(choice Choice, outcome Outcome, report *Report, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	server := choice.Server
 	server.outstanding--
 	if report != nil {
 		// The report counts the request that has just ended.
@@ -183,6 +193,7 @@
 	switch outcome {
 	case Answered:
 		server.health.answered(false, now)
+		f.memory.note(choice.object, server, now)
 	case Failed:
 		server.health.answered(true, now)
 	case Refused:
--- a/internal/pick/pick_test.go
+++ b/internal/pick/pick_test.go
@@ -77,8 +77,8 @@
 		if at.Target.ID != bt.Target.ID {
 			t.Errorf("object %d goes to %s and to %s", i, at.Target.ID, bt.Target.ID)
 		}
-		a.Done(at.Server, Answered, nil, start)
-		b.Done(bt.Server, Answered, nil, start)
+		a.Done(at, Answered, nil, start)
+		b.Done(bt, Answered, nil, start)
 	}
 }
 
@@ -89,7 +89,7 @@
 	for i := range uint64(200) {
 		c := choose(t, f, lookup, mix(i), start)
 		before[i] = c.Target.ID
-		f.Done(c.Server, Answered, nil, start)
+		f.Done(c, Answered, nil, start)
 	}
 	f.SetSnapshot(snapshot(list[1:], nil), start)
 	for i := range uint64(200) {
@@ -97,7 +97,7 @@
 		if before[i] != list[0].ID && c.Target.ID != before[i] {
 			t.Errorf("object %d moved from %s to %s", i, before[i], c.Target.ID)
 		}
-		f.Done(c.Server, Answered, nil, start)
+		f.Done(c, Answered, nil, start)
 	}
 }
 
@@ -109,7 +109,7 @@
 		if c.Target.Region != "mb" {
 			t.Errorf("object %d goes to %s", i, c.Target.Region)
 		}
-		f.Done(c.Server, Answered, nil, start)
+		f.Done(c, Answered, nil, start)
 	}
 	f.SetSnapshot(snapshot(servers(2, "lj", "kp"), nil), start)
 	choose(t, f, pack, 1, start)
@@ -135,14 +135,14 @@
 		{"no connection to any", func(f *Fleet, list []*catalog.Server) Query {
 			for range list {
 				c, _ := f.Pick(Query{Route: lookup, Service: "desk"}, start)
-				f.Done(c.Server, Lost, nil, start)
+				f.Done(c, Lost, nil, start)
 			}
 			return Query{Route: lookup, Service: "desk"}
 		}, AllFull},
 		{"full by their own report", func(f *Fleet, list []*catalog.Server) Query {
 			for range list {
 				c, _ := f.Pick(Query{Route: lookup, Service: "desk"}, start)
-				f.Done(c.Server, Answered, &Report{Running: 4, Waiting: 9, Slots: 3}, start)
+				f.Done(c, Answered, &Report{Running: 4, Waiting: 9, Slots: 3}, start)
 			}
 			return Query{Route: lookup, Service: "desk"}
 		}, AllFull},
@@ -161,7 +161,7 @@
 func TestServerIsTriedAgainAfterItsEjection(t *testing.T) {
 	f := newFleet("vm-0", "lj", vms(1), servers(1, "lj"))
 	c := choose(t, f, lookup, 1, start)
-	f.Done(c.Server, Lost, nil, start)
+	f.Done(c, Lost, nil, start)
 	if _, reason := f.Pick(Query{Route: lookup, Service: "desk"}, start.Add(minEject-1)); reason != AllFull {
 		t.Errorf("got %q, want %q", reason, AllFull)
 	}
@@ -171,7 +171,7 @@
 func TestFailingServerLosesItsObjects(t *testing.T) {
 	f := newFleet("vm-0", "lj", vms(1), servers(4, "lj"))
 	first := choose(t, f, lookup, 1, start)
-	f.Done(first.Server, Failed, nil, start)
+	f.Done(first, Failed, nil, start)
 	now := start
 	for range 20 {
 		now = now.Add(50 * time.Millisecond)
@@ -179,7 +179,7 @@
 		if c.Target.ID != first.Target.ID {
 			return
 		}
-		f.Done(c.Server, Failed, nil, now)
+		f.Done(c, Failed, nil, now)
 	}
 	t.Error("a server that fails every request keeps its object")
 }
@@ -208,7 +208,7 @@
 			f := fleets[random.IntN(count)]
 			if c, reason := f.Pick(Query{Route: lookup, Service: "desk", Object: 1}, now); reason == "" {
 				sent = append(sent, now)
-				f.Done(c.Server, Answered, nil, now)
+				f.Done(c, Answered, nil, now)
 			}
 		}
 		if len(sent) == 0 {
@@ -230,6 +230,53 @@
 	properties.TestingRun(t)
 }
 
+func TestServersThatKnowAnObjectShareItByLoad(t *testing.T) {
+	f := newFleet("vm-0", "lj", vms(1), servers(4, "lj"))
+	first := choose(t, f, lookup, 1, start)
+	home := first.Target.ID
+	busy := func(now time.Time) {
+		f.Done(first, Answered, &Report{Running: 4, Waiting: 1, Slots: 3}, now)
+	}
+	busy(start)
+	if c := choose(t, f, lookup, 1, start); c.Target.ID != home {
+		t.Fatalf("an object left its server behind a load of %.2f", c.Load)
+	} else {
+		f.Done(c, Answered, &Report{Running: 4, Waiting: 5, Slots: 3}, start)
+	}
+	second := choose(t, f, lookup, 1, start)
+	if second.Target.ID == home {
+		t.Fatalf("an object stayed behind a load of %.2f", second.Load)
+	}
+	f.Done(second, Answered, nil, start)
+	now := start.Add(reportFor)
+	first = choose(t, f, lookup, 1, now)
+	if first.Target.ID != home {
+		t.Fatal("an object did not return to its idle server")
+	}
+	busy(now)
+	if c := choose(t, f, lookup, 1, now); c.Target.ID != second.Target.ID {
+		t.Error("a server that knows the object is not used while the first one is busier")
+	}
+}
+
+func TestForgottenObjectsMakeRoom(t *testing.T) {
+	m := newMemory()
+	server := &Server{}
+	for object := range uint64(maxObjects + 10) {
+		m.note(object, server, start)
+	}
+	if len(m.visits) > maxObjects {
+		t.Errorf("%d objects remembered, bound %d", len(m.visits), maxObjects)
+	}
+	if m.knows(maxObjects+9, server, start.Add(warmFor)) {
+		t.Error("a server is taken to remember an object for ever")
+	}
+	server.gone = true
+	if m.knows(maxObjects+9, server, start) {
+		t.Error("a server that is gone is taken to know an object")
+	}
+}
+
 func TestServersOfAZoneThatIsTakenBackAreCold(t *testing.T) {
 	list := servers(1, "lj")
 	f := newFleet("vm-0", "lj", vms(1), list)
@@ -244,6 +291,6 @@
 	f := newFleet("vm-0", "lj", vms(33), servers(240, "lj", "mb", "kp"))
 	for i := 0; b.Loop(); i++ {
 		c, _ := f.Pick(Query{Route: lookup, Service: "desk", Object: mix(uint64(i % 400))}, start)
-		f.Done(c.Server, Answered, nil, start)
+		f.Done(c, Answered, nil, start)
 	}
 }
