Let requests that tolerate latency yield while their server is busy

Change: a less urgent route whose objective is at least four times the shortest at its service sends nothing to a server whose load is 1.67 or more by a report of the last 1.5 s; its request waits an eighth of its objective and is then told to come back one objective later.

--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -132,6 +132,15 @@
 	}
 }
 
+// retryAfter tells a refused client when to come back. One whose request
+// yields to urgent ones comes back once a flood may have passed.
+func (q *request) retryAfter(reason string) string {
+	if reason != string(pick.Yield) {
+		return retryAfterSoon
+	}
+	return strconv.FormatFloat(q.route.Objective.Seconds(), 'f', 1, 64)
+}
+
 // refuse answers in place of a server.
 func (q *request) refuse(status int, reason string) {
 	h := q.w.Header()
@@ -140,7 +149,7 @@
 		h.Set(platform.HeaderRequest, q.id)
 	}
 	if status == http.StatusServiceUnavailable {
-		h.Set("Retry-After", retryAfterSoon)
+		h.Set("Retry-After", q.retryAfter(reason))
 	}
 	message := `{"error":"` + reason + `"}` + "\n"
 	h.Set("Content-Length", strconv.Itoa(len(message)))
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"fuchsiaspar/internal/background"
 	"fuchsiaspar/internal/pick"
 	"fuchsiaspar/internal/upstream"
 	"fuchsiaspar/platform"
@@ -17,6 +18,11 @@
 	// minAttempt is the shortest time left with which an attempt is worth its
 	// slot.
 	minAttempt = 20 * time.Millisecond
+	// yieldPause is the wait of a request that yields before it looks again.
+	yieldPause = 40 * time.Millisecond
+	// yieldShare is the part of its objective, as a divisor, for which a
+	// request yields before it is refused.
+	yieldShare = 8
 )
 
 // run tries servers until one has answered, or gives up.
@@ -30,6 +36,10 @@
 		choice, reason := q.server.opts.Fleet.Pick(pick.Query{
 			Route: q.route, Service: q.service, Object: q.object, Exclude: q.tried,
 		}, now)
+		if reason == pick.Yield && now.Sub(q.start) < q.route.Objective/yieldShare {
+			background.Sleep(q.r.Context(), yieldPause)
+			continue
+		}
 		if reason != "" {
 			q.giveUp(string(reason))
 			return
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -107,6 +107,11 @@
 		route.Parts = []catalog.Part{{Service: "desk", Weight: 1}}
 		config.Routes = append(config.Routes, route)
 	}
+	// Requests of the last route tolerate eight times the latency of the first.
+	config.Routes[0].Objective = 50 * time.Millisecond
+	sync := config.Routes[0]
+	sync.Name, sync.Prefix, sync.Objective, sync.Rank = "sync", "/sync/", 400*time.Millisecond, 2
+	config.Routes = append(config.Routes, sync)
 	config.Limits.MaxBodyBytes = 1 << 20
 	return startFront(t, catalog.NewSnapshot(9, config, servers, nil, nil)), b
 }
@@ -280,6 +285,23 @@
 	<-stopped
 }
 
+func TestTolerantRequestIsRefusedUnsentWhileItsServerIsBusy(t *testing.T) {
+	front, b := newFront(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Fuchsiaspar-Server-Load", "3,4,3")
+		serveOK(w, r)
+	})
+	if status, _, _ := call(t, front, "GET", "/read/a", ""); status != 200 {
+		t.Fatalf("got %d", status)
+	}
+	status, _, h := call(t, front, "GET", "/sync/a", "")
+	if status != 503 || h.Get("Retry-After") != "0.4" || b.count("id-1") != 1 {
+		t.Errorf("got %d, come back in %q, %d arrivals", status, h.Get("Retry-After"), b.count("id-1"))
+	}
+	if status, _, _ := call(t, front, "GET", "/read/a", ""); status != 200 {
+		t.Errorf("an urgent request got %d", status)
+	}
+}
+
 func TestLeavingVMAsksClientsToReconnect(t *testing.T) {
 	config := &catalog.Config{}
 	server := NewServer(Options{
--- a/internal/pick/fleet.go
+++ b/internal/pick/fleet.go
@@ -42,6 +42,8 @@
 	byGroup map[model.ServiceName][]*Server
 	memory  memory
 	config  *catalog.Config
+	// tolerant holds the names of routes that tolerate latency.
+	tolerant map[string]bool
 	// evacuated is the set of zones at the last snapshot.
 	evacuated map[model.Zone]bool
 	vms       []model.VMID
@@ -76,7 +78,9 @@
 func (f *Fleet) SetSnapshot(snapshot *catalog.Snapshot, now time.Time) []*catalog.Server {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.config = snapshot.Config
+	if f.config != snapshot.Config {
+		f.config, f.tolerant = snapshot.Config, tolerantRoutes(snapshot.Config)
+	}
 	back := f.takenBack(snapshot.Evacuated)
 	seen := make(map[model.ServerID]bool, len(f.servers))
 	f.byGroup = make(map[model.ServiceName][]*Server, len(snapshot.Servers))
--- /dev/null
+++ b/internal/pick/lanes.go
@@ -0,0 +1,57 @@
+package pick
+
+import (
+	"time"
+
+	"fuchsiaspar/internal/catalog"
+	"fuchsiaspar/internal/model"
+)
+
+const (
+	// tolerantFactor is how many times longer than the shortest objective at a
+	// service a less urgent route's objective must be for the route to count
+	// as tolerant of latency.
+	tolerantFactor = 4
+	// tolerantLoad is the load at which a server gets no more of the requests
+	// that tolerate latency, so that urgent ones do not queue behind them.
+	tolerantLoad = 1.67
+	// tolerantReportFor is how long a server's report keeps tolerant requests
+	// away: about the time between two answers of one server to one VM.
+	tolerantReportFor = 1500 * time.Millisecond
+)
+
+// tolerantRoutes returns the names of the routes whose requests tolerate
+// latency, among those that share a service with more urgent ones.
+func tolerantRoutes(config *catalog.Config) map[string]bool {
+	tolerant := map[string]bool{}
+	if config == nil {
+		return tolerant
+	}
+	urgent := map[model.ServiceName]catalog.Route{}
+	for _, route := range config.Routes {
+		for _, part := range route.Parts {
+			known, ok := urgent[part.Service]
+			if route.Objective > 0 && (!ok || route.Objective < known.Objective) {
+				urgent[part.Service] = route
+			}
+		}
+	}
+	for _, route := range config.Routes {
+		for _, part := range route.Parts {
+			other, ok := urgent[part.Service]
+			if ok && route.Rank > other.Rank && route.Objective >= tolerantFactor*other.Objective {
+				tolerant[route.Name] = true
+			}
+		}
+	}
+	return tolerant
+}
+
+// yields says whether a tolerant request must not go to s now.
+func (s *Server) yields(now time.Time) bool {
+	count := s.outstanding
+	if now.Sub(s.reportedAt) < tolerantReportFor {
+		count = max(count, s.report.Running+s.report.Waiting)
+	}
+	return float64(count) >= tolerantLoad*float64(max(s.Slots, 1))
+}
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -39,6 +39,9 @@
 	// AllFull means that every server has a full queue, is ejected or has had
 	// its share of requests while cold.
 	AllFull Reason = "all_full"
+	// Yield means that the request tolerates latency and its server has enough
+	// to do for more urgent ones.
+	Yield Reason = "yield"
 )
 
 // Query asks for the server of one request.
@@ -93,6 +96,9 @@
 		}
 		return best, NoServers
 	}
+	if f.tolerant[q.Route.Name] && best.Server.yields(now) {
+		return best, Yield
+	}
 	f.begin(best, now)
 	return best, ""
 }
