--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -63,6 +63,7 @@
 			drainCommand(),
 			explainCommand(),
 			lookupCommand(),
+			nodeCommand(),
 		}, extra...),
 	}
 	prepare(root)
--- a/internal/cli/queries.go
+++ b/internal/cli/queries.go
@@ -74,8 +74,9 @@
 
 func explainCommand() *cli.Command {
 	return &cli.Command{
-		Name:  "explain",
-		Usage: "show recent decisions and why they were taken",
+		Name:      "explain",
+		Usage:     "show recent decisions and why they were taken, or with --log those on one request",
+		ArgsUsage: "[REQUEST-ID]",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "kind", Usage: "`kind` of decision such as refusal, retry, shift, adoption or drain"},
 			&cli.StringFlag{Name: "reason", Usage: "typed `reason`, as in the Fuchsiaspar-Reason header"},
@@ -84,12 +85,16 @@
 			&cli.StringFlag{Name: "zone", Usage: "availability `zone`"},
 			&cli.StringFlag{Name: "request", Usage: "`attempt` at a request"},
 			&cli.IntFlag{Name: flagLimit, Usage: "greatest `count` of decisions", Value: explainLimit},
+			&cli.StringFlag{Name: flagLog, Usage: "read `FILE`, or - for standard input, instead of asking an entry VM"},
 		},
 		Action: explainDecisions,
 	}
 }
 
 func explainDecisions(ctx context.Context, cmd *cli.Command) error {
+	if path := cmd.String(flagLog); path != "" {
+		return fromLogs(cmd, path)
+	}
 	if err := noArguments(cmd); err != nil {
 		return err
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -46,6 +46,7 @@
 		Name: model.VMID(name), Zone: "z", Region: "r", Regions: map[model.Zone]model.Region{"z": "r"},
 		Listen: platform.Listen{
 			Front: freeAddress(t), Ready: freeAddress(t), Directory: freeAddress(t), Peer: freeAddress(t),
+			Metrics: freeAddress(t),
 		},
 		Seeds: seeds, Store: store.Address(), Limits: platform.NodeLimits{MemoryMB: 284},
 		Bounds: platform.Bounds{
@@ -139,8 +140,8 @@
 	eventually(t, "a record in the store", func() bool { _, ok := store.Item(platform.PrefixVMs + "vm-a"); return ok })
 	store.Lapse()
 	eventually(t, "a record after its lease lapsed", func() bool { _, ok := store.Item(platform.PrefixVMs + "vm-a"); return ok })
-	if _, body := get(n.settings.Listen.Ready, metricsPath, "x"); !strings.Contains(body, "store_calls") {
-		t.Error("no metrics on the readiness address")
+	if _, body := get(n.settings.Listen.Metrics, metricsPath, "x"); !strings.Contains(body, "store_calls") {
+		t.Error("no metrics on their address")
 	}
 }
 
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -22,7 +22,7 @@
 	headerTimeout = 10 * time.Second
 	// maxHeaderBytes bounds a head.
 	maxHeaderBytes = 64 << 10
-	// metricsPath serves metrics beside readiness.
+	// metricsPath serves metrics.
 	metricsPath = "/metrics"
 )
 
@@ -39,7 +39,9 @@
 	s.front = newHTTPServer(b.node.front)
 	s.listen[addresses.Front] = s.front
 	s.handle(addresses.Ready, platform.PathReady, http.HandlerFunc(b.node.serveReady))
-	s.handle(addresses.Ready, metricsPath, b.metrics)
+	if addresses.Metrics != "" {
+		s.handle(addresses.Metrics, metricsPath, b.metrics)
+	}
 	s.handle(addresses.Directory, platform.PathResolve, directory.New(directory.Options{
 		Alive: b.node.live.Alive, Ready: b.node.Ready, MaxTTL: b.settings.Bounds.MaxTTL,
 		Log: b.node.log, Scope: b.metrics.Scope,
