--- a/internal/cli/runbook_test.go
+++ b/internal/cli/runbook_test.go
@@ -126,3 +126,24 @@
 		t.Errorf("%d commands were run, want at least %d", count, least)
 	}
 }
+
+func TestOperationsCommands(t *testing.T) {
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Chdir(t.TempDir())
+	const least = 4
+	if count := runPage(t, string(page)); count < least {
+		t.Errorf("%d commands were run, want at least %d", count, least)
+	}
+	for id, want := range map[string]string{
+		"b2c9de1680f6c003": "refused, not run",
+		"ddde56a49f381c33": "unknown outcome",
+		"3d9888bbaa784dfe": "answered by the server",
+	} {
+		if got := run("explain", "--log", "vm.log", id); !strings.Contains(got.stdout, want) {
+			t.Errorf("explain %s: got %s, want %q", id, got.stdout, want)
+		}
+	}
+}
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -4,7 +4,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"fuchsiaspar/internal/header"
 	"fuchsiaspar/internal/pick"
@@ -32,7 +31,7 @@
 		q.done(choice, pick.Failed, report)
 		q.maybeRun = true
 		if whole && q.route.Kind.Repeatable() && q.mayRepeat() == "" {
-			q.logFailed("server failed", "status", answer.Status)
+			q.logAttempt("server failed", "status", answer.Status)
 			return verdictRepeat
 		}
 		q.send(answer, kept, whole)
@@ -62,7 +61,7 @@
 		outcome = pick.Abandoned
 	}
 	q.done(choice, outcome, report)
-	q.logFailed("answer cut off", "cause", err)
+	q.logAttempt("answer cut off", "cause", err)
 	return verdictFailed
 }
 
@@ -123,7 +122,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	switch {
-	case q.maybeRun && reason == reasonTimeout, q.maybeRun && !time.Now().Before(q.deadline):
+	case q.maybeRun && reason == reasonTimeout:
 		q.refuse(http.StatusGatewayTimeout, reason)
 	case q.maybeRun:
 		q.refuse(http.StatusBadGateway, reason)
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -36,6 +36,9 @@
 		choice, reason := q.server.opts.Fleet.Pick(pick.Query{
 			Route: q.route, Service: q.service, Object: q.object, Exclude: q.tried,
 		}, now)
+		if reason == "" || reason == pick.Yield {
+			q.last = choice
+		}
 		if reason == pick.Yield && now.Sub(q.start) < q.route.Objective/yieldShare {
 			background.Sleep(q.r.Context(), yieldPause)
 			continue
@@ -44,7 +47,6 @@
 			q.giveUp(string(reason))
 			return
 		}
-		q.last = choice
 		verdict := q.attempt(choice)
 		if verdict == verdictDone {
 			return
@@ -73,6 +75,8 @@
 	switch {
 	case q.r.Context().Err() != nil:
 		return reasonClientLeft
+	case !time.Now().Before(q.deadline):
+		return reasonTimeout
 	case q.maybeRun && !q.route.Kind.Repeatable():
 		return reasonUnknown
 	case q.body.stream != nil:
@@ -121,7 +125,7 @@
 	if platform.NotRun(answer.Status, answer.Header) {
 		answer.Body.Close()
 		q.done(choice, pick.Refused, report)
-		q.logFailed("server refused", "status", answer.Status)
+		q.logAttempt("server refused", "status", answer.Status)
 		return verdictFailed
 	}
 	return q.handOn(choice, answer, report)
@@ -134,7 +138,7 @@
 			outcome = pick.Abandoned
 		}
 		q.done(choice, outcome, nil)
-		q.logFailed("no connection", "cause", err)
+		q.logAttempt("no connection", "cause", err)
 		return verdictNotSent
 	}
 	q.attempts++
@@ -146,7 +150,7 @@
 		outcome = pick.Failed
 	}
 	q.done(choice, outcome, nil)
-	q.logFailed("no answer", "cause", err)
+	q.logAttempt("no answer", "cause", err)
 	return verdictFailed
 }
 
--- a/internal/front/report.go
+++ b/internal/front/report.go
@@ -44,6 +44,10 @@
 	m.scope.Tagged(map[string]string{"reason": reason, "status": strconv.Itoa(status)}).Counter("refusals").Inc(1)
 }
 
+func (m *metrics) attemptFailed(cause string) {
+	m.scope.Tagged(map[string]string{"cause": cause}).Counter("attempts_failed").Inc(1)
+}
+
 func outcomeOf(status int) string {
 	if status < http.StatusBadRequest {
 		return "success"
@@ -81,6 +85,12 @@
 	q.server.opts.Log.Failed("gave up", q.fields(time.Now(), "status", status, "reason", reason)...)
 }
 
+// logAttempt tells of an attempt without an answer to hand on.
+func (q *request) logAttempt(text string, more ...any) {
+	q.server.metrics.attemptFailed(text)
+	q.logFailed(text, more...)
+}
+
 func (q *request) logFailed(text string, more ...any) {
 	q.server.opts.Log.Failed(text, q.fields(time.Now(), more...)...)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -205,15 +205,27 @@
 			b.client.Forget(b.fleet.SetSnapshot(snapshot, now))
 			b.node.live.SetListed(snapshot.VMs)
 		},
-		Tick: func() {
-			alive := b.node.live.Alive()
-			b.fleet.SetVMs(alive)
-			b.repeats.SetVMs(len(alive))
-		},
+		Tick: b.tick,
 	})
 	return b.add(NameState, b.node.state)
 }
 
+// tick hands on what changes with time, and reports what this VM believes.
+func (b *assembly) tick(now time.Time) {
+	alive := b.node.live.Alive()
+	b.fleet.SetVMs(alive)
+	b.repeats.SetVMs(len(alive))
+	scope := b.metrics.Scope
+	scope.Gauge("vms_alive").Update(float64(len(alive)))
+	scope.Gauge("store_copy_age_seconds").Update(b.feed.Age(now).Seconds())
+	if config := b.node.state.Current().Config; config != nil {
+		scope.Gauge("configuration_version").Update(float64(config.Version))
+	}
+	for service, count := range b.fleet.Sizes() {
+		scope.Tagged(map[string]string{"service": string(service)}).Gauge("servers").Update(float64(count))
+	}
+}
+
 func (b *assembly) traffic() error {
 	b.node.front = front.NewServer(front.Options{
 		Snapshot: b.node.state.Current, Age: b.feed.Age, Fleet: b.fleet, Client: b.client,
--- a/internal/state/service.go
+++ b/internal/state/service.go
@@ -22,7 +22,7 @@
 	// Publish is called with each new snapshot, on the control goroutine.
 	Publish func(snapshot *catalog.Snapshot, now time.Time)
 	// Tick is called about five times a second on the control goroutine.
-	Tick func()
+	Tick func(now time.Time)
 }
 
 // Service is the control goroutine: it alone changes the state.
@@ -67,7 +67,7 @@
 		case <-changed:
 		case now := <-ticker.C:
 			s.expire(now)
-			s.opts.Tick()
+			s.opts.Tick(now)
 		}
 	}
 }
