--- /dev/null
+++ b/internal/soak/process_test.go
@@ -0,0 +1,155 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"fuchsiaspar/platform"
+)
+
+// grace is the time between the signals to stop and to end.
+const grace = 3 * time.Second
+
+// vm is one entry VM as a process of its own, behind a proxy to the store.
+type vm struct {
+	name      string
+	binary    string
+	settings  string
+	logs      string
+	directory string
+	front     string
+	peer      string
+	store     *proxy
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	ended   chan struct{}
+}
+
+// ports returns free ports of the loopback range.
+func ports(t *testing.T, count int) []string {
+	t.Helper()
+	var addresses []string
+	for range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer listener.Close()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses
+}
+
+func newVM(t *testing.T, binary, dir string, number int, storeAddress, seed string) *vm {
+	t.Helper()
+	v := &vm{name: fmt.Sprint("vm-", number), binary: binary, store: startProxy(t, storeAddress)}
+	at := ports(t, 4)
+	if seed == "" {
+		seed = at[2]
+	}
+	v.front, v.directory, v.peer = at[0], at[1], at[2]
+	v.settings = filepath.Join(dir, v.name+".toml")
+	v.logs = filepath.Join(dir, v.name+".log")
+	text := fmt.Sprintf(`node_name = %q
+zone = "z1"
+region = "r"
+seeds = [%q]
+[zones]
+z1 = "r"
+[listen]
+front = %q
+directory = %q
+control = %q
+ready = %q
+[limits]
+memory_mb = 284
+[bounds]
+grace_s = %g
+retry_budget_ratio = 0.2
+retry_budget_slack = 60
+budget_window_s = 10
+cold_load_factor = 1.5
+cold_slack = 5
+ttl_max_s = 5
+[platform]
+address = %q
+`, v.name, seed, at[0], at[1], at[2], at[3], grace.Seconds(), v.store.address())
+	if err := os.WriteFile(v.settings, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { v.kill() })
+	return v
+}
+
+func (v *vm) start(t *testing.T) {
+	t.Helper()
+	out, err := os.OpenFile(v.logs, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		t.Fatal(err)
+	}
+	command := exec.Command(v.binary, "platform")
+	command.Env = append(os.Environ(), platform.SettingsVariable+"="+v.settings)
+	command.Stdout, command.Stderr = out, out
+	if err := command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan struct{})
+	go func() {
+		// How it ended is seen by its clients.
+		_ = command.Wait()
+		out.Close()
+		close(ended)
+	}()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.command, v.ended = command, ended
+}
+
+// signal sends s to the process that this soak started, if it still runs.
+func (v *vm) signal(s syscall.Signal) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.command != nil {
+		// The process may have ended by itself.
+		_ = v.command.Process.Signal(s)
+	}
+}
+
+func (v *vm) wait(limit time.Duration) bool {
+	v.mu.Lock()
+	ended := v.ended
+	v.mu.Unlock()
+	if ended == nil {
+		return true
+	}
+	select {
+	case <-ended:
+		return true
+	case <-time.After(limit):
+		return false
+	}
+}
+
+func (v *vm) kill() {
+	v.signal(syscall.SIGCONT)
+	v.signal(syscall.SIGKILL)
+	v.wait(grace)
+}
+
+// stop asks the process to leave, and ends it after its grace time.
+func (v *vm) stop() (inTime bool) {
+	v.signal(syscall.SIGTERM)
+	if v.wait(grace) {
+		return true
+	}
+	v.kill()
+	return false
+}
