Leave an object's server behind 1.4 sets of slots

Cause: with the requests of all VMs in view, loads are no longer understated, so two full sets of slots were waited for where the trials before saw fewer. A reader takes up to 512 waiting followers, where 64 were too few for a region of 1,400 VMs; the soak ends and starts a process in one hand (a first run left one behind).

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,6 +52,10 @@
 // the program itself.
 const memoryShare = 0.6
 
+// maxFollowers bounds the calls that wait at a region's reader: the VMs of the
+// largest planned region, with a margin.
+const maxFollowers = 512
+
 // Node is one entry VM.
 type Node struct {
 	settings platform.Node
@@ -149,6 +153,8 @@
 		Incarnation: model.Incarnation(b.random.Uint64() | 1),
 		Scope:       b.metrics.Scope,
 		Rand:        rand.New(rand.NewSource(b.random.Int64())),
+		// Each follower of a reader has a call waiting.
+		SlowHandlers: maxFollowers,
 	})
 	b.node.live = liveness.NewService(b.self, b.mesh, b.random, b.node.log)
 	if err := b.add(NameLinks, b.mesh); err != nil {
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -11,9 +11,9 @@
 const (
 	// rankCost is the cost of one step along an object's ranking, in units of
 	// a full set of slots. A server that does not know an object holds a slot
-	// over three times as long, so another one is worth two full sets of slots
-	// of waiting.
-	rankCost = 2.0
+	// over three times as long, so another one is worth more than a full set of
+	// slots of waiting.
+	rankCost = 1.4
 	// coldCost is the cost of a cold server, which works at half speed.
 	coldCost = 2.0
 	// queuePerSlot is the count of requests that a server queues for each of
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -28,6 +28,9 @@
 	peer      string
 	store     *proxy
 
+	// life is held by whoever ends and starts the process.
+	life sync.Mutex
+
 	mu      sync.Mutex
 	command *exec.Cmd
 	ended   chan struct{}
@@ -145,11 +148,18 @@
 }
 
 // stop asks the process to leave, and ends it after its grace time.
-func (v *vm) stop() (inTime bool) {
+func (v *vm) stop() {
 	v.signal(syscall.SIGTERM)
-	if v.wait(grace) {
-		return true
+	if !v.wait(grace) {
+		v.kill()
 	}
-	v.kill()
-	return false
+}
+
+// restart ends the process by end and starts it again after a pause.
+func (v *vm) restart(t *testing.T, end func(), pause time.Duration) {
+	v.life.Lock()
+	defer v.life.Unlock()
+	end()
+	time.Sleep(pause)
+	v.start(t)
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -154,9 +154,9 @@
 	last := time.Duration(200+s.random.IntN(1500)) * time.Millisecond
 	switch s.random.IntN(12) {
 	case 0:
-		s.during(func() { v.stop(); time.Sleep(last / 4); v.start(s.t) })
+		s.during(func() { v.restart(s.t, v.stop, last/4) })
 	case 1:
-		s.during(func() { v.kill(); time.Sleep(last / 4); v.start(s.t) })
+		s.during(func() { v.restart(s.t, v.kill, last/4) })
 	case 2:
 		s.during(func() { v.signal(syscall.SIGSTOP); time.Sleep(last); v.signal(syscall.SIGCONT) })
 	case 3:
