--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -27,21 +27,28 @@
 	if err != nil {
 		return q.cutOff(choice, err, report)
 	}
-	if answer.Status >= http.StatusInternalServerError {
-		q.done(choice, pick.Failed, report)
-		q.maybeRun = true
-		if whole && q.route.Kind.Repeatable() && q.mayRepeat() == "" {
-			q.logAttempt("server failed", "status", answer.Status)
-			return verdictRepeat
-		}
-		q.send(answer, kept, whole)
+	if !whole {
+		q.stream(choice, answer, kept, report)
 		return verdictDone
 	}
-	if whole {
+	if answer.Status < http.StatusInternalServerError {
 		q.done(choice, pick.Answered, report)
 		q.send(answer, kept, true)
 		return verdictDone
 	}
+	q.done(choice, pick.Failed, report)
+	q.maybeRun = true
+	if q.route.Kind.Repeatable() && q.mayRepeat() == "" {
+		q.logAttempt("server failed", "status", answer.Status)
+		return verdictRepeat
+	}
+	q.send(answer, kept, true)
+	return verdictDone
+}
+
+// stream hands on an answer that is too large to keep. One that breaks off
+// breaks off at the client as well.
+func (q *request) stream(choice pick.Choice, answer *upstream.Answer, kept []byte, report *pick.Report) {
 	complete := q.send(answer, kept, false)
 	outcome := pick.Answered
 	if !complete {
@@ -51,7 +58,6 @@
 	if !complete {
 		panic(http.ErrAbortHandler)
 	}
-	return verdictDone
 }
 
 func (q *request) cutOff(choice pick.Choice, err error, report *pick.Report) verdict {
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -27,11 +27,35 @@
 
 // run tries servers until one has answered, or gives up.
 func (q *request) run() {
-	for connects := 0; ; {
+	for connects := 0; connects < maxConnects; {
+		choice, reason := q.choose()
+		if reason != "" {
+			q.giveUp(reason)
+			return
+		}
+		switch q.attempt(choice) {
+		case verdictDone:
+			return
+		case verdictNotSent:
+			connects++
+		case verdictFailed:
+			if reason := q.mayRepeat(); reason != "" {
+				q.giveUp(reason)
+				return
+			}
+		}
+		q.tried = append(q.tried, choice.Target.ID)
+	}
+	q.giveUp(reasonConnect)
+}
+
+// choose picks a server, or says why there is none. A request that yields looks
+// again for a part of its objective.
+func (q *request) choose() (pick.Choice, string) {
+	for {
 		now := time.Now()
 		if q.deadline.Sub(now) < minAttempt {
-			q.giveUp(reasonTimeout)
-			return
+			return pick.Choice{}, reasonTimeout
 		}
 		choice, reason := q.server.opts.Fleet.Pick(pick.Query{
 			Route: q.route, Service: q.service, Object: q.object, Exclude: q.tried,
@@ -39,34 +63,10 @@
 		if reason == "" || reason == pick.Yield {
 			q.last = choice
 		}
-		if reason == pick.Yield && now.Sub(q.start) < q.route.Objective/yieldShare {
-			background.Sleep(q.r.Context(), yieldPause)
-			continue
-		}
-		if reason != "" {
-			q.giveUp(string(reason))
-			return
-		}
-		verdict := q.attempt(choice)
-		if verdict == verdictDone {
-			return
-		}
-		if verdict == verdictRepeat {
-			q.tried = append(q.tried, choice.Target.ID)
-			continue
-		}
-		q.tried = append(q.tried, choice.Target.ID)
-		if verdict == verdictNotSent {
-			if connects++; connects >= maxConnects {
-				q.giveUp(reasonConnect)
-				return
-			}
-			continue
-		}
-		if reason := q.mayRepeat(); reason != "" {
-			q.giveUp(reason)
-			return
+		if reason != pick.Yield || now.Sub(q.start) >= q.route.Objective/yieldShare {
+			return choice, string(reason)
 		}
+		background.Sleep(q.r.Context(), yieldPause)
 	}
 }
 
@@ -95,7 +95,7 @@
 const (
 	// verdictDone means that the client has its answer.
 	verdictDone verdict = iota
-	// verdictRepeat means that the server failed and a repeat is spent.
+	// verdictRepeat means that the server failed and a repeat is spent already.
 	verdictRepeat
 	// verdictNotSent means that the server got nothing.
 	verdictNotSent
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -42,11 +42,6 @@
 	return batch
 }
 
-// late is a batch that was made earlier and arrives now.
-type late struct {
-	batch Batch
-}
-
 func sameItems(r *Replica, items map[string]Event) bool {
 	got := r.Items("")
 	if len(got) != len(items) {
@@ -71,7 +66,7 @@
 		store := &history{items: map[string]Event{}}
 		reader, follower := New(), New()
 		newest := map[string]uint64{}
-		var delayed []late
+		var delayed []Batch
 		for range 120 {
 			store.step(random)
 			switch random.IntN(5) {
@@ -80,12 +75,12 @@
 			case 1:
 				reader.Apply(store.full())
 			case 2:
-				delayed = append(delayed, late{reader.Since(follower.Revision())})
+				delayed = append(delayed, reader.Since(follower.Revision()))
 			case 3:
-				delayed = append(delayed, late{store.full()})
+				delayed = append(delayed, store.full())
 			case 4:
 				if len(delayed) > 0 {
-					follower.Apply(delayed[random.IntN(len(delayed))].batch)
+					follower.Apply(delayed[random.IntN(len(delayed))])
 				}
 			}
 			for _, item := range follower.Items("") {
