Keep unknown objects away from servers without a free slot

Ruled out: lack of servers (24 slots of warm work for 45 slots). Change: a full server keeps its place in the ranking, and one that does not know an object gets it only with a free slot. TestOverloadDoesNotSpreadObjects fails before where the others are busy.

--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -80,14 +80,9 @@
 	})
 	best := Choice{Cost: math.Inf(1)}
 	for rank, entry := range top {
-		load := f.load(entry.server, now)
-		cold := now.Before(entry.server.coldUntil)
-		cost := load + f.step(q.Object, entry.server, rank, now) + failureCost*entry.server.health.rate(now)
-		if cold {
-			cost += coldCost
-		}
-		if cost < best.Cost {
-			best = Choice{Server: entry.server, Target: entry.server.Server, Rank: rank, Cost: cost, Load: load, Cold: cold, object: q.Object}
+		c := f.weigh(entry.server, rank, q.Object, now)
+		if c.Cost < best.Cost {
+			best = c
 		}
 	}
 	if best.Server == nil {
@@ -103,12 +98,30 @@
 	return best, ""
 }
 
-// step is the cost of the place of a server in an object's ranking.
-func (f *Fleet) step(object uint64, server *Server, rank int, now time.Time) float64 {
-	if rank > 0 && f.memory.knows(object, server, now) {
-		return warmCost
+// weigh returns what it costs to send a request for object to a server. The
+// cost is infinite for a server with a full queue, and for one that does not
+// know the object and has no free slot: work on unknown objects takes several
+// times as long, so an overload that spread it would feed itself.
+func (f *Fleet) weigh(server *Server, rank int, object uint64, now time.Time) Choice {
+	c := Choice{
+		Server: server, Target: server.Server, Rank: rank, Load: f.load(server, now),
+		Cold: now.Before(server.coldUntil), object: object,
+	}
+	known := rank == 0 || f.memory.knows(object, server, now)
+	switch {
+	case c.Load >= 1+queuePerSlot, !known && c.Load >= 1:
+		c.Cost = math.Inf(1)
+		return c
+	case rank > 0 && known:
+		c.Cost = warmCost
+	default:
+		c.Cost = rankCost * float64(rank)
+	}
+	c.Cost += c.Load + failureCost*server.health.rate(now)
+	if c.Cold {
+		c.Cost += coldCost
 	}
-	return rankCost * float64(rank)
+	return c
 }
 
 func excluded(list []model.ServerID, id model.ServerID) bool {
@@ -125,9 +138,6 @@
 	if s.health.ejected(now) {
 		return false
 	}
-	if f.load(s, now) >= 1+queuePerSlot {
-		return false
-	}
 	return !now.Before(s.coldUntil) || f.coldRoom(s, now)
 }
 
--- a/internal/pick/pick_test.go
+++ b/internal/pick/pick_test.go
@@ -8,6 +8,7 @@
 
 	"fuchsiaspar/internal/catalog"
 	"fuchsiaspar/internal/model"
+	"fuchsiaspar/internal/share"
 
 	"github.com/leanovate/gopter"
 	"github.com/leanovate/gopter/gen"
@@ -294,3 +295,41 @@
 		f.Done(c, Answered, nil, start)
 	}
 }
+
+// TestOverloadDoesNotSpreadObjects has an object whose own server is full. A
+// busy server that does not know the object must not get it: its work would
+// take several times as long there and push other objects out.
+func TestOverloadDoesNotSpreadObjects(t *testing.T) {
+	const full, busy = 12, 4
+	tests := []struct {
+		desc   string
+		others int
+		known  bool
+		want   Reason
+	}{
+		{"others have a free slot", 2, false, ""},
+		{"others are busy", busy, false, AllFull},
+		{"another one is busy and knows the object", busy, true, ""},
+		{"another one is full and knows the object", full, true, AllFull},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			f := newFleet("vm-0", "lj", vms(2), servers(4, "lj"))
+			home := choose(t, f, lookup, 1, start)
+			f.Done(home, Answered, nil, start)
+			counts := share.Counts{}
+			for _, server := range f.byGroup["desk"] {
+				counts[server.hash] = tt.others
+				if tt.known && server != home.Server {
+					f.memory.note(1, server, start)
+				}
+			}
+			counts[home.Server.hash] = full
+			f.SetRemote("vm-1", counts, start)
+			c, got := f.Pick(Query{Route: lookup, Service: "desk", Object: 1}, start)
+			if got != tt.want {
+				t.Errorf("got %q at load %.2f, want %q", got, c.Load, tt.want)
+			}
+		})
+	}
+}
