--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -70,12 +70,12 @@
 func (f *Fleet) Pick(q Query, now time.Time) (Choice, Reason) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	any := false
+	listed := false
 	top := topRanked(f.byGroup[q.Service], q.Object, f.tierOf(q.Route), func(s *Server) bool {
 		if !allowed(s, q.Route.Regions) {
 			return false
 		}
-		any = true
+		listed = true
 		return !excluded(q.Exclude, s.ID) && f.open(s, now)
 	})
 	best := Choice{Cost: math.Inf(1)}
@@ -86,7 +86,7 @@
 		}
 	}
 	if best.Server == nil {
-		if any {
+		if listed {
 			return best, AllFull
 		}
 		return best, NoServers
