Ask a VM that is ahead when the own reader has fallen silent

Ruled out: shorter watches (twice the calls to the store at rest). Change: VMs with traffic tell the revision of their copy with their counts; a VM that others have been ahead of for 0.25 s ends its waiting call and asks one of them. TestFollowersOfASilentReaderAreNotLeftBehind fails without it (revision 1, want 3 after 2 s).

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -40,6 +40,9 @@
 	// retryStoreFollower is the mean pause between two calls of a VM that is
 	// no reader and finds no current copy.
 	retryStoreFollower = 1500 * time.Millisecond
+	// behindFor is how long another VM must have been ahead before this one asks
+	// it: several times what a change takes from a reader to its followers.
+	behindFor = 250 * time.Millisecond
 	// avoidPeer is how long a peer that failed or was stale is not asked.
 	avoidPeer = time.Second
 	// pause is the wait when there is nobody to ask.
@@ -78,6 +81,13 @@
 	// returnedAt is when the store was last regained, by this VM or by the
 	// reader that it follows.
 	returnedAt time.Time
+	// behindOf is a revision that another VM has had since behindSince.
+	behindOf    uint64
+	behindSince time.Time
+	// ahead is a VM to ask next because it is ahead.
+	ahead *catalog.VM
+	// interrupt ends the call to a peer that is under way.
+	interrupt context.CancelFunc
 
 	// The fields below belong to the loop's goroutine.
 	relist    bool
@@ -104,7 +114,7 @@
 
 // New returns a Service that answers its peers and reads from Start on.
 func New(opts Options) *Service {
-	s := &Service{opts: opts, avoid: map[model.VMID]time.Time{}}
+	s := &Service{opts: opts, avoid: map[model.VMID]time.Time{}, interrupt: func() {}}
 	opts.Links.HandleSlow(peer.KindFeed, s.serve)
 	return s
 }
@@ -139,10 +149,43 @@
 // Seed takes in a copy that came by another way, as at the start.
 func (s *Service) Seed(batch replica.Batch) { s.opts.Copy.Apply(batch) }
 
+// Revision returns the revision of the copy.
+func (s *Service) Revision() uint64 { return s.opts.Copy.Revision() }
+
+// Hint tells of a VM's revision. If other VMs stay ahead of this copy, its
+// source has been cut off without a sign; the VM that is ahead is asked.
+func (s *Service) Hint(vm catalog.VM, revision uint64, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	own := s.opts.Copy.Revision()
+	switch {
+	case revision <= own:
+	case s.behindOf <= own:
+		s.behindOf, s.behindSince = revision, now
+	case now.Sub(s.behindSince) >= behindFor:
+		s.behindOf, s.ahead = 0, &vm
+		s.interrupt()
+	}
+}
+
+// takeAhead returns the VM to ask because it is ahead, once.
+func (s *Service) takeAhead() *catalog.VM {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	vm := s.ahead
+	s.ahead = nil
+	return vm
+}
+
 func (s *Service) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		now := time.Now()
 		s.noteStale(now)
+		if vm := s.takeAhead(); vm != nil {
+			s.opts.Log.Belief("left behind", "peer", vm.Name, "revision", s.opts.Copy.Revision(), "following", s.following)
+			s.ask(ctx, *vm)
+			continue
+		}
 		if s.storeDue(now) {
 			s.readStore(ctx)
 			continue
@@ -268,6 +311,9 @@
 	s.opts.Links.SetAddress(vm.Name, vm.Peer)
 	ctx, cancel := context.WithTimeout(ctx, followTimeout)
 	defer cancel()
+	s.mu.Lock()
+	s.interrupt = cancel
+	s.mu.Unlock()
 	var answer reply
 	err := s.opts.Links.Call(ctx, vm.Name, peer.KindFeed, request{After: s.opts.Copy.Revision()}, &answer)
 	now := time.Now()
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -31,12 +31,14 @@
 	history   []replica.Event
 	compacted uint64
 	away      map[model.VMID]bool
-	calls     map[model.VMID]int
-	changed   chan struct{}
+	// silent VMs get no answer to a call.
+	silent  map[model.VMID]bool
+	calls   map[model.VMID]int
+	changed chan struct{}
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{revision: 1, away: map[model.VMID]bool{}, calls: map[model.VMID]int{}, changed: make(chan struct{})}
+	return &fakeStore{revision: 1, away: map[model.VMID]bool{}, silent: map[model.VMID]bool{}, calls: map[model.VMID]int{}, changed: make(chan struct{})}
 }
 
 func (s *fakeStore) put(key string) uint64 {
@@ -75,6 +77,12 @@
 	return v.store.away[v.vm]
 }
 
+func (v view) isSilent() bool {
+	v.store.mu.Lock()
+	defer v.store.mu.Unlock()
+	return v.store.silent[v.vm]
+}
+
 func (v view) List(context.Context) (replica.Batch, error) {
 	if v.call() {
 		return replica.Batch{}, errAway
@@ -99,6 +107,10 @@
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
+		if v.isSilent() {
+			time.Sleep(wait + time.Second)
+			return replica.Batch{}, errAway
+		}
 		v.store.mu.Lock()
 		batch := replica.Batch{To: v.store.revision}
 		for _, e := range v.store.history {
@@ -247,6 +259,33 @@
 	}
 }
 
+// A reader's connection to the store falls silent, so that it does not know that
+// it is behind. Its followers hear of newer revisions.
+func TestFollowersOfASilentReaderAreNotLeftBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 3, 3)
+		defer f.stop(t)
+		time.Sleep(2 * time.Second)
+		reader := Readers(f.vms, f.vms[0])[0]
+		f.store.set(func() { f.store.silent[reader.Name] = true })
+		f.store.put("servers/a")
+		revision := f.store.put("op/config")
+		// The target is a configuration in force within 2 s.
+		for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+			for _, from := range f.vms {
+				for _, to := range f.vms {
+					f.feeds[to.Name].Hint(from, f.copies[from.Name].Revision(), time.Now())
+				}
+			}
+		}
+		for _, vm := range f.vms {
+			if got := f.copies[vm.Name].Revision(); vm.Name != reader.Name && got < revision {
+				t.Errorf("%s is at revision %d, want %d", vm.Name, got, revision)
+			}
+		}
+	})
+}
+
 func TestStoreAwayForAll(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := startFleet(t, 3, 5)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -192,7 +192,7 @@
 	b.fleet = pick.NewFleet(pick.Options{
 		Self: s.Name, Region: s.Region, ColdFactor: s.Bounds.ColdFactor, ColdSlack: s.Bounds.ColdSlack,
 	})
-	shares := share.New(s.Name, b.fleet, b.mesh, b.node.live.Alive,
+	shares := share.New(s.Name, b.fleet, b.feed, b.mesh, b.node.live.Alive,
 		randv2.New(randv2.NewPCG(b.random.Uint64(), b.random.Uint64())))
 	if err := b.add(NameShare, shares); err != nil {
 		return err
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -1,5 +1,6 @@
 // Package share tells other entry VMs how many requests this one has at each
-// backend server, so that each knows the queue that all of them make.
+// backend server, so that each knows the queue that all of them make, and how
+// new its copy of the store is, so that one that was left behind notices.
 package share
 
 import (
@@ -33,6 +34,21 @@
 // Counts are requests by the hash of their server.
 type Counts map[uint64]int
 
+// message is what a VM tells.
+type message struct {
+	// Revision is the store revision of the sender's copy.
+	Revision uint64 `cbor:"1,keyasint"`
+	Counts   Counts `cbor:"2,keyasint,omitempty"`
+}
+
+// Feed is the copy of the store.
+type Feed interface {
+	// Revision returns the revision of the copy.
+	Revision() uint64
+	// Hint tells of a VM's revision.
+	Hint(vm catalog.VM, revision uint64, now time.Time)
+}
+
 // Fleet is the part of the state of servers that is shared.
 type Fleet interface {
 	// Outstanding returns this VM's requests at each server.
@@ -47,6 +63,7 @@
 type Service struct {
 	self  model.VMID
 	fleet Fleet
+	feed  Feed
 	links peer.Links
 	alive func() []catalog.VM
 	group background.Group
@@ -61,9 +78,9 @@
 }
 
 // New returns a Service that sends from Start on.
-func New(self model.VMID, fleet Fleet, links peer.Links, alive func() []catalog.VM, random *rand.Rand) *Service {
+func New(self model.VMID, fleet Fleet, feed Feed, links peer.Links, alive func() []catalog.VM, random *rand.Rand) *Service {
 	s := &Service{
-		self: self, fleet: fleet, links: links, alive: alive, random: random, active: map[model.VMID]time.Time{},
+		self: self, fleet: fleet, feed: feed, links: links, alive: alive, random: random, active: map[model.VMID]time.Time{},
 	}
 	links.Handle(peer.KindLoads, s.receive)
 	return s
@@ -82,15 +99,20 @@
 func (s *Service) Stop(ctx context.Context) error { return s.group.Stop(ctx) }
 
 func (s *Service) receive(_ context.Context, from model.VMID, body []byte) (any, error) {
-	var counts Counts
-	if err := peer.Unmarshal(body, &counts); err != nil {
+	var told message
+	if err := peer.Unmarshal(body, &told); err != nil {
 		return nil, err
 	}
 	now := time.Now()
 	s.mu.Lock()
 	s.active[from] = now
 	s.mu.Unlock()
-	s.fleet.SetRemote(from, counts, now)
+	s.fleet.SetRemote(from, told.Counts, now)
+	for _, vm := range s.alive() {
+		if vm.Name == from {
+			s.feed.Hint(vm, told.Revision, now)
+		}
+	}
 	return nil, nil
 }
 
@@ -105,7 +127,7 @@
 	for _, vm := range s.targets(now, s.rounds%introduceEvery == 0) {
 		s.links.SetAddress(vm.Name, vm.Peer)
 		// The next message makes up for one that is lost.
-		_ = s.links.Send(vm.Name, peer.KindLoads, counts)
+		_ = s.links.Send(vm.Name, peer.KindLoads, message{Revision: s.feed.Revision(), Counts: counts})
 	}
 }
 
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -44,6 +44,21 @@
 	return len(f.told), f.messages
 }
 
+// fakeFeed is at a fixed revision and keeps the newest one that it is told.
+type fakeFeed struct {
+	revision uint64
+	mu       sync.Mutex
+	newest   uint64
+}
+
+func (f *fakeFeed) Revision() uint64 { return f.revision }
+
+func (f *fakeFeed) Hint(_ catalog.VM, revision uint64, _ time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.newest = max(f.newest, revision)
+}
+
 func startAll(t *testing.T, count int, own func(i int) Counts) []*fakeFleet {
 	t.Helper()
 	net := peertest.New(1)
@@ -57,7 +72,7 @@
 		fleet := &fakeFleet{own: own(i), told: map[model.VMID]Counts{}}
 		fleets = append(fleets, fleet)
 		endpoint := net.Join(vm.Name)
-		s := New(vm.Name, fleet, endpoint, func() []catalog.VM { return vms }, rand.New(rand.NewPCG(uint64(i), 1)))
+		s := New(vm.Name, fleet, &fakeFeed{revision: 1}, endpoint, func() []catalog.VM { return vms }, rand.New(rand.NewPCG(uint64(i), 1)))
 		if err := s.Start(context.Background()); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"syscall"
 	"testing"
@@ -36,25 +37,21 @@
 	ended   chan struct{}
 }
 
-// ports returns free ports of the loopback range.
-func ports(t *testing.T, count int) []string {
-	t.Helper()
-	var addresses []string
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer listener.Close()
-		addresses = append(addresses, listener.Addr().String())
+// addresses returns where a VM listens: addresses of the loopback range that
+// no outgoing connection takes, so that a process can start again there.
+func addresses(number int) []string {
+	ip := fmt.Sprintf("127.%d.%d.%d", 2+os.Getpid()%200, 1+number/200, 1+number%200)
+	var list []string
+	for port := 7001; port <= 7004; port++ {
+		list = append(list, net.JoinHostPort(ip, strconv.Itoa(port)))
 	}
-	return addresses
+	return list
 }
 
 func newVM(t *testing.T, binary, dir string, number int, storeAddress, seed string) *vm {
 	t.Helper()
 	v := &vm{name: fmt.Sprint("vm-", number), binary: binary, store: startProxy(t, storeAddress)}
-	at := ports(t, 4)
+	at := addresses(number)
 	if seed == "" {
 		seed = at[2]
 	}
