--- a/cmd/fuchsiaspard/main.go
+++ b/cmd/fuchsiaspard/main.go
@@ -11,6 +11,8 @@
 )
 
 func main() {
+	// Asks for new settings must not end a process that is about to read them.
+	signal.Ignore(syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	code := daemon.Run(ctx, os.Args, os.Stderr)
 	stop()
