Check deploy files and read a VM's state from the command line

Cause: the command line checked settings only. Change: fuchsiaspar node deploy FILE and node state HOST:PORT.

--- a/internal/cli/logs.go
+++ b/internal/cli/logs.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
 	"os"
 	"strings"
 
@@ -66,12 +67,22 @@
 func nodeCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "node",
-		Usage: "check the settings of an entry VM on the platform",
+		Usage: "check the files and read the state of entry VMs on the platform",
 		Commands: []*cli.Command{{
 			Name:      "check",
 			Usage:     "print the settings in effect, or every missing one",
 			ArgsUsage: "FILE",
 			Action:    checkNode,
+		}, {
+			Name:      "deploy",
+			Usage:     "check a deploy file and print its roles",
+			ArgsUsage: "FILE",
+			Action:    checkDeploy,
+		}, {
+			Name:      "state",
+			Usage:     "print what an entry VM believes, from its metrics",
+			ArgsUsage: "HOST:PORT",
+			Action:    nodeState,
 		}},
 	}
 }
@@ -107,3 +118,64 @@
 		{"cold servers", fmt.Sprintf("their rate x %g and %g", node.Bounds.ColdFactor, node.Bounds.ColdSlack)},
 	})
 }
+
+func checkDeploy(_ context.Context, cmd *cli.Command) error {
+	path, err := argument(cmd, "a deploy file")
+	if err != nil {
+		return err
+	}
+	deploy, err := platform.LoadDeploy(path)
+	if errors.Is(err, platform.ErrDeploy) {
+		return usage("%s", err)
+	}
+	if err != nil {
+		return err
+	}
+	return show(cmd, deploy, func(w io.Writer) {
+		var rows [][]string
+		for name, role := range deploy.Roles {
+			rows = append(rows, []string{name, role.Run, role.On, strings.Join(role.Serves, ","), orDash(role.Metrics)})
+		}
+		table(w, []string{"ROLE", "RUN", "ON", "SERVES", "METRICS"}, rows)
+	})
+}
+
+// stateMetrics are the metrics that tell what a VM believes.
+var stateMetrics = []string{"vms_alive", "store_copy_age_seconds", "configuration_version", "servers{"}
+
+// nodeState prints the metrics of a VM that tell what it believes.
+func nodeState(ctx context.Context, cmd *cli.Command) error {
+	address, err := argument(cmd, "the metrics address of an entry VM")
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, cmd.Duration(flagTimeout))
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/metrics", nil)
+	if err != nil {
+		return usage("%s", err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "read metrics")
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return errors.Wrap(err, "read metrics")
+	}
+	state := stateLines(string(text))
+	return show(cmd, state, func(w io.Writer) { fmt.Fprintln(w, strings.Join(state, "\n")) })
+}
+
+func stateLines(metrics string) []string {
+	var found []string
+	for line := range strings.Lines(metrics) {
+		for _, name := range stateMetrics {
+			if strings.HasPrefix(line, "fuchsiaspar_"+name) {
+				found = append(found, strings.TrimSpace(line))
+			}
+		}
+	}
+	return found
+}
