--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -72,9 +72,6 @@
 	return nil
 }
 
-// KnowsHost says whether any route serves host.
-func (s *Snapshot) KnowsHost(host string) bool { return len(s.hosts[host]) > 0 }
-
 // Candidates returns the usable servers of a service for a route. The returned
 // slice is shared and must not be changed.
 func (s *Snapshot) Candidates(route *Route, service model.ServiceName) []*Server {
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -146,9 +146,6 @@
 	return s.returnedAt, now.Sub(s.freshAt) > staleAfter
 }
 
-// Seed takes in a copy that came by another way, as at the start.
-func (s *Service) Seed(batch replica.Batch) { s.opts.Copy.Apply(batch) }
-
 // Revision returns the revision of the copy.
 func (s *Service) Revision() uint64 { return s.opts.Copy.Revision() }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -129,6 +129,11 @@
 
 func (b *assembly) add(name string, service any) error { return b.node.kernel.Register(name, service) }
 
+// newRandom returns a source of randomness of its own for one service.
+func (b *assembly) newRandom() *randv2.Rand {
+	return randv2.New(randv2.NewPCG(b.random.Uint64(), b.random.Uint64()))
+}
+
 func (b *assembly) core() error {
 	m, err := metrics.New(string(b.settings.Name))
 	if err != nil {
@@ -175,7 +180,7 @@
 	})
 	b.feed = feed.New(feed.Options{
 		Self: b.self, Store: b.store, Links: b.mesh, Copy: b.copy, Alive: b.node.live.Alive,
-		Random: randv2.New(randv2.NewPCG(b.random.Uint64(), b.random.Uint64())), Log: b.node.log,
+		Random: b.newRandom(), Log: b.node.log,
 		Compacted: func(err error) bool { return errors.Is(err, platform.ErrCompacted) },
 	})
 	if err := b.add(NameFeed, b.feed); err != nil {
@@ -192,8 +197,7 @@
 	b.fleet = pick.NewFleet(pick.Options{
 		Self: s.Name, Region: s.Region, ColdFactor: s.Bounds.ColdFactor, ColdSlack: s.Bounds.ColdSlack,
 	})
-	shares := share.New(s.Name, b.fleet, b.feed, b.mesh, b.node.live.Alive,
-		randv2.New(randv2.NewPCG(b.random.Uint64(), b.random.Uint64())))
+	shares := share.New(s.Name, b.fleet, b.feed, b.mesh, b.node.live.Alive, b.newRandom())
 	if err := b.add(NameShare, shares); err != nil {
 		return err
 	}
