Let a large configuration reach VMs with narrow links in time

Its reader was a VM with a link of 15 Mbit/s that hands every change on to its whole region; quick changes were handed on one after the other although each replaces the last; and a VM that asked one that was ahead cut that transfer off after 0.25 s, when the next VM told that it was ahead, and began anew. VMs that the store turned away had version 10 1.2 s after the first of their region, one after three cut transfers.

Ruled out: the store (its readers had the version at once), decoding (20 ms).

Change: readers are chosen among the VMs with wide links, by the rule that look-ups use; a follower gets only the newest event of a key; a call that was made to catch up is left alone for 0.8 s. Each has a test that failed first.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -23,10 +23,6 @@
 	answerTTL = 2 * time.Second
 	// maxAddresses is the count of addresses that clients take from an answer.
 	maxAddresses = 64
-	// ableShare is the part of the strongest VM's link and processor that a VM
-	// must have to be named. Named VMs get equal shares of the clients, so a
-	// weaker one would be the bottleneck.
-	ableShare = 0.45
 	// minNamed is the least count of VMs named, so that clients have another
 	// one when a VM fails.
 	minNamed = 2
@@ -91,38 +87,18 @@
 	return near[:min(len(near), maxAddresses)]
 }
 
-// able returns the VMs that have at least ableShare of what the strongest has,
-// since clients spread evenly over the named ones. It returns the strongest
-// minNamed at least.
+// able returns the VMs that can take an equal share of the clients, since
+// clients spread evenly over the named ones. It returns the strongest minNamed
+// at least.
 func able(vms []catalog.VM) []catalog.VM {
-	strength := strengths(vms)
-	slices.SortStableFunc(vms, func(a, b catalog.VM) int { return cmp.Compare(strength[b.Name], strength[a.Name]) })
+	strongest := catalog.StrongestOf(vms)
+	slices.SortStableFunc(vms, func(a, b catalog.VM) int {
+		return cmp.Compare(strongest.Strength(b), strongest.Strength(a))
+	})
 	for i, vm := range vms {
-		if i >= minNamed && strength[vm.Name] < ableShare {
+		if i >= minNamed && !strongest.Able(vm) {
 			return vms[:i]
 		}
 	}
 	return vms
 }
-
-// strengths returns how much of the strongest VM's link and processor each VM
-// has, whichever is less.
-func strengths(vms []catalog.VM) map[model.VMID]float64 {
-	var link, cpu float64
-	for _, vm := range vms {
-		link, cpu = max(link, vm.LinkMbps), max(cpu, vm.CPUShare)
-	}
-	strength := make(map[model.VMID]float64, len(vms))
-	for _, vm := range vms {
-		strength[vm.Name] = min(share(vm.LinkMbps, link), share(vm.CPUShare, cpu))
-	}
-	return strength
-}
-
-// share returns part over whole; what nobody tells is taken as equal.
-func share(part, whole float64) float64 {
-	if whole == 0 {
-		return 1
-	}
-	return part / whole
-}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -43,6 +43,10 @@
 	// behindFor is how long another VM must have been ahead before this one asks
 	// it: several times what a change takes from a reader to its followers.
 	behindFor = 250 * time.Millisecond
+	// catchUpFor is how long a call that was made to catch up is left alone: twice
+	// the time that a configuration of half a megabyte takes on a link of
+	// 10 Mbit/s.
+	catchUpFor = 800 * time.Millisecond
 	// avoidPeer is how long a peer that failed or was stale is not asked.
 	avoidPeer = time.Second
 	// pause is the wait when there is nobody to ask.
@@ -88,6 +92,9 @@
 	ahead *catalog.VM
 	// interrupt ends the call to a peer that is under way.
 	interrupt context.CancelFunc
+	// catchingUp is when the call under way was made, if it was made because
+	// the peer is ahead.
+	catchingUp time.Time
 
 	// The fields below belong to the loop's goroutine.
 	relist    bool
@@ -159,6 +166,8 @@
 	case revision <= own:
 	case s.behindOf <= own:
 		s.behindOf, s.behindSince = revision, now
+	case now.Sub(s.catchingUp) < catchUpFor:
+		// The answer is on its way.
 	case now.Sub(s.behindSince) >= behindFor:
 		s.behindOf, s.ahead = 0, &vm
 		s.interrupt()
@@ -180,7 +189,7 @@
 		s.noteStale(now)
 		if vm := s.takeAhead(); vm != nil {
 			s.opts.Log.Belief("left behind", "peer", vm.Name, "revision", s.opts.Copy.Revision(), "following", s.following)
-			s.ask(ctx, *vm)
+			s.catchUp(ctx, *vm, now)
 			continue
 		}
 		if s.storeDue(now) {
@@ -300,6 +309,20 @@
 	return false
 }
 
+// catchUp asks a VM that is ahead. Hints leave the call alone for a while: a
+// large change takes its time on a narrow link.
+func (s *Service) catchUp(ctx context.Context, vm catalog.VM, now time.Time) {
+	s.setCatchingUp(now)
+	s.ask(ctx, vm)
+	s.setCatchingUp(time.Time{})
+}
+
+func (s *Service) setCatchingUp(since time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.catchingUp = since
+}
+
 func (s *Service) ask(ctx context.Context, vm catalog.VM) {
 	if s.following != vm.Name {
 		s.opts.Log.Belief("following", "peer", vm.Name, "revision", s.opts.Copy.Revision())
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -378,3 +378,49 @@
 		}
 	}
 }
+
+// On a narrow link a large configuration takes longer than the other VMs need
+// to tell that they have it.
+func TestTransferOfALargeChangeIsNotCutOffByHints(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 3, 3)
+		defer f.stop(t)
+		time.Sleep(2 * time.Second)
+		slow := f.vms[0]
+		// A call and its answer take 0.6 s.
+		f.net.SetDelay(300 * time.Millisecond)
+		time.Sleep(2 * time.Second)
+		revision := f.store.put("op/config")
+		// The target is a configuration in force within 2 s.
+		for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+			for _, from := range f.vms[1:] {
+				f.feeds[slow.Name].Hint(from, revision, time.Now())
+			}
+		}
+		if got := f.copies[slow.Name].Revision(); got < revision {
+			t.Errorf("the VM is at revision %d, want %d", got, revision)
+		}
+	})
+}
+
+func TestReadersHaveWideLinks(t *testing.T) {
+	for fleet := range 10 {
+		var vms []catalog.VM
+		for i := range 12 {
+			vm := catalog.VM{
+				Name: model.VMID(fmt.Sprint("vm", fleet, "-", i)), Region: model.Region(fmt.Sprint("r", i%3)), LinkMbps: 10, CPUShare: 1,
+			}
+			if i < 6 {
+				vm.LinkMbps = 200
+			}
+			vms = append(vms, vm)
+		}
+		for _, self := range vms {
+			for _, reader := range Readers(vms, self) {
+				if reader.LinkMbps != 200 {
+					t.Errorf("%s takes %s with a narrow link for the reader of %s", self.Name, reader.Name, reader.Region)
+				}
+			}
+		}
+	}
+}
--- a/internal/feed/readers.go
+++ b/internal/feed/readers.go
@@ -10,14 +10,22 @@
 )
 
 // Readers returns one VM of each region, the reader of self's own region
-// first. The reader of a region is its live VM with the highest weight, so
-// that all VMs with the same view agree on it.
+// first. The reader of a region is the live VM with the highest weight among
+// those with wide links, so that all VMs with the same view agree on it. It
+// hands every change on to the whole region.
 func Readers(alive []catalog.VM, self catalog.VM) []catalog.VM {
-	best := map[model.Region]catalog.VM{self.Region: self}
-	for _, vm := range alive {
-		current, ok := best[vm.Region]
-		if !ok || weight(vm.Name) > weight(current.Name) {
-			best[vm.Region] = vm
+	best := map[model.Region]catalog.VM{}
+	for region, vms := range byRegion(alive, self) {
+		strongest := catalog.StrongestOf(vms)
+		for _, vm := range vms {
+			current, ok := best[region]
+			if strongest.Able(vm) && (!ok || weight(vm.Name) > weight(current.Name)) {
+				best[region] = vm
+			}
+		}
+		if _, ok := best[region]; !ok {
+			// The widest link and the fastest processor are those of different VMs.
+			best[region] = vms[0]
 		}
 	}
 	readers := []catalog.VM{best[self.Region]}
@@ -33,6 +41,20 @@
 	return append(readers, others...)
 }
 
+// byRegion returns the VMs of each region, self among them.
+func byRegion(alive []catalog.VM, self catalog.VM) map[model.Region][]catalog.VM {
+	regions := map[model.Region][]catalog.VM{}
+	listed := false
+	for _, vm := range alive {
+		regions[vm.Region] = append(regions[vm.Region], vm)
+		listed = listed || vm.Name == self.Name
+	}
+	if !listed {
+		regions[self.Region] = append(regions[self.Region], self)
+	}
+	return regions
+}
+
 func weight(name model.VMID) uint64 {
 	h := fnv.New64a()
 	// A hash never fails to write.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -129,16 +129,30 @@
 	maps.DeleteFunc(r.removed, func(_ string, revision uint64) bool { return revision < r.logFrom })
 }
 
-// Since returns what a copy at revision lacks: the events after it while the
-// log covers them, or every item.
+// Since returns what a copy at revision lacks: the newest event of each key
+// after it while the log covers them, or every item.
 func (r *Replica) Since(revision uint64) Batch {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if revision < r.logFrom || revision == 0 {
 		return r.full()
 	}
+	batch := Batch{To: r.revision}
 	first := sort.Search(len(r.log), func(i int) bool { return r.log[i].Revision > revision })
-	return Batch{Events: append([]Event(nil), r.log[first:]...), To: r.revision}
+	for _, e := range r.log[first:] {
+		if r.newest(e) {
+			batch.Events = append(batch.Events, e)
+		}
+	}
+	return batch
+}
+
+// newest says whether no later event of the same key is known.
+func (r *Replica) newest(e Event) bool {
+	if e.Deleted {
+		return r.removed[e.Key] == e.Revision
+	}
+	return r.items[e.Key].Revision == e.Revision
 }
 
 func (r *Replica) full() Batch {
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -112,3 +112,27 @@
 		t.Errorf("got full %v with %d events", batch.Full, len(batch.Events))
 	}
 }
+
+// A configuration may have hundreds of kilobytes. A follower on a narrow link
+// gets only the newest one of a quick series.
+func TestFollowersGetOnlyTheNewestOfAKey(t *testing.T) {
+	r := New()
+	r.Apply(Batch{Full: true, Events: []Event{{Key: "op/config", Revision: 1}}, To: 1})
+	r.Apply(Batch{To: 6, Events: []Event{
+		{Key: "op/config", Revision: 2}, {Key: "servers/a", Revision: 3}, {Key: "op/config", Revision: 4},
+		{Key: "servers/a", Revision: 5, Deleted: true}, {Key: "op/config", Revision: 6},
+	}})
+	follower := New()
+	follower.Apply(Batch{Full: true, Events: []Event{{Key: "op/config", Revision: 1}}, To: 1})
+	batch := r.Since(1)
+	if len(batch.Events) != 2 || batch.To != 6 {
+		t.Errorf("%d events up to revision %d, want the 2 newest up to 6", len(batch.Events), batch.To)
+	}
+	follower.Apply(batch)
+	if item, ok := follower.Item("op/config"); !ok || item.Revision != 6 {
+		t.Errorf("the follower has the configuration of revision %d", item.Revision)
+	}
+	if _, ok := follower.Item("servers/a"); ok {
+		t.Error("the follower has a server that is gone")
+	}
+}
