Drop a limit on idle connections that nothing could reach

Requests that must not run twice were to use only connections idle for less than 60 s, but no connection is kept that long: servers close idle ones after 10 s and the pool keeps them 0.5 s less. Behaviour is the same.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -106,16 +106,15 @@
 
 func (q *request) attempt(choice pick.Choice) verdict {
 	answer, err := q.server.opts.Client.Do(q.r.Context(), choice.Target, &upstream.Request{
-		ID:         q.id,
-		Method:     q.r.Method,
-		URI:        q.r.RequestURI,
-		Host:       q.r.Host,
-		Header:     q.forward,
-		Body:       q.body.kept,
-		Stream:     q.body.stream,
-		Length:     q.body.length,
-		Repeatable: q.route.Kind.Repeatable(),
-		Deadline:   q.deadline,
+		ID:       q.id,
+		Method:   q.r.Method,
+		URI:      q.r.RequestURI,
+		Host:     q.r.Host,
+		Header:   q.forward,
+		Body:     q.body.kept,
+		Stream:   q.body.stream,
+		Length:   q.body.length,
+		Deadline: q.deadline,
 	})
 	if err != nil {
 		return q.noAnswer(choice, err)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -34,8 +34,6 @@
 	raw    syscall.RawConn
 	// usableUntil is when the connection is too old to be reused.
 	usableUntil time.Time
-	idleSince   time.Time
-	reused      bool
 }
 
 func dial(ctx context.Context, address string) (*conn, error) {
@@ -94,7 +92,5 @@
 	// A deadline that passes while the connection rests would make it look
 	// broken. A connection that refuses this fails its next use.
 	_ = c.SetDeadline(time.Time{})
-	c.idleSince = now
 	c.usableUntil = now.Add(keep - idleMargin)
-	c.reused = true
 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -36,14 +36,8 @@
 	ErrCut = errors.New("upstream: answer cut off")
 )
 
-const (
-	// maxForeign bounds the late answers of earlier requests that are skipped.
-	maxForeign = 2
-	// reuseFresh is how recently a connection must have been used to carry a
-	// request that must not run twice. A connection that died idle loses such
-	// a request for good.
-	reuseFresh = 60 * time.Second
-)
+// maxForeign bounds the late answers of earlier requests that are skipped.
+const maxForeign = 2
 
 // Request is one attempt at one server.
 type Request struct {
@@ -58,8 +52,6 @@
 	Stream io.Reader
 	// Length is the length of the whole body, or negative when it is unknown.
 	Length int64
-	// Repeatable requests may run more than once.
-	Repeatable bool
 	// Deadline is when the answer must be complete.
 	Deadline time.Time
 }
@@ -77,16 +69,10 @@
 func (c *Client) Do(ctx context.Context, server *catalog.Server, req *Request) (*Answer, error) {
 	dialCtx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
-	conn, err := c.connect(dialCtx, server, false)
+	conn, err := c.connect(dialCtx, server)
 	if err != nil {
 		return nil, errors.WithMessage(ErrConnect, err.Error())
 	}
-	if !req.Repeatable && conn.reused && time.Since(conn.idleSince) > reuseFresh {
-		conn.Close()
-		if conn, err = c.connect(dialCtx, server, true); err != nil {
-			return nil, errors.WithMessage(ErrConnect, err.Error())
-		}
-	}
 	ex := &exchange{client: c, server: server, conn: conn, req: req, ctx: ctx}
 	ex.stop = context.AfterFunc(ctx, func() { conn.Close() })
 	return ex.run()
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -116,11 +116,9 @@
 	list.conns = append(list.conns, conn)
 }
 
-func (c *Client) connect(ctx context.Context, server *catalog.Server, fresh bool) (*conn, error) {
-	if !fresh {
-		if conn := c.take(server, time.Now()); conn != nil {
-			return conn, nil
-		}
+func (c *Client) connect(ctx context.Context, server *catalog.Server) (*conn, error) {
+	if conn := c.take(server, time.Now()); conn != nil {
+		return conn, nil
 	}
 	conn, err := dial(ctx, server.Address)
 	if err != nil {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -81,7 +81,7 @@
 
 func request(id string, within time.Duration) *Request {
 	return &Request{
-		ID: id, Method: http.MethodGet, URI: "/a/b?c=d", Host: "h.example", Repeatable: true,
+		ID: id, Method: http.MethodGet, URI: "/a/b?c=d", Host: "h.example",
 		Header: http.Header{platform.HeaderRequest: {id}}, Deadline: time.Now().Add(within),
 	}
 }
