Hand on no success without a server's seal

Cause, found by reading: any answer with the request's id was handed on. A success without the seal proves no server's work, so a client must not get it.

Change: such an answer counts as a failure of the server; the request is repeated elsewhere if it may be, else it may have run (502). The new cases of TestOutcomes and TestOneWorkingServerIsFound failed first (200 to the client).

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -127,6 +127,13 @@
 		q.logAttempt("server refused", "status", answer.Status)
 		return verdictFailed
 	}
+	if answer.Status < http.StatusMultipleChoices && !platform.Sealed(answer.Header) {
+		answer.Body.Close()
+		q.maybeRun = true
+		q.done(choice, pick.Failed, report)
+		q.logAttempt("answer without a seal", "status", answer.Status)
+		return verdictFailed
+	}
 	return q.handOn(choice, answer, report)
 }
 
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -76,6 +76,12 @@
 	conn.Close()
 }
 
+// unsealed answers with a success that does not prove to be the server's own.
+func unsealed(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(platform.HeaderRequest, r.Header.Get(platform.HeaderRequest))
+	_, _ = io.WriteString(w, "from elsewhere")
+}
+
 func silent(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
 
 // newFront returns an entry VM before one server for each behaviour.
@@ -175,6 +181,8 @@
 		{"a failure of the server is handed on", "POST", "/order/a", []behaviour{failing}, 500, 1},
 		{"failures of two servers", "GET", "/read/a", []behaviour{failing, failing}, 500, 2},
 		{"order cut short may have run", "POST", "/order/a", []behaviour{cutShort, cutShort}, 502, 1},
+		{"an unsealed success is no answer", "POST", "/order/a", []behaviour{unsealed, unsealed}, 502, 1},
+		{"unsealed successes of two servers", "GET", "/read/a", []behaviour{unsealed, unsealed}, 502, 2},
 		{"silent until the route's timeout", "POST", "/order/a", []behaviour{silent}, 504, 1},
 	}
 	for _, tt := range tests {
@@ -197,7 +205,7 @@
 // TestOneWorkingServerIsFound has one server that works among failing ones.
 func TestOneWorkingServerIsFound(t *testing.T) {
 	for name, bad := range map[string]behaviour{
-		"full": serveStatus(http.StatusServiceUnavailable, true), "reset": reset, "cut short": cutShort,
+		"full": serveStatus(http.StatusServiceUnavailable, true), "reset": reset, "cut short": cutShort, "unsealed": unsealed,
 		"failing": serveStatus(http.StatusInternalServerError, false),
 	} {
 		t.Run(name, func(t *testing.T) {
