Tell of ejections, repeats and the ages of what a VM believes

Cause: an ejection changes what a VM believes and left neither a line nor a count, repeats had no counter, and only the copy's age was to be seen.

--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"fuchsiaspar/internal/model"
 )
@@ -19,6 +20,9 @@
 	Evacuated map[model.Zone]bool
 	// VMs lists the entry VMs with a record in the store.
 	VMs map[model.VMID]VM
+	// ConfigSince and ServersSince are when this VM last took in a
+	// configuration and a change of the servers; zero means never.
+	ConfigSince, ServersSince time.Time
 
 	hosts map[string][]*Route
 }
@@ -71,19 +75,3 @@
 	}
 	return nil
 }
-
-// Candidates returns the usable servers of a service for a route. The returned
-// slice is shared and must not be changed.
-func (s *Snapshot) Candidates(route *Route, service model.ServiceName) []*Server {
-	all := s.Servers[service]
-	if len(route.Regions) == 0 {
-		return all
-	}
-	allowed := make([]*Server, 0, len(all))
-	for _, server := range all {
-		if slices.Contains(route.Regions, server.Region) {
-			allowed = append(allowed, server)
-		}
-	}
-	return allowed
-}
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -84,8 +84,10 @@
 	case q.attempts >= q.route.MaxAttempts:
 		return reasonAttempts
 	case !q.server.opts.Repeats.Take(q.service):
+		q.server.metrics.repeat(q.service, "refused")
 		return reasonBudget
 	}
+	q.server.metrics.repeat(q.service, "granted")
 	return ""
 }
 
--- a/internal/front/report.go
+++ b/internal/front/report.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"fuchsiaspar/internal/model"
 	"fuchsiaspar/platform"
 
 	"github.com/uber-go/tally/v4"
@@ -48,6 +49,11 @@
 	m.scope.Tagged(map[string]string{"cause": cause}).Counter("attempts_failed").Inc(1)
 }
 
+// repeat counts a repeat that the shared budget granted or refused.
+func (m *metrics) repeat(service model.ServiceName, budget string) {
+	m.scope.Tagged(map[string]string{"service": string(service), "budget": budget}).Counter("repeats").Inc(1)
+}
+
 func outcomeOf(status int) string {
 	if status < http.StatusBadRequest {
 		return "success"
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,6 +9,7 @@
 	"math/rand"
 	randv2 "math/rand/v2"
 	"runtime/debug"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -196,6 +197,7 @@
 	s := b.settings
 	b.fleet = pick.NewFleet(pick.Options{
 		Self: s.Name, Region: s.Region, ColdFactor: s.Bounds.ColdFactor, ColdSlack: s.Bounds.ColdSlack,
+		OnEject: b.ejected,
 	})
 	shares := share.New(s.Name, b.fleet, b.feed, b.mesh, b.node.live.Alive, b.newRandom())
 	if err := b.add(NameShare, shares); err != nil {
@@ -227,6 +229,13 @@
 	return b.add(NameState, b.node.state)
 }
 
+// ejected reports a server that gets nothing for a while.
+func (b *assembly) ejected(e pick.Ejection) {
+	b.metrics.Scope.Tagged(map[string]string{"service": string(e.Server.Service)}).Counter("ejections").Inc(1)
+	b.node.log.Belief("server ejected", "server", e.Server.ID, "zone", e.Server.Zone, "for", e.For,
+		"lost", e.Lost, "failures", strconv.FormatFloat(e.FailureRate, 'f', 2, 64))
+}
+
 // tick hands on what changes with time, and reports what this VM believes.
 func (b *assembly) tick(now time.Time) {
 	alive := b.node.live.Alive()
@@ -235,8 +244,13 @@
 	scope := b.metrics.Scope
 	scope.Gauge("vms_alive").Update(float64(len(alive)))
 	scope.Gauge("store_copy_age_seconds").Update(b.feed.Age(now).Seconds())
-	if config := b.node.state.Current().Config; config != nil {
-		scope.Gauge("configuration_version").Update(float64(config.Version))
+	snapshot := b.node.state.Current()
+	if snapshot.Config != nil {
+		scope.Gauge("configuration_version").Update(float64(snapshot.Config.Version))
+		scope.Gauge("configuration_age_seconds").Update(now.Sub(snapshot.ConfigSince).Seconds())
+	}
+	if !snapshot.ServersSince.IsZero() {
+		scope.Gauge("server_entries_age_seconds").Update(now.Sub(snapshot.ServersSince).Seconds())
 	}
 	for service, count := range b.fleet.Sizes() {
 		scope.Tagged(map[string]string{"service": string(service)}).Gauge("servers").Update(float64(count))
--- a/internal/pick/fleet.go
+++ b/internal/pick/fleet.go
@@ -59,10 +59,26 @@
 	Region model.Region
 	// ColdFactor and ColdSlack widen the rate that a cold server stands.
 	ColdFactor, ColdSlack float64
+	// OnEject, if not nil, is told of each ejection. It must not block nor call
+	// the Fleet.
+	OnEject func(Ejection)
+}
+
+// Ejection says that a server gets nothing for a while, and why.
+type Ejection struct {
+	Server *catalog.Server
+	For    time.Duration
+	// Lost counts the requests without an answer since the last answer.
+	Lost int
+	// FailureRate is the share of failures among the last requests.
+	FailureRate float64
 }
 
 // NewFleet returns a Fleet without servers.
 func NewFleet(options Options) *Fleet {
+	if options.OnEject == nil {
+		options.OnEject = func(Ejection) {}
+	}
 	return &Fleet{options: options, servers: map[model.ServerID]*Server{}, byGroup: map[model.ServiceName][]*Server{}, memory: newMemory(), remotes: map[model.VMID]remote{}, remote: share.Counts{}}
 }
 
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -226,6 +226,10 @@
 		}
 	case Lost:
 		server.health.lost(now)
+		f.options.OnEject(Ejection{
+			Server: server.Server, For: server.health.ejectUntil.Sub(now),
+			Lost: server.health.unreachable, FailureRate: server.health.failures,
+		})
 		if server.health.unreachable == suspectAfter {
 			f.setCold(server, f.coldFor(server.Service)+server.health.ejectUntil.Sub(now), now)
 		}
--- a/internal/pick/pick_test.go
+++ b/internal/pick/pick_test.go
@@ -161,8 +161,14 @@
 
 func TestServerIsTriedAgainAfterItsEjection(t *testing.T) {
 	f := newFleet("vm-0", "lj", vms(1), servers(1, "lj"))
+	var told []Ejection
+	f.options.OnEject = func(e Ejection) { told = append(told, e) }
 	c := choose(t, f, lookup, 1, start)
 	f.Done(c, Lost, nil, start)
+	want := Ejection{Server: c.Target, For: minEject, Lost: 1, FailureRate: failureWeight}
+	if len(told) != 1 || told[0] != want {
+		t.Errorf("told of %+v, want %+v", told, want)
+	}
 	if _, reason := f.Pick(Query{Route: lookup, Service: "desk"}, start.Add(minEject-1)); reason != AllFull {
 		t.Errorf("got %q, want %q", reason, AllFull)
 	}
--- a/internal/state/builder.go
+++ b/internal/state/builder.go
@@ -47,6 +47,9 @@
 	evacuated map[model.Zone]bool
 	vms       map[model.VMID]catalog.VM
 	seen      map[string]bool
+	// configSince and serversSince are when the configuration and the list of
+	// servers last changed.
+	configSince, serversSince time.Time
 }
 
 // NewBuilder returns a Builder that knows nothing.
@@ -111,10 +114,11 @@
 	}
 	switch {
 	case event.Key == b.decode.ConfigKey:
-		b.applyConfig(event)
+		b.applyConfig(event, now)
 	case strings.HasPrefix(event.Key, b.decode.EvacuatePrefix):
 		b.applyEvacuation(event)
 	case strings.HasPrefix(event.Key, b.decode.ServerPrefix):
+		b.serversSince = now
 		b.applyServer(event, outage, now)
 	case strings.HasPrefix(event.Key, b.decode.VMPrefix):
 		b.applyVM(event)
@@ -123,7 +127,7 @@
 
 // applyConfig keeps the newest configuration. Without a readable newer one the
 // last stays in force.
-func (b *Builder) applyConfig(event replica.Event) {
+func (b *Builder) applyConfig(event replica.Event, now time.Time) {
 	if event.Deleted {
 		b.log.Fault("configuration removed from the store; the last stays in force", "revision", event.Revision)
 		return
@@ -133,7 +137,7 @@
 		b.log.Fault("configuration unreadable; the last stays in force", "revision", event.Revision, "cause", err)
 		return
 	}
-	b.config = config
+	b.config, b.configSince = config, now
 	b.log.Belief("configuration in force", "version", config.Version, "revision", event.Revision, "routes", len(config.Routes))
 }
 
@@ -215,7 +219,7 @@
 		}
 		if now.After(entry.until) {
 			delete(b.servers, id)
-			dropped = true
+			dropped, b.serversSince = true, now
 			b.log.Belief("server gone", "server", id, "cause", "its entry did not come back")
 		}
 	}
@@ -236,5 +240,7 @@
 	for name, vm := range b.vms {
 		vms[name] = vm
 	}
-	return catalog.NewSnapshot(revision, b.config, servers, evacuated, vms)
+	snapshot := catalog.NewSnapshot(revision, b.config, servers, evacuated, vms)
+	snapshot.ConfigSince, snapshot.ServersSince = b.configSince, b.serversSince
+	return snapshot
 }
--- a/internal/state/builder_test.go
+++ b/internal/state/builder_test.go
@@ -147,3 +147,14 @@
 		t.Errorf("got %d servers, evacuated %v, VMs %v", usable(b), snapshot.Evacuated, snapshot.VMs)
 	}
 }
+
+func TestSnapshotTellsSinceWhenItIsSo(t *testing.T) {
+	b := NewBuilder(testDecoder(), decisions.Discard())
+	apply(b, Outage{}, start, put("config", "\x01", 1))
+	apply(b, Outage{}, start.Add(time.Second), put("servers/a", "s,ready", 2))
+	apply(b, Outage{}, start.Add(2*time.Second), put("evacuate/z9", "", 3))
+	s := b.Snapshot(3)
+	if !s.ConfigSince.Equal(start) || !s.ServersSince.Equal(start.Add(time.Second)) {
+		t.Errorf("configuration since %v, servers since %v", s.ConfigSince, s.ServersSince)
+	}
+}
