Give the own interface the users' store through the one client

Cause: two clients and two protocols of a store stood in the repository. The own interface spoke a protocol of our own making that no platform serves.

Change: internal/platform/kvstore implements the product's Store and VMList by calls of platform.Client, which learns to read one key and to write and remove under a condition. The tests of the client moved with it and gained the drop of the history, removals and entries of other writers. Leases of the test store lapse by time now, as on the platform. cmd/fuchsiaspard plays its processes against that store.

Ruled out: keeping the VM list of the platform for the own interface; the platform has none. Servers come from the entries in the store, entry VMs from seeds and zone records, as the process test shows.

--- a/cmd/fuchsiaspard/process_test.go
+++ b/cmd/fuchsiaspard/process_test.go
@@ -9,7 +9,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -20,14 +19,15 @@
 
 	"fuchsiaspar/internal/backend/standin"
 	"fuchsiaspar/internal/header"
-	"fuchsiaspar/internal/model"
-	"fuchsiaspar/internal/platform"
-	platformstandin "fuchsiaspar/internal/platform/standin"
+	kv "fuchsiaspar/platform"
+	"fuchsiaspar/platform/storetest"
 )
 
 const (
 	// vms is the count of entry VMs; the first two share a zone.
 	vms = 3
+	// storePage is the count of items in a page of the store's listings.
+	storePage = 100
 	// patience bounds a wait for something that has to happen.
 	patience = 60 * time.Second
 )
@@ -118,19 +118,16 @@
 	dir       string
 	daemon    string
 	cli       string
-	store     *platformstandin.Store
-	platform  *httptest.Server
+	store     *storetest.Store
 	addresses []string
 	processes []*exec.Cmd
 	servers   []*standin.Server
 }
 
 func start(t *testing.T) *deployment {
-	d := &deployment{t: t, dir: t.TempDir(), store: platformstandin.New(platformstandin.Options{})}
+	d := &deployment{t: t, dir: t.TempDir(), store: storetest.Start(t, storePage)}
 	d.daemon = d.build("fuchsiaspard")
 	d.cli = d.build("fuchsiaspar")
-	d.platform = httptest.NewServer(platformstandin.Handler(d.store))
-	t.Cleanup(d.platform.Close)
 	for i, zone := range []string{"lj-a", "lj-a", "mb-a"} {
 		d.startServer(fmt.Sprintf("desk-%d", i), zone)
 	}
@@ -160,7 +157,8 @@
 	}
 	d.t.Cleanup(s.Kill)
 	d.servers = append(d.servers, s)
-	d.store.SetVM(platform.VM{ID: id, Role: platform.RoleBackend, Zone: model.Zone(zone), Address: s.Address(), Service: "desk", State: platform.VMLive})
+	d.store.Put(kv.PrefixServers+id, fmt.Appendf(nil,
+		`{"address":%q,"info":{"service":"desk","zone":%q,"slots":3},"status":{"state":"ready","cold_left_ms":0}}`, s.Address(), zone))
 }
 
 // freeAddress returns an address with a port that the kernel chose.
@@ -181,7 +179,7 @@
 	}
 	var b strings.Builder
 	fmt.Fprintf(&b, "[vm]\nname = \"vm-%d\"\nzone = %q\nregion = %q\nlisten = %q\n", i, zone, region, d.addresses[i])
-	fmt.Fprintf(&b, "[platform]\naddress = %q\n", strings.TrimPrefix(d.platform.URL, "http://"))
+	fmt.Fprintf(&b, "[platform]\naddress = %q\n", d.store.Address())
 	fmt.Fprintf(&b, "[limits]\nticket_validity = \"1s\"\n")
 	for j, address := range d.addresses {
 		if j != i {
@@ -299,11 +297,11 @@
 		d.awaitServed(i)
 	}
 
-	d.store.Down(platformstandin.AllClients, true)
+	d.store.Set(storetest.Faults{Refuse: http.StatusServiceUnavailable})
 	for i := range vms {
 		d.awaitServed(i)
 	}
-	d.store.Down(platformstandin.AllClients, false)
+	d.store.Set(storetest.Faults{})
 
 	d.signal(1, syscall.SIGSTOP)
 	d.await("the frozen VM to be given up", func() bool { return d.alive() == vms-1 })
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -3,11 +3,12 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"os"
 	"time"
 
 	"fuchsiaspar/internal/node"
-	"fuchsiaspar/internal/platform/httpstore"
+	"fuchsiaspar/internal/platform/kvstore"
 	"fuchsiaspar/internal/settings"
 	"fuchsiaspar/platform"
 
@@ -105,10 +106,9 @@
 
 // serve starts the daemon, waits for ctx and stops it as planned.
 func serve(ctx context.Context, s settings.Settings, logger *log.Logger) error {
-	store := httpstore.New(httpstore.Options{
-		BaseURL: "http://" + s.Platform.Address,
-		Client:  string(s.VM.Name),
-	})
+	client := platform.NewClient(s.Platform.Address, nil)
+	defer client.Close()
+	store := kvstore.New(client, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), logger)
 	d, err := New(s, Deps{Store: store, VMs: store, Logger: logger})
 	if err != nil {
 		return err
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -53,10 +53,14 @@
 	pause = 100 * time.Millisecond
 )
 
+// everything is the prefix of all keys: one watch of the whole store costs less
+// than one for each kind of item.
+const everything = ""
+
 // Store is the part of the platform's store that the feed needs.
 type Store interface {
-	List(ctx context.Context) (replica.Batch, error)
-	Watch(ctx context.Context, after uint64, wait time.Duration) (replica.Batch, error)
+	List(ctx context.Context, prefix string) (replica.Batch, error)
+	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (replica.Batch, error)
 }
 
 // Options configure a Service.
@@ -246,9 +250,9 @@
 func (s *Service) fetch(ctx context.Context) (replica.Batch, error) {
 	after := s.opts.Copy.Revision()
 	if after == 0 || s.relist {
-		return s.opts.Store.List(ctx)
+		return s.opts.Store.List(ctx, everything)
 	}
-	return s.opts.Store.Watch(ctx, after, watchWait)
+	return s.opts.Store.Watch(ctx, everything, after, watchWait)
 }
 
 func (s *Service) storeFailed(err error, now time.Time) {
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -83,7 +83,7 @@
 	return v.store.silent[v.vm]
 }
 
-func (v view) List(context.Context) (replica.Batch, error) {
+func (v view) List(context.Context, string) (replica.Batch, error) {
 	if v.call() {
 		return replica.Batch{}, errAway
 	}
@@ -100,7 +100,7 @@
 	return batch, nil
 }
 
-func (v view) Watch(ctx context.Context, after uint64, wait time.Duration) (replica.Batch, error) {
+func (v view) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) (replica.Batch, error) {
 	if v.call() {
 		return replica.Batch{}, errAway
 	}
