Check reverts, drains and configuration in the soak

Cause: the soak did not look at three promises: a configuration never goes back within one process, a draining server gets nothing new after 2 s, and a configuration is in force within 2 s.

--- a/internal/soak/backend_test.go
+++ b/internal/soak/backend_test.go
@@ -49,6 +49,8 @@
 	random   *rand.Rand
 	// lose and refuse are shares of requests.
 	lose, refuse float64
+	// arrived is when the last request came that this process was meant to get.
+	arrived time.Time
 }
 
 func startBackend(t *testing.T, store *storetest.Store, all *runs, service string, number int, seed uint64) *backend {
@@ -93,16 +95,23 @@
 	return b.id
 }
 
+func (b *backend) lastArrival() time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.arrived
+}
+
 func (b *backend) misbehave(lose, refuse float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.lose, b.refuse = lose, refuse
 }
 
-// draw decides how one request is treated.
-func (b *backend) draw() (lose, refuse bool, work time.Duration) {
+// draw decides how a request that arrives now is treated.
+func (b *backend) draw(now time.Time) (lose, refuse bool, work time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.arrived = now
 	return b.random.Float64() < b.lose, b.random.Float64() < b.refuse, time.Duration(5+b.random.IntN(60)) * time.Millisecond
 }
 
@@ -117,7 +126,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	lose, refuse, work := b.draw()
+	lose, refuse, work := b.draw(time.Now())
 	if refuse {
 		w.Header().Set(platform.HeaderNotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -137,6 +137,13 @@
 	}
 }
 
+// process returns what was started last.
+func (v *vm) process() *exec.Cmd {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.command
+}
+
 // runs says whether command should run.
 func (v *vm) runs(command *exec.Cmd) bool {
 	v.mu.Lock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -53,7 +54,8 @@
 	servers []*backend
 	runs    *runs
 	clients []*client
-	version int
+	// version is that of the newest configuration.
+	version atomic.Int64
 	renamed int
 	// background counts faults that end by themselves.
 	background sync.WaitGroup
@@ -87,6 +89,10 @@
 	for _, c := range s.clients {
 		work.Go(func() { c.run(stop) })
 	}
+	var reverts revertCheck
+	for i, v := range s.vms {
+		work.Go(func() { reverts.watch(s, v, newClient(clients+1+i, seed, nil), stop) })
+	}
 	for end := time.Now().Add(*duration); time.Now().Before(end); {
 		s.injectOne()
 		time.Sleep(time.Duration(100+s.random.IntN(400)) * time.Millisecond)
@@ -94,8 +100,12 @@
 	s.background.Wait()
 	s.heal()
 	s.checkRecovery()
+	s.checkBounds()
 	close(stop)
 	work.Wait()
+	for _, problem := range reverts.problems {
+		t.Error(problem)
+	}
 	for _, v := range s.vms {
 		v.stop()
 	}
@@ -142,12 +152,13 @@
 
 // configure writes a new version in which both routes go to service.
 func (s *soak) configure(service string) {
-	s.version++
+	version := s.version.Load() + 1
 	route := `{"host":"h.example","path_prefix":%q,"kind":%q,"timeout_ms":2000,"target_latency_ms":300,"service":%q,"max_attempts":2,"session_affinity":true}`
 	s.store.Put(platform.KeyConfig, fmt.Appendf(nil,
 		`{"version":%d,"routes":{"read":%s,"order":%s,"v%d":%s},"services":{"desk":{},"vault":{}},"limits":{"max_body_bytes":1000000}}`,
-		s.version, fmt.Sprintf(route, "/read/", "idempotent", service), fmt.Sprintf(route, "/order/", "non_idempotent", service),
-		s.version, fmt.Sprintf(route, fmt.Sprintf("/v%d/", s.version), "idempotent", service)))
+		version, fmt.Sprintf(route, "/read/", "idempotent", service), fmt.Sprintf(route, "/order/", "non_idempotent", service),
+		version, fmt.Sprintf(route, fmt.Sprintf("/v%d/", version), "idempotent", service)))
+	s.version.Store(version)
 }
 
 // injectOne injects one random fault or planned change, beside those that
@@ -211,13 +222,16 @@
 }
 
 // checkRecovery waits until every VM serves by the newest configuration.
-func (s *soak) checkRecovery() {
-	healed := time.Now()
+func (s *soak) checkRecovery() { s.awaitNewest("RECOVER", recovery) }
+
+func (s *soak) awaitNewest(promise string, bound time.Duration) {
+	since := time.Now()
 	probe := newClient(len(s.clients), 0, nil)
+	version := int(s.version.Load())
 	for _, v := range s.vms {
-		for !s.servesNewest(probe, v) {
-			if time.Since(healed) > recovery {
-				s.t.Errorf("RECOVER: %s does not serve version %d within %s", v.name, s.version, recovery)
+		for !s.serves(probe, v, version) {
+			if time.Since(since) > bound {
+				s.t.Errorf("%s: %s does not serve version %d within %s", promise, v.name, version, bound)
 				break
 			}
 			time.Sleep(50 * time.Millisecond)
@@ -225,21 +239,6 @@
 	}
 }
 
-func (s *soak) servesNewest(probe *client, v *vm) bool {
-	req, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/v%d/x", v.front, s.version), nil)
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	req.Host = "h.example"
-	req.Header.Set(platform.HeaderRequest, fmt.Sprint("probe-", v.name))
-	resp, err := probe.http.Do(req)
-	if err != nil {
-		return false
-	}
-	defer resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
-}
-
 // checkRequests compares what clients were told with what servers ran.
 func (s *soak) checkRequests() {
 	asked := map[string]bool{}
