Keep the connection of a refused exchange

Cause: a refusal by a server was given up like an answer that breaks off, so each closed its connection.

Ruled out: idle connections that time out (objects keep their servers, 1.1 requests a second for each pair), answers with Connection: close.

Change: a refusal whose body has arrived is read to its end, and its connection is used again. The first two cases of TestRefusalKeepsTheConnection failed first.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -124,7 +124,7 @@
 	q.attempts++
 	report := reportOf(answer.Header)
 	if platform.NotRun(answer.Status, answer.Header) {
-		answer.Body.Close()
+		answer.Body.Discard()
 		q.done(choice, pick.Refused, report)
 		q.logAttempt("server refused", "status", answer.Status)
 		return verdictFailed
--- a/internal/upstream/body.go
+++ b/internal/upstream/body.go
@@ -38,6 +38,16 @@
 	}
 }
 
+// Discard ends an answer whose body nobody needs. Its connection is kept if the
+// body has arrived already.
+func (b *Body) Discard() {
+	if length := b.resp.ContentLength; length >= 0 && int64(b.ex.conn.reader.Buffered()) >= length {
+		// A body that can't be read closes the connection, as Close does.
+		_, _ = io.Copy(io.Discard, b)
+	}
+	b.Close()
+}
+
 // Close gives the answer up unless it was read to its end.
 func (b *Body) Close() {
 	if !b.ended {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -114,6 +114,39 @@
 	}
 }
 
+func TestRefusalKeepsTheConnection(t *testing.T) {
+	tests := []struct {
+		desc, body string
+		length     int
+		opened     int
+	}{
+		{"without a body", "", 0, 1},
+		{"with a body", "full", 4, 1},
+		{"with a body that does not come", "", 4, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			s := newStandIn(t, func(c net.Conn, r *http.Request) bool {
+				_, err := fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\n%s: 1\r\nContent-Length: %d\r\n\r\n%s",
+					platform.HeaderRequest, r.Header.Get(platform.HeaderRequest), platform.HeaderNotRun, tt.length, tt.body)
+				return err == nil
+			})
+			c := NewClient(tally.NoopScope)
+			defer c.Close()
+			for _, id := range []string{"one", "two"} {
+				got, err := c.Do(context.Background(), s.server, request(id, time.Minute))
+				if err != nil {
+					t.Fatal(err)
+				}
+				got.Body.Discard()
+			}
+			if opened := len(s.conns); opened != tt.opened {
+				t.Errorf("%d connections were opened, want %d", opened, tt.opened)
+			}
+		})
+	}
+}
+
 func TestOnlyTheOwnAnswerIsHandedOn(t *testing.T) {
 	tests := []struct {
 		desc   string
