Divide the idle connections to a server among the VMs

Cause: each VM kept up to 12 idle connections to a server, whatever the server accepts. 180 VMs would hold 2,160 where 360 are accepted, and the rest are reset.

Change: the VMs divide half of what a server of the service accepts, each keeps one at least and 12 at most. TestIdleConnectionsOfAllVMsFitTheServer fails without the limits.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -247,6 +247,7 @@
 	snapshot := b.node.state.Current()
 	if snapshot.Config != nil {
 		scope.Gauge("configuration_version").Update(float64(snapshot.Config.Version))
+		b.client.SetLimits(snapshot.Config.Services, len(alive))
 		scope.Gauge("configuration_age_seconds").Update(now.Sub(snapshot.ConfigSince).Seconds())
 	}
 	if !snapshot.ServersSince.IsZero() {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -11,9 +11,14 @@
 	"github.com/uber-go/tally/v4"
 )
 
-// maxIdlePerServer bounds the idle connections to one server: a full set of
-// running and queued requests of one VM.
-const maxIdlePerServer = 12
+const (
+	// maxIdlePerServer bounds the idle connections to one server: a full set of
+	// running and queued requests of one VM.
+	maxIdlePerServer = 12
+	// idleShare is the part of the connections that a server accepts of which
+	// all VMs together may keep idle ones. The rest is for requests that run.
+	idleShare = 0.5
+)
 
 // Client keeps connections to backend servers. It is safe for concurrent use.
 type Client struct {
@@ -21,6 +26,8 @@
 
 	mu   sync.Mutex
 	idle map[model.ServerID]*idleList
+	// limits bounds the idle connections to one server of a service.
+	limits map[model.ServiceName]int
 }
 
 type idleList struct {
@@ -67,6 +74,29 @@
 	}
 }
 
+// SetLimits divides the idle connections that the servers of each service
+// accept among VMs. Every VM may keep one.
+func (c *Client) SetLimits(services map[model.ServiceName]catalog.Service, vms int) {
+	limits := make(map[model.ServiceName]int, len(services))
+	for name, service := range services {
+		if service.MaxConnections > 0 {
+			share := float64(service.MaxConnections) * idleShare / float64(max(vms, 1))
+			limits[name] = min(max(int(share), 1), maxIdlePerServer)
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.limits = limits
+}
+
+// limit holds mu.
+func (c *Client) limit(service model.ServiceName) int {
+	if limit, ok := c.limits[service]; ok {
+		return limit
+	}
+	return maxIdlePerServer
+}
+
 // take returns an idle connection that still works, the one used last, or nil.
 func (c *Client) take(server *catalog.Server, now time.Time) *conn {
 	for {
@@ -109,7 +139,7 @@
 		list = &idleList{address: server.Address}
 		c.idle[server.ID] = list
 	}
-	if list.address != server.Address || len(list.conns) >= maxIdlePerServer {
+	if list.address != server.Address || len(list.conns) >= c.limit(server.Service) {
 		conn.Close()
 		return
 	}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"fuchsiaspar/internal/catalog"
+	"fuchsiaspar/internal/model"
 	"fuchsiaspar/platform"
 
 	"github.com/pkg/errors"
@@ -282,3 +283,23 @@
 		t.Error("the connection goes on")
 	}
 }
+
+// The connections that a server accepts are for all VMs together.
+func TestIdleConnectionsOfAllVMsFitTheServer(t *testing.T) {
+	const accepts = 360
+	for _, vms := range []int{1, 7, 33, 180} {
+		c := NewClient(tally.NoopScope)
+		c.SetLimits(map[model.ServiceName]catalog.Service{"desk": {MaxConnections: accepts}}, vms)
+		server := &catalog.Server{ID: "i-1", Service: "desk"}
+		for range 2 * maxIdlePerServer {
+			near, far := net.Pipe()
+			far.Close()
+			c.put(server, &conn{Conn: near})
+		}
+		kept := len(c.idle[server.ID].conns)
+		if kept < 1 || kept > maxIdlePerServer || vms*kept > accepts {
+			t.Errorf("%d VMs keep %d connections each of the %d that the server accepts", vms, kept, accepts)
+		}
+		c.Close()
+	}
+}
