--- a/internal/background/background.go
+++ b/internal/background/background.go
@@ -74,6 +74,30 @@
 	}
 }
 
+// Periodic calls a function from Start to Stop. It is a service of the kernel.
+type Periodic struct {
+	group  Group
+	period time.Duration
+	call   func(now time.Time)
+}
+
+// NewPeriodic returns a Periodic that has not started.
+func NewPeriodic(period time.Duration, call func(now time.Time)) *Periodic {
+	return &Periodic{period: period, call: call}
+}
+
+// Start begins the calls, the first one after a period.
+func (p *Periodic) Start(ctx context.Context) error {
+	if err := p.group.Start(ctx); err != nil {
+		return err
+	}
+	p.group.Go(func(ctx context.Context) { Every(ctx, p.period, p.call) })
+	return nil
+}
+
+// Stop ends the calls and waits for one under way.
+func (p *Periodic) Stop(ctx context.Context) error { return p.group.Stop(ctx) }
+
 // Sleep waits for d and reports false when ctx ends first.
 func Sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- a/internal/background/background_test.go
+++ b/internal/background/background_test.go
@@ -60,3 +60,24 @@
 		}
 	})
 }
+
+func TestPeriodicCallsUntilItsStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		calls := 0
+		p := NewPeriodic(time.Second, func(time.Time) { calls++ })
+		if err := p.Start(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if err := p.Start(t.Context()); !errors.Is(err, ErrStarted) {
+			t.Fatalf("second start: %v", err)
+		}
+		time.Sleep(2500 * time.Millisecond)
+		if err := p.Stop(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2500 * time.Millisecond)
+		if calls != 2 {
+			t.Fatalf("%d calls, want 2", calls)
+		}
+	})
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -379,7 +379,7 @@
 	if err := b.add(NameEntry, b.daemon.entry); err != nil {
 		return err
 	}
-	return b.add(NameExpiry, &expiry{tickets: b.daemon.tickets, attempts: attempts, scope: b.metrics.Scope})
+	return b.add(NameExpiry, newExpiry(b.daemon.tickets, attempts, b.metrics.Scope))
 }
 
 // LiveMembers lists the entry VMs that this one holds for alive, itself
--- a/internal/daemon/expiry.go
+++ b/internal/daemon/expiry.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"context"
 	"time"
 
 	"fuchsiaspar/internal/background"
@@ -16,24 +15,18 @@
 // expiry drops the records of tickets and attempts in time, also while no
 // request comes.
 type expiry struct {
+	*background.Periodic
 	tickets  *once.Registry
 	attempts *once.Attempts
 	scope    tally.Scope
-	group    background.Group
 }
 
-// Start drops records until Stop.
-func (e *expiry) Start(ctx context.Context) error {
-	if err := e.group.Start(ctx); err != nil {
-		return err
-	}
-	e.group.Go(func(ctx context.Context) { background.Every(ctx, expiryInterval, e.expire) })
-	return nil
+func newExpiry(tickets *once.Registry, attempts *once.Attempts, scope tally.Scope) *expiry {
+	e := &expiry{tickets: tickets, attempts: attempts, scope: scope}
+	e.Periodic = background.NewPeriodic(expiryInterval, e.expire)
+	return e
 }
 
-// Stop ends the dropping.
-func (e *expiry) Stop(ctx context.Context) error { return e.group.Stop(ctx) }
-
 func (e *expiry) expire(now time.Time) {
 	e.tickets.Expire(now)
 	e.attempts.Expire(now)
--- a/internal/liveness/service.go
+++ b/internal/liveness/service.go
@@ -27,11 +27,11 @@
 	maxBeats = 400
 )
 
-// Service gossips and publishes which VMs are alive.
+// Service gossips from Start to Stop and publishes which VMs are alive.
 type Service struct {
+	*background.Periodic
 	links peer.Links
 	log   *decisions.Log
-	group background.Group
 
 	mu     sync.Mutex
 	table  *Table
@@ -44,23 +44,12 @@
 // NewService returns a service that starts to gossip at Start.
 func NewService(self catalog.VM, links peer.Links, random *rand.Rand, log *decisions.Log) *Service {
 	s := &Service{links: links, log: log, table: NewTable(self), random: random, known: map[model.VMID]bool{}}
+	s.Periodic = background.NewPeriodic(period, s.round)
 	s.publish(time.Now())
 	links.Handle(peer.KindGossip, s.receive)
 	return s
 }
 
-// Start begins to gossip.
-func (s *Service) Start(ctx context.Context) error {
-	if err := s.group.Start(ctx); err != nil {
-		return err
-	}
-	s.group.Go(func(ctx context.Context) { background.Every(ctx, period, s.round) })
-	return nil
-}
-
-// Stop ends the gossip.
-func (s *Service) Stop(ctx context.Context) error { return s.group.Stop(ctx) }
-
 // Alive returns the VMs that serve, ordered by name. The slice is shared.
 func (s *Service) Alive() []catalog.VM { return *s.alive.Load() }
 
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -61,12 +61,12 @@
 
 // Service sends and receives counts.
 type Service struct {
+	*background.Periodic
 	self  model.VMID
 	fleet Fleet
 	feed  Feed
 	links peer.Links
 	alive func() []catalog.VM
-	group background.Group
 
 	mu     sync.Mutex
 	active map[model.VMID]time.Time
@@ -82,22 +82,11 @@
 	s := &Service{
 		self: self, fleet: fleet, feed: feed, links: links, alive: alive, random: random, active: map[model.VMID]time.Time{},
 	}
+	s.Periodic = background.NewPeriodic(period, s.round)
 	links.Handle(peer.KindLoads, s.receive)
 	return s
 }
 
-// Start begins to send.
-func (s *Service) Start(ctx context.Context) error {
-	if err := s.group.Start(ctx); err != nil {
-		return err
-	}
-	s.group.Go(func(ctx context.Context) { background.Every(ctx, period, s.round) })
-	return nil
-}
-
-// Stop ends the sending.
-func (s *Service) Stop(ctx context.Context) error { return s.group.Stop(ctx) }
-
 func (s *Service) receive(_ context.Context, from model.VMID, body []byte) (any, error) {
 	var told message
 	if err := peer.Unmarshal(body, &told); err != nil {
