Leave servers that are gone without a sign sooner

Cause: a request at a server without power waited on a kept connection for 2 s, longer than most routes allow, so it failed by its own time and not by the connection: the server was not ejected, and an idempotent request had no time for another one. After an ejection the next request went over another idle connection, which was as dead.

Change: bytes that stay unacknowledged for 0.6 s end a connection, a set-up may take 0.3 s (was 0.6), and a request without an answer drops the server's idle connections, so that the next one must connect before anything is sent. TestIdleConnectionsOfASilentServerAreNotUsedAgain failed first.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"fuchsiaspar/internal/background"
+	"fuchsiaspar/internal/catalog"
 	"fuchsiaspar/internal/pick"
 	"fuchsiaspar/internal/upstream"
 	"fuchsiaspar/platform"
@@ -164,6 +165,11 @@
 
 func (q *request) done(choice pick.Choice, outcome pick.Outcome, report *pick.Report) {
 	q.server.opts.Fleet.Done(choice, outcome, report, time.Now())
+	if outcome == pick.Lost {
+		// A new connection shows whether the server is there before anything is
+		// sent to it.
+		q.server.opts.Client.Forget([]*catalog.Server{choice.Target})
+	}
 }
 
 func reportOf(h http.Header) *pick.Report {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -330,3 +330,44 @@
 		t.Errorf("got %+v, %v; want Connection: close", resp, err)
 	}
 }
+
+// A server that gave no answer may be gone without a sign, and its idle
+// connections with it.
+func TestIdleConnectionsOfASilentServerAreNotUsedAgain(t *testing.T) {
+	var mu sync.Mutex
+	from := map[string]int{}
+	together := make(chan struct{}, 2)
+	front, _ := newFront(t, func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		from[r.RemoteAddr]++
+		mu.Unlock()
+		switch r.URL.Path {
+		case "/order/together":
+			together <- struct{}{}
+			for len(together) < 2 {
+				time.Sleep(time.Millisecond)
+			}
+			serveOK(w, r)
+		case "/order/lost":
+			reset(w, r)
+		default:
+			serveOK(w, r)
+		}
+	})
+	var both sync.WaitGroup
+	for range 2 {
+		both.Go(func() { call(t, front, "POST", "/order/together", "") })
+	}
+	both.Wait()
+	call(t, front, "POST", "/order/lost", "")
+	// The server is ejected for 0.3 s.
+	time.Sleep(400 * time.Millisecond)
+	if status, _, _ := call(t, front, "POST", "/order/next", ""); status != http.StatusOK {
+		t.Errorf("got %d after the ejection", status)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if len(from) != 3 {
+		t.Errorf("requests came over %d connections, want a third one after the loss: %v", len(from), from)
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -12,9 +12,9 @@
 
 const (
 	// dialTimeout bounds the set-up of a connection. The farthest region is
-	// 70 ms away and back; one lost packet costs a second more, in which
-	// another server has answered.
-	dialTimeout = 600 * time.Millisecond
+	// 70 ms away and back, and a server that has queues takes some more; one lost
+	// packet costs a second, in which another server has answered.
+	dialTimeout = 300 * time.Millisecond
 	// readBuffer holds the head and, mostly, the body of an answer.
 	readBuffer = 8 << 10
 	// defaultIdle is how long a connection is reused when the server does not
@@ -23,8 +23,11 @@
 	// idleMargin is taken off the time for which a server says that it keeps a
 	// connection: twice the longest way plus a late timer.
 	idleMargin = 500 * time.Millisecond
-	// userTimeout ends a connection whose bytes stay unacknowledged.
-	userTimeout = 2 * time.Second
+	// userTimeout ends a connection whose bytes stay unacknowledged: under the
+	// shortest time of a route (0.8 s), so that a request at a server that is gone
+	// without a sign can be repeated, and over the time in which a lost packet is
+	// sent once more.
+	userTimeout = 600 * time.Millisecond
 )
 
 // conn is one connection to a server. One exchange uses it at a time.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -45,7 +45,7 @@
 	}
 }
 
-// Forget closes the idle connections of servers that left.
+// Forget closes the idle connections of servers that left or are silent.
 func (c *Client) Forget(servers []*catalog.Server) {
 	for _, server := range servers {
 		c.mu.Lock()
