Compress what followers of the store's copy are handed

A configuration of 400 KB takes 0.3 s on a link of 10 Mbit/s.

Ruled out: compression by the WebSocket library, whose bytes would not be those that the links count, and which compresses once for each follower.

Change: a batch over 1 KB is compressed (2,000 entries of servers to under a third) and kept for followers that lack the same events.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -78,8 +78,9 @@
 
 // Service follows the store or a peer.
 type Service struct {
-	opts  Options
-	group background.Group
+	opts   Options
+	group  background.Group
+	packer packer
 
 	mu sync.Mutex
 	// freshAt is the latest moment at which the copy is known to be complete.
@@ -113,7 +114,7 @@
 }
 
 type reply struct {
-	Batch replica.Batch `cbor:"1,keyasint"`
+	Batch packed `cbor:"1,keyasint"`
 	// Age is how old the sender's copy is.
 	Age time.Duration `cbor:"2,keyasint"`
 	// Returned is how long ago the store was regained, negative for never.
@@ -125,7 +126,9 @@
 
 // New returns a Service that answers its peers and reads from Start on.
 func New(opts Options) *Service {
-	s := &Service{opts: opts, avoid: map[model.VMID]time.Time{}, interrupt: func() {}}
+	s := &Service{
+		opts: opts, packer: packer{copy: opts.Copy}, avoid: map[model.VMID]time.Time{}, interrupt: func() {},
+	}
 	opts.Links.HandleSlow(peer.KindFeed, s.serve)
 	return s
 }
@@ -341,6 +344,10 @@
 	var answer reply
 	err := s.opts.Links.Call(ctx, vm.Name, peer.KindFeed, request{After: s.opts.Copy.Revision()}, &answer)
 	now := time.Now()
+	var batch replica.Batch
+	if err == nil {
+		batch, err = answer.Batch.unpack()
+	}
 	if err != nil {
 		s.avoid[vm.Name] = now.Add(avoidPeer)
 		s.opts.Log.Belief("peer does not answer", "peer", vm.Name, "cause", err)
@@ -350,6 +357,7 @@
 		s.avoid[vm.Name] = now.Add(avoidPeer)
 	}
 	s.take(answer, now)
+	s.opts.Copy.Apply(batch)
 }
 
 func (s *Service) take(answer reply, now time.Time) {
@@ -361,7 +369,6 @@
 		s.returnedAt = now.Add(-answer.Returned)
 	}
 	s.mu.Unlock()
-	s.opts.Copy.Apply(answer.Batch)
 }
 
 // serve answers a follower, at the latest after followWait, and at once when
@@ -386,8 +393,12 @@
 			return nil, ctx.Err()
 		}
 	}
+	batch, err := s.packer.since(in.After)
+	if err != nil {
+		return nil, err
+	}
 	now := time.Now()
-	answer := reply{Batch: s.opts.Copy.Since(in.After), Age: s.Age(now), Returned: -1, Down: s.isDown()}
+	answer := reply{Batch: batch, Age: s.Age(now), Returned: -1, Down: s.isDown()}
 	if at, _ := s.Returned(now); !at.IsZero() {
 		answer.Returned = now.Sub(at)
 	}
--- /dev/null
+++ b/internal/feed/pack_test.go
@@ -0,0 +1,81 @@
+package feed
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+
+	"fuchsiaspar/internal/replica"
+
+	"github.com/pkg/errors"
+)
+
+// entries returns a batch of count entries as servers write them.
+func entries(count int) replica.Batch {
+	batch := replica.Batch{To: uint64(count)}
+	for i := range count {
+		batch.Events = append(batch.Events, replica.Event{
+			Key: fmt.Sprint("servers/i-", i), Revision: uint64(i + 1),
+			Value: fmt.Appendf(nil, `{"address":"10.0.0.%d:80","info":{"service":"desk","zone":"lj-a","slots":3}}`, i%250),
+		})
+	}
+	return batch
+}
+
+func TestBatchesArePackedAndReadBack(t *testing.T) {
+	for _, count := range []int{0, 1, 2000} {
+		batch := entries(count)
+		p, err := pack(batch)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if p.Deflate != (count > 1) || len(p.Data) > 40*count+packAbove {
+			t.Errorf("%d entries take %d bytes, compressed %v", count, len(p.Data), p.Deflate)
+		}
+		got, err := p.unpack()
+		if err != nil || !reflect.DeepEqual(got, batch) {
+			t.Errorf("%d entries: got %d up to %d, %v", count, len(got.Events), got.To, err)
+		}
+	}
+}
+
+func TestUnreadableBatches(t *testing.T) {
+	whole, err := pack(entries(2000))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for desc, p := range map[string]packed{
+		"cut":            {Data: whole.Data[:len(whole.Data)/2], Deflate: true},
+		"not compressed": {Data: []byte("nobody's bytes"), Deflate: true},
+		"no batch":       {Data: []byte{0xff}},
+	} {
+		if _, err := p.unpack(); !errors.Is(err, errPacked) {
+			t.Errorf("%s: got %v, want %v", desc, err, errPacked)
+		}
+	}
+}
+
+func TestFollowersOfOneRevisionShareABatch(t *testing.T) {
+	p := packer{copy: replica.New()}
+	p.copy.Apply(replica.Batch{Full: true, To: 1})
+	p.copy.Apply(entries(2000))
+	first, err := p.since(1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := p.since(1)
+	if err != nil || &first.Data[0] != &again.Data[0] {
+		t.Errorf("packed anew: %v", err)
+	}
+	p.copy.Apply(replica.Batch{To: 2001, Events: []replica.Event{{Key: "op/config", Revision: 2001}}})
+	later, err := p.since(1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if batch, err := later.unpack(); err != nil || batch.To != 2001 {
+		t.Errorf("got up to %d, %v; want 2001", batch.To, err)
+	}
+	if batch, err := p.since(2000); err != nil || batch.Deflate {
+		t.Errorf("one event is compressed: %v", err)
+	}
+}
