Keep the event log of a replica when an older listing arrives

Cause: Replica.Apply emptied the event log at every full batch and set its start to the revision of the batch, also when the replica was newer. A full batch also dropped events newer than its own revision, which a listing read in pages can bring, and the deletion of a key that the replica lacks was not passed on to followers. Ruled out: the followers; they apply what they are given. Change: events up to the revision of the replica are ignored, an older listing implies no deletions, the log is cut only by a newer listing, and every newer event is logged in order of revision. Measured: TestOldListingKeepsTheLog and TestReplicasHoldWhatTheyClaim (2,000 random runs of four replicas) fail before and hold now.

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -4,7 +4,9 @@
 package replica
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -52,32 +54,42 @@
 }
 
 // Apply merges a batch and returns the events that changed the replica, in
-// order of revision. Events that are not newer than the state of their key are
-// ignored.
+// order of revision. The replica is complete up to its revision, so it ignores
+// events up to there, and a full batch that is not newer implies no deletions.
 func (r *Replica) Apply(batch Batch) []Event {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	newer := batch.To > r.revision
 	events := batch.Events
-	if batch.Full {
+	if batch.Full && newer {
 		events = append(r.impliedDeletions(batch), events...)
 	}
 	var applied []Event
 	for _, e := range events {
-		if r.applyEvent(e) {
+		if e.Revision > r.revision && r.applyEvent(e) {
 			applied = append(applied, e)
 		}
 	}
-	sort.SliceStable(applied, func(i, j int) bool { return applied[i].Revision < applied[j].Revision })
-	r.appendLog(applied, batch)
-	advanced := batch.To > r.revision
-	r.revision = max(r.revision, batch.To)
-	if advanced || len(applied) > 0 {
+	sortByRevision(applied)
+	r.appendLog(applied)
+	if newer {
+		r.revision = batch.To
+	}
+	if batch.Full && newer {
+		// A key that was created and deleted before the listing left no event.
+		r.truncateLog(batch.To)
+	}
+	if newer || len(applied) > 0 {
 		close(r.changed)
 		r.changed = make(chan struct{})
 	}
 	return applied
 }
 
+func sortByRevision(events []Event) {
+	slices.SortStableFunc(events, func(a, b Event) int { return cmp.Compare(a.Revision, b.Revision) })
+}
+
 // impliedDeletions returns deletions of the items that a full batch lacks. Items
 // written after the batch was listed are kept.
 func (r *Replica) impliedDeletions(batch Batch) []Event {
@@ -94,8 +106,9 @@
 	return deletions
 }
 
-// applyEvent applies e unless the state of its key is as new or newer. It
-// reports whether the items changed.
+// applyEvent applies e unless the state of its key is as new or newer, and
+// reports whether it did. The deletion of a key that the replica lacks counts: a
+// follower may still have the key.
 func (r *Replica) applyEvent(e Event) bool {
 	if item, ok := r.items[e.Key]; ok && item.Revision >= e.Revision {
 		return false
@@ -104,10 +117,9 @@
 		return false
 	}
 	if e.Deleted {
-		_, existed := r.items[e.Key]
 		delete(r.items, e.Key)
 		r.tombstones[e.Key] = e.Revision
-		return existed
+		return true
 	}
 	delete(r.tombstones, e.Key)
 	r.items[e.Key] = e
@@ -115,21 +127,31 @@
 }
 
 // appendLog appends the applied events and drops the oldest ones beyond
-// maxLogEvents. A full batch leaves a gap in the log, so the log is reset.
-func (r *Replica) appendLog(applied []Event, batch Batch) {
-	if batch.Full {
-		r.log = nil
-		r.logStart = batch.To
+// maxLogEvents.
+func (r *Replica) appendLog(applied []Event) {
+	if len(applied) == 0 {
 		return
 	}
+	outOfOrder := len(r.log) > 0 && r.log[len(r.log)-1].Revision > applied[0].Revision
 	r.log = append(r.log, applied...)
+	if outOfOrder {
+		// The pages of a listing are no snapshot, so a listing may have brought
+		// events newer than its revision.
+		sortByRevision(r.log)
+	}
 	if excess := len(r.log) - maxLogEvents; excess > 0 {
-		r.logStart = r.log[excess-1].Revision
-		r.log = append([]Event(nil), r.log[excess:]...)
-		r.pruneTombstones()
+		r.truncateLog(r.log[excess-1].Revision)
 	}
 }
 
+// truncateLog drops the events up to revision, with their tombstones.
+func (r *Replica) truncateLog(revision uint64) {
+	r.logStart = revision
+	first := sort.Search(len(r.log), func(i int) bool { return r.log[i].Revision > revision })
+	r.log = append([]Event(nil), r.log[first:]...)
+	r.pruneTombstones()
+}
+
 // pruneTombstones drops the tombstones that the log no longer covers.
 func (r *Replica) pruneTombstones() {
 	maps.DeleteFunc(r.tombstones, func(_ string, revision uint64) bool { return revision < r.logStart })
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -137,3 +137,127 @@
 		t.Error("the follower still has a deleted server")
 	}
 }
+
+// A listing that is older than the replica holds no news. The events after it
+// must stay in the log, or a follower is told that it is complete without them.
+func TestOldListingKeepsTheLog(t *testing.T) {
+	r := New()
+	r.Apply(Batch{Full: true, To: 20, Events: []Event{{Key: "servers/a", Revision: 3}}})
+	r.Apply(Batch{To: 29, Events: []Event{{Key: "op/config", Revision: 29}, {Key: "servers/a", Revision: 25, Deleted: true}}})
+	r.Apply(Batch{Full: true, To: 14, Events: []Event{{Key: "servers/a", Revision: 3}}})
+	if _, ok := r.Item("servers/a"); ok {
+		t.Error("the old listing brought back a deleted server")
+	}
+	if batch := r.Since(20); batch.Full || len(batch.Events) != 2 || batch.To != 29 {
+		t.Errorf("Since(20) returns full %v, %d events up to %d; want 2 events up to 29", batch.Full, len(batch.Events), batch.To)
+	}
+}
+
+// history is a store that can be listed page by page while it changes.
+type history struct{ fakeStore }
+
+// stateAt returns the latest event of key up to revision.
+func (h *history) stateAt(key string, revision uint64) (Event, bool) {
+	for i := int(revision) - 1; i >= 0; i-- {
+		if h.events[i].Key == key {
+			return h.events[i], true
+		}
+	}
+	return Event{}, false
+}
+
+// listInPages lists one key a page, with changes between the pages.
+func (h *history) listInPages(random *rand.Rand) Batch {
+	batch := Batch{Full: true, To: h.revision}
+	for k := range historyKeys {
+		if item, ok := h.items[fmt.Sprint("k", k)]; ok {
+			batch.Events = append(batch.Events, item)
+		}
+		if random.IntN(4) == 0 {
+			h.mutate(random)
+		}
+	}
+	return batch
+}
+
+// historyKeys is the number of keys that fakeStore.mutate uses.
+const historyKeys = 6
+
+// staleKey returns a key whose state in r contradicts the revision up to which r
+// claims to be complete. A state newer than that revision is allowed.
+func (h *history) staleKey(r *Replica) string {
+	complete := r.Revision()
+	for k := range historyKeys {
+		key := fmt.Sprint("k", k)
+		want, known := h.stateAt(key, complete)
+		item, present := r.Item(key)
+		switch {
+		case present && item.Revision < want.Revision, present && want.Deleted && item.Revision == want.Revision:
+			return key
+		case !present && known && !want.Deleted && !h.deletedAfter(key, complete):
+			return key
+		}
+	}
+	return ""
+}
+
+func (h *history) deletedAfter(key string, revision uint64) bool {
+	for _, e := range h.events[revision:] {
+		if e.Key == key && e.Deleted {
+			return true
+		}
+	}
+	return false
+}
+
+// TestReplicasHoldWhatTheyClaim lets four replicas read the store and poll each
+// other in any order, with batches that arrive late, twice, empty or as an old
+// listing. After each batch, a replica must hold at least the state of the store
+// at the revision up to which it claims to be complete.
+func TestReplicasHoldWhatTheyClaim(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(41201)
+	parameters.MinSuccessfulTests = 2000
+	properties := gopter.NewProperties(parameters)
+	properties.Property("replicas", prop.ForAll(func(seed uint64) string {
+		random := rand.New(rand.NewPCG(seed, 2))
+		store := &history{fakeStore{items: map[string]Event{}}}
+		store.mutate(random)
+		replicas := []*Replica{New(), New(), New(), New()}
+		type delivery struct {
+			to    *Replica
+			batch Batch
+		}
+		var delayed []delivery
+		for range 80 {
+			to, from := replicas[random.IntN(4)], replicas[random.IntN(4)]
+			var batch Batch
+			switch random.IntN(6) {
+			case 0, 1:
+				store.mutate(random)
+				continue
+			case 2:
+				batch = store.listInPages(random)
+			case 3:
+				if to.Revision() == 0 {
+					continue
+				}
+				batch = store.batch(to.Revision())
+			default:
+				batch = from.Since(to.Revision())
+			}
+			if random.IntN(3) > 0 {
+				delayed = append(delayed, delivery{to, batch})
+			}
+			if late := len(delayed); late > 0 && random.IntN(2) == 0 {
+				d := delayed[random.IntN(late)]
+				to, batch = d.to, d.batch
+			}
+			to.Apply(batch)
+			if key := store.staleKey(to); key != "" {
+				return fmt.Sprintf("%s is stale in a replica at revision %d after a batch %+v", key, to.Revision(), batch)
+			}
+		}
+		return ""
+	}, gen.UInt64()))
+	properties.TestingRun(t)
+}
