Guard the result of a response body against Close during Read

Cause: the deferred Close of a response body wrote its error field while the read-ahead goroutine of an entry VM was in Read. Change: the result is set once, under a mutex, and whoever sets it ends the exchange.

--- a/internal/backend/body.go
+++ b/internal/backend/body.go
@@ -52,19 +52,23 @@
 func (b *uploadBody) stop() { b.stopped.Store(true) }
 
 // responseBody is the body of a response. It reports every incomplete body as an
-// *Error and cancels the attempt when it is closed early.
+// *Error and cancels the attempt when it is closed early. Close may be called
+// while a Read is in progress.
 type responseBody struct {
 	ex    *exchange
 	inner io.ReadCloser
 	// reading is set while a Read from the server is in progress.
 	reading atomic.Bool
-	err     error
+
+	mu sync.Mutex
+	// err is the result of all further Reads; nil while the body is open.
+	err error
 }
 
 // Read returns io.EOF only after the complete body; any other error is an *Error.
 func (b *responseBody) Read(p []byte) (int, error) {
-	if b.err != nil {
-		return 0, b.err
+	if err := b.result(); err != nil {
+		return 0, err
 	}
 	b.reading.Store(true)
 	n, err := b.inner.Read(p)
@@ -73,25 +77,40 @@
 		return n, nil
 	}
 	if errors.Is(err, io.EOF) {
-		b.err = io.EOF
-		b.inner.Close()
-		b.ex.finish()
-		return n, io.EOF
+		if b.setResult(io.EOF) {
+			b.inner.Close()
+			b.ex.finish()
+		}
+	} else if failure := b.failure(err); b.setResult(failure) {
+		b.abandon()
+		b.ex.client.metrics.countFailure(failure.Outcome, failure.Reason)
 	}
-	b.err = b.failRead(err)
-	return n, b.err
+	return n, b.result()
 }
 
-func (b *responseBody) failRead(err error) error {
-	ex := b.ex
-	failure := &Error{
+func (b *responseBody) failure(err error) *Error {
+	return &Error{
 		Outcome: model.OutcomeUnknown,
-		Reason:  reasonOf(err, context.Cause(ex.ctx)),
+		Reason:  reasonOf(err, context.Cause(b.ex.ctx)),
 		Err:     err,
 	}
-	b.abandon()
-	ex.client.metrics.countFailure(failure.Outcome, failure.Reason)
-	return failure
+}
+
+func (b *responseBody) result() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.err
+}
+
+// setResult ends the body with err. It reports false if the body has ended before.
+func (b *responseBody) setResult(err error) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.err != nil {
+		return false
+	}
+	b.err = err
+	return true
 }
 
 // WriteTo copies the rest of the body through a pooled buffer.
@@ -107,8 +126,7 @@
 // Close closes the body. If it was not read to its end, the attempt is cancelled
 // at the server and its connection is closed.
 func (b *responseBody) Close() error {
-	if b.err == nil {
-		b.err = &Error{Outcome: model.OutcomeUnknown, Reason: model.ReasonCancelled, Err: errAbandoned}
+	if b.setResult(&Error{Outcome: model.OutcomeUnknown, Reason: model.ReasonCancelled, Err: errAbandoned}) {
 		b.abandon()
 	}
 	return nil
--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -265,3 +265,37 @@
 	f.wantError(<-running, model.OutcomeUnknown, model.ReasonCancelled)
 	f.mustFail(order("/w"), model.OutcomeNotRun, model.ReasonCancelled)
 }
+
+// TestCloseDuringRead closes response bodies while another goroutine reads them,
+// as an entry VM does when the caller of a large response leaves.
+func TestCloseDuringRead(t *testing.T) {
+	f := newFixture(t, longSilence, standin.Options{})
+	const size = 4 << 20
+	for range 40 {
+		resp, err := f.client.Do(t.Context(), f.server.Target(), lookup("/w?bytes=4194304"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		first := make(chan struct{})
+		type result struct {
+			bytes int64
+			err   error
+		}
+		done := make(chan result)
+		go func() {
+			one, err := io.ReadFull(resp.Body, make([]byte, 1))
+			close(first)
+			if err != nil {
+				done <- result{int64(one), err}
+				return
+			}
+			n, err := io.Copy(io.Discard, resp.Body)
+			done <- result{n + 1, err}
+		}()
+		<-first
+		resp.Body.Close()
+		if got := <-done; got.err == nil && got.bytes != size {
+			t.Fatalf("%d of %d bytes read without an error", got.bytes, size)
+		}
+	}
+}
