Choose servers without hashing VMs, at a cost that fits 753 servers

Cause: a choice walked all servers of the service through the check of eligibility, which hashed the name of every VM for each cold server. Ruled out: a cache of rankings by object; it would be emptied at each change of a server, and the walk alone is cheap. Change: candidates lie in one slice with their hashes; eligibility is checked only for servers that would enter the ranking; whether this VM sends to a cold server is kept until the live VMs change.

--- a/internal/pick/fleet.go
+++ b/internal/pick/fleet.go
@@ -32,7 +32,11 @@
 	reportedAt  time.Time
 	coldUntil   time.Time
 	coldSends   []time.Time
-	health      health
+	// coldSender reports whether this VM may send to the server while it is cold,
+	// as of senderGeneration of the entry VMs.
+	coldSender       bool
+	senderGeneration uint64
+	health           health
 	// removed marks a server that is no longer in the snapshot.
 	removed bool
 }
@@ -43,7 +47,7 @@
 
 	mu        sync.Mutex
 	servers   map[model.ServerID]*Server
-	byService map[model.ServiceName][]*Server
+	byService map[model.ServiceName][]candidate
 	uses      useLog
 	// remoteByVM holds the outstanding requests that each other VM reported,
 	// and remoteTotals their sum by server.
@@ -54,7 +58,7 @@
 	tolerant map[string]bool
 	// evacuated is the set of evacuated zones in the last snapshot.
 	evacuated map[model.Zone]bool
-	vms       []model.VMID
+	senders   senders
 }
 
 // Options configures a Fleet.
@@ -88,18 +92,18 @@
 	if options.OnEject == nil {
 		options.OnEject = func(Ejection) {}
 	}
-	return &Fleet{options: options, servers: map[model.ServerID]*Server{}, byService: map[model.ServiceName][]*Server{}, uses: newUseLog(), remoteByVM: map[model.VMID]vmCounts{}, remoteTotals: share.Counts{}}
+	return &Fleet{
+		options: options, servers: map[model.ServerID]*Server{}, byService: map[model.ServiceName][]candidate{},
+		uses: newUseLog(), remoteByVM: map[model.VMID]vmCounts{}, remoteTotals: share.Counts{},
+		senders: senders{self: hashString(string(options.Self)), generation: 1},
+	}
 }
 
 // SetVMs sets the entry VMs that divide the request rate of each cold server.
 func (f *Fleet) SetVMs(vms []catalog.VM) {
-	names := make([]model.VMID, 0, len(vms))
-	for _, vm := range vms {
-		names = append(names, vm.Name)
-	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.vms = names
+	f.senders.set(vms, f.options.Self)
 }
 
 // SetSnapshot updates the fleet to a new snapshot and returns the servers that
@@ -112,16 +116,18 @@
 	}
 	ended := f.endedEvacuations(snapshot.EvacuatedZones)
 	present := make(map[model.ServerID]bool, len(f.servers))
-	f.byService = make(map[model.ServiceName][]*Server, len(snapshot.Servers))
+	f.byService = make(map[model.ServiceName][]candidate, len(snapshot.Servers))
 	for service, list := range snapshot.Servers {
+		candidates := make([]candidate, 0, len(list))
 		for _, entry := range list {
 			server := f.update(entry, now)
 			if ended[entry.Zone] {
 				f.setCold(server, f.coldDuration(service), now)
 			}
 			present[entry.ID] = true
-			f.byService[service] = append(f.byService[service], server)
+			candidates = append(candidates, candidate{server, server.hash, server.Region == f.options.Region})
 		}
+		f.byService[service] = candidates
 	}
 	return f.removeUnlisted(present)
 }
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"fuchsiaspar/internal/catalog"
@@ -79,23 +80,20 @@
 func (f *Fleet) Pick(q Query, now time.Time) (Choice, Reason) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	listed := false
-	top := topRanked(f.byService[q.Service], q.Object, f.tierOf(q.Route), func(s *Server) bool {
-		if !regionAllowed(s, q.Route.Regions) {
-			return false
-		}
-		listed = true
-		return !excluded(q.Exclude, s.ID) && f.eligible(s, now)
+	list := f.byService[q.Service]
+	top := topRanked(list, q.Object, preferLocal(q.Route), func(s *Server) bool {
+		return regionAllowed(s, q.Route.Regions) && !excluded(q.Exclude, s.ID) && f.eligible(s, now)
 	})
 	best := Choice{Cost: math.Inf(1)}
-	for rank, entry := range top {
+	for rank, entry := range top.entries[:top.count] {
 		c := f.evaluate(entry.server, rank, q.Object, now)
 		if c.Cost < best.Cost {
 			best = c
 		}
 	}
 	if best.Server == nil {
-		if listed {
+		allowed := func(c candidate) bool { return regionAllowed(c.server, q.Route.Regions) }
+		if slices.ContainsFunc(list, allowed) {
 			return best, AllFull
 		}
 		return best, NoServers
@@ -155,12 +153,11 @@
 // server. A few VMs divide the server's rate among themselves, so that the bound
 // on their sum holds without coordination.
 func (f *Fleet) withinColdRate(s *Server, now time.Time) bool {
-	isSender, senders := isColdSender(s, f.options.Self, f.vms)
-	if !isSender || f.config == nil {
+	if !f.isColdSender(s) || f.config == nil {
 		return false
 	}
 	rate := f.config.Services[s.Service].ColdRate*f.options.ColdFactor + f.options.ColdSlack
-	share := int(rate * coldRateShare / float64(senders))
+	share := int(rate * coldRateShare / float64(f.senders.count()))
 	recent := s.coldSends[:0]
 	for _, at := range s.coldSends {
 		if now.Sub(at) < coldWindow {
@@ -171,6 +168,14 @@
 	return len(recent) < share
 }
 
+// isColdSender reports whether this VM may send to a server while it is cold.
+func (f *Fleet) isColdSender(s *Server) bool {
+	if s.senderGeneration != f.senders.generation {
+		s.coldSender, s.senderGeneration = f.senders.includeSelf(s.hash), f.senders.generation
+	}
+	return s.coldSender
+}
+
 func (f *Fleet) recordStart(c Choice, now time.Time) {
 	c.Server.outstanding++
 	if c.Cold {
--- a/internal/pick/pick_test.go
+++ b/internal/pick/pick_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -294,11 +295,54 @@
 	}
 }
 
+// BenchmarkPick chooses servers of a service of which no server is cold, and of one
+// of which all are, as after the loss of power in a zone.
 func BenchmarkPick(b *testing.B) {
-	f := newFleet("vm-0", "lj", vms(33), servers(240, "lj", "mb", "kp"))
-	for i := 0; b.Loop(); i++ {
-		c, _ := f.Pick(Query{Route: lookup, Service: "desk", Object: mix(uint64(i % 400))}, start)
-		f.Done(c, Answered, nil, start)
+	for _, count := range []int{20, 160, 753, 5000} {
+		for _, cold := range []time.Duration{0, time.Hour} {
+			b.Run(fmt.Sprintf("servers=%d/cold=%v", count, cold > 0), func(b *testing.B) {
+				list := servers(count, "lj", "mb", "kp")
+				for _, s := range list {
+					s.ColdRemaining = cold
+				}
+				f := newFleet("vm-0", "lj", vms(117), list)
+				b.ReportAllocs()
+				for i := 0; b.Loop(); i++ {
+					now := start.Add(time.Duration(i) * time.Millisecond)
+					c, reason := f.Pick(Query{Route: lookup, Service: "desk", Object: mix(uint64(i % 400))}, now)
+					if reason == "" {
+						f.Done(c, Answered, nil, now)
+					}
+				}
+			})
+		}
+	}
+}
+
+// TestTheLossOfAVMKeepsColdServersServed checks that the VMs that send to a cold
+// server are chosen anew when the live VMs change.
+func TestTheLossOfAVMKeepsColdServersServed(t *testing.T) {
+	cold := servers(1, "lj")
+	cold[0].ColdRemaining = time.Minute
+	all := vms(30)
+	senders := func(live []catalog.VM) (list []catalog.VM) {
+		for _, vm := range live {
+			f := newFleet(string(vm.Name), "lj", all, cold)
+			f.SetVMs(live)
+			if c, reason := f.Pick(Query{Route: lookup, Service: "desk", Object: 1}, start); reason == "" {
+				f.Done(c, Answered, nil, start)
+				list = append(list, vm)
+			}
+		}
+		return list
+	}
+	first := senders(all)
+	if len(first) != coldSenders {
+		t.Fatalf("%d VMs send to a cold server, want %d", len(first), coldSenders)
+	}
+	live := slices.DeleteFunc(slices.Clone(all), func(vm catalog.VM) bool { return vm.Name == first[0].Name })
+	if got := senders(live); len(got) != coldSenders {
+		t.Errorf("%d VMs send to a cold server after the loss of one, want %d", len(got), coldSenders)
 	}
 }
 
@@ -325,7 +369,8 @@
 			home := choose(t, f, lookup, 1, start)
 			f.Done(home, Answered, nil, start)
 			counts := share.Counts{}
-			for _, server := range f.byService["desk"] {
+			for _, c := range f.byService["desk"] {
+				server := c.server
 				counts[server.hash] = tt.others
 				if tt.known && server != home.Server {
 					f.uses.record(1, server, start)
--- a/internal/pick/rank.go
+++ b/internal/pick/rank.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"math/bits"
+	"slices"
 
 	"fuchsiaspar/internal/catalog"
 	"fuchsiaspar/internal/model"
@@ -41,78 +42,113 @@
 	return hashString(host + "\x00" + prefix + "\x00" + object)
 }
 
-// tier returns a server's tier. Servers of a lower tier rank before all servers of
-// a higher one, whatever their weights.
-type tier func(*Server) int
-
-// tierOf returns the tier function of a route. Downloads, whose answers are large,
-// prefer servers in the region of this VM.
-func (f *Fleet) tierOf(route *catalog.Route) tier {
-	if route.Kind != catalog.Download {
-		return func(*Server) int { return 0 }
-	}
-	return func(s *Server) int {
-		if s.Region == f.options.Region {
-			return 0
-		}
-		return 1
-	}
+// candidate is a server of a service with what its rank depends on. Candidates lie
+// next to each other in memory, since every choice walks all of them.
+type candidate struct {
+	server *Server
+	hash   uint64
+	// local reports that the server is in the region of this VM.
+	local bool
 }
 
+// preferLocal reports whether the servers in the region of this VM rank before all
+// others for a route. They do for downloads, whose answers are large.
+func preferLocal(route *catalog.Route) bool { return route.Kind == catalog.Download }
+
 // ranked is a server with its sort keys for one object.
 type ranked struct {
 	server *Server
-	tier   int
+	remote bool
 	weight uint64
 }
 
 func (a ranked) ranksBefore(b ranked) bool {
-	if a.tier != b.tier {
-		return a.tier < b.tier
+	if a.remote != b.remote {
+		return b.remote
 	}
 	return a.weight > b.weight
 }
 
-// topRanked returns the usable servers for an object, sorted by ascending tier and
-// descending weight, at most maxRank of them.
-func topRanked(list []*Server, object uint64, tierOf tier, usable func(*Server) bool) []ranked {
-	top := make([]ranked, 0, maxRank+1)
-	for _, server := range list {
-		if !usable(server) {
-			continue
-		}
-		entry := ranked{server, tierOf(server), serverWeight(object, server.hash)}
-		if len(top) == maxRank && !entry.ranksBefore(top[maxRank-1]) {
+// ranking holds the first servers of an object's ranking, at most maxRank.
+type ranking struct {
+	entries [maxRank]ranked
+	count   int
+}
+
+// topRanked returns the usable servers for an object, the local ones first if
+// localFirst is set, sorted by descending weight.
+func topRanked(list []candidate, object uint64, localFirst bool, usable func(*Server) bool) ranking {
+	var top ranking
+	for i := range list {
+		c := &list[i]
+		entry := ranked{c.server, localFirst && !c.local, serverWeight(object, c.hash)}
+		if top.count == maxRank && !entry.ranksBefore(top.entries[maxRank-1]) {
 			continue
 		}
-		index := len(top)
-		for index > 0 && entry.ranksBefore(top[index-1]) {
-			index--
+		if usable(c.server) {
+			top.insert(entry)
 		}
-		top = append(top, ranked{})
-		copy(top[index+1:], top[index:])
-		top[index] = entry
-		top = top[:min(len(top), maxRank)]
 	}
 	return top
 }
 
+// insert adds an entry, which must rank before the last one if there are maxRank.
+func (r *ranking) insert(entry ranked) {
+	if r.count < maxRank {
+		r.count++
+	}
+	index := r.count - 1
+	for index > 0 && entry.ranksBefore(r.entries[index-1]) {
+		r.entries[index] = r.entries[index-1]
+		index--
+	}
+	r.entries[index] = entry
+}
+
 // coldSenders is the number of entry VMs that may send to a cold server. It is
 // small so that the server's rate divides into whole requests per second for each
 // VM, and greater than one so that the loss of a VM does not leave the server
 // without requests.
 const coldSenders = 4
 
-// isColdSender reports whether self is one of the VMs that may send to a cold
-// server, and how many such VMs there are. All VMs make the same choice by
-// rendezvous hashing.
-func isColdSender(server *Server, self model.VMID, vms []model.VMID) (isSender bool, senders int) {
-	ownWeight := mix(hashString(string(self)) ^ server.hash)
-	higher := 0
+// senders is the set of entry VMs that divide the rate of each cold server. All
+// VMs choose the same ones by rendezvous hashing.
+type senders struct {
+	self   uint64
+	others []uint64
+	vms    []model.VMID
+	// generation changes with the set.
+	generation uint64
+}
+
+// set replaces the VMs. It keeps the generation if they are the same.
+func (s *senders) set(vms []catalog.VM, self model.VMID) {
+	if slices.EqualFunc(s.vms, vms, func(name model.VMID, vm catalog.VM) bool { return name == vm.Name }) {
+		return
+	}
+	s.vms, s.others = s.vms[:0], s.others[:0]
 	for _, vm := range vms {
-		if vm != self && mix(hashString(string(vm))^server.hash) > ownWeight {
-			higher++
+		s.vms = append(s.vms, vm.Name)
+		if vm.Name != self {
+			s.others = append(s.others, hashString(string(vm.Name)))
 		}
 	}
-	return higher < coldSenders, min(coldSenders, max(len(vms), 1))
+	s.generation++
 }
+
+// includeSelf reports whether this VM may send to a cold server.
+func (s *senders) includeSelf(server uint64) bool {
+	ownWeight := mix(s.self ^ server)
+	higher := 0
+	for _, vm := range s.others {
+		if mix(vm^server) > ownWeight {
+			if higher++; higher == coldSenders {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// count returns the number of VMs that may send to one cold server.
+func (s *senders) count() int { return min(coldSenders, max(len(s.vms), 1)) }
