--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -21,6 +21,11 @@
 	Idempotent
 	// Download requests are idempotent and have large responses.
 	Download
+	// Upload requests run at most once and have large bodies.
+	Upload
+	// UnknownKind requests are of a kind that this program does not know. They
+	// run at most once, which is right for every kind.
+	UnknownKind
 )
 
 // String returns the name of k as used in logs and metrics.
@@ -30,13 +35,17 @@
 		return "idempotent"
 	case Download:
 		return "download"
+	case Upload:
+		return "upload"
+	case UnknownKind:
+		return "unknown"
 	default:
 		return "non_idempotent"
 	}
 }
 
 // Repeatable reports whether a request may run more than once.
-func (k Kind) Repeatable() bool { return k != NonIdempotent }
+func (k Kind) Repeatable() bool { return k == Idempotent || k == Download }
 
 // WeightedService is a service of a route and its weight in the traffic split.
 type WeightedService struct {
--- a/internal/pick/fleet.go
+++ b/internal/pick/fleet.go
@@ -16,10 +16,13 @@
 	"fuchsiaspar/internal/share"
 )
 
-// Report is a server's own statement of its load: requests running, requests
-// queued, and the number of requests it can run at once.
+// Report is a server's own statement of its load.
 type Report struct {
+	// Running and Waiting count requests; Slots is how many run at once.
 	Running, Waiting, Slots int
+	// Slowness is how many times as long as usual the server's machine takes for
+	// a piece of work; zero if unknown.
+	Slowness float64
 }
 
 // Server is the state that this entry VM keeps about one backend server process.
--- a/internal/state/builder.go
+++ b/internal/state/builder.go
@@ -144,6 +144,11 @@
 	}
 	b.config, b.configUpdatedAt = config, now
 	b.log.Event("configuration in force", "version", config.Version, "revision", event.Revision, "routes", len(config.Routes))
+	for _, route := range config.Routes {
+		if route.Kind == catalog.UnknownKind {
+			b.log.Error("route of an unknown kind; its requests run at most once", "version", config.Version, "route", route.Name)
+		}
+	}
 }
 
 func (b *Builder) applyEvacuation(event replica.Event) {
