Bound what a server may send where a response header is due

Cause: the client of backend servers parsed response headers without a bound. A server that sends bytes without end instead of one grew the heap by 200 to 910 MB within a second; the smallest VM has 284 MB. Change: a response header with the 1xx responses before it may have 64 KiB and 256 fields, the body of a late response that is skipped 1 MiB.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"syscall"
 	"time"
@@ -34,6 +35,7 @@
 // conn is a connection to a server, used by at most one exchange at a time.
 type conn struct {
 	net.Conn
+	input  *boundedInput
 	reader *bufio.Reader
 	raw    syscall.RawConn
 	// reusableUntil is the time after which the idle connection is not reused.
@@ -47,7 +49,8 @@
 	if err != nil {
 		return nil, err
 	}
-	out := &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferSize)}
+	input := &boundedInput{source: c}
+	out := &conn{Conn: c, input: input, reader: bufio.NewReaderSize(input, readBufferSize)}
 	if tcp, ok := c.(*net.TCPConn); ok {
 		// Without raw access the connection is still usable; noInputPending then
 		// checks only the read buffer.
@@ -56,6 +59,30 @@
 	return out, nil
 }
 
+// boundedInput fails once more bytes are read than allowed. A server in trouble may
+// send bytes without end where a response header is due, and the HTTP parser
+// would keep all of them.
+type boundedInput struct {
+	source  io.Reader
+	allowed int
+}
+
+// allow sets the number of bytes that may be read from now on.
+func (b *boundedInput) allow(bytes int) { b.allowed = bytes }
+
+// exhausted reports whether no more bytes may be read.
+func (b *boundedInput) exhausted() bool { return b.allowed <= 0 }
+
+// Read implements io.Reader.
+func (b *boundedInput) Read(p []byte) (int, error) {
+	if b.exhausted() {
+		return 0, errTooManyBytes
+	}
+	n, err := b.source.Read(p[:min(len(p), b.allowed)])
+	b.allowed -= n
+	return n, err
+}
+
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var optErr error
 	err := raw.Control(func(fd uintptr) {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -33,13 +34,30 @@
 	// ErrTimeout reports that the deadline passed before a response header was
 	// received. The request may have run.
 	ErrTimeout = errors.New("upstream: deadline exceeded")
+	// ErrOversized reports that a response header, or what arrived in its place,
+	// exceeds its bounds. The request may have run.
+	ErrOversized = errors.New("upstream: response header too large")
 	// ErrTruncated reports that the response body ended early.
 	ErrTruncated = errors.New("upstream: response body truncated")
 )
 
-// maxUnrelated is the number of late responses to earlier requests that are
-// skipped on a connection while waiting for a response.
-const maxUnrelated = 2
+const (
+	// maxUnrelated is the number of late responses to earlier requests that are
+	// skipped on a connection while waiting for a response.
+	maxUnrelated = 2
+	// maxUnrelatedBody is the number of bytes of the body of a late response up
+	// to which it is skipped.
+	maxUnrelatedBody = 1 << 20
+	// maxHeaderBytes bounds the header of a response together with the
+	// informational (1xx) responses before it.
+	maxHeaderBytes = 64 << 10
+	// maxHeaderFields bounds the number of fields in the header of a response.
+	maxHeaderFields = 256
+)
+
+// errTooManyBytes ends the input of a connection on which a server sends more than
+// a response may have.
+var errTooManyBytes = errors.New("upstream: too many bytes")
 
 // Request is one attempt to send a request to one server.
 type Request struct {
@@ -73,7 +91,7 @@
 // Do sends a request to a server and returns once the response header has
 // arrived. Cancelling ctx closes the connection, also while the response body is
 // being read. Errors are ErrConnect, ErrNotSent, ErrNoResponse,
-// ErrUnrelatedResponse and ErrTimeout.
+// ErrUnrelatedResponse, ErrOversized and ErrTimeout.
 func (c *Client) Do(ctx context.Context, server *catalog.Server, req *Request) (*Response, error) {
 	dialCtx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
@@ -169,33 +187,51 @@
 // connection. A response without a request id is accepted only if it states that
 // the request did not run.
 func (ex *exchange) readResponse() (*http.Response, error) {
+	ex.conn.input.allow(maxHeaderBytes)
 	for skipped := 0; ; {
 		resp, err := http.ReadResponse(ex.conn.reader, &http.Request{Method: ex.req.Method})
 		if err != nil {
 			return nil, ex.responseError(err)
 		}
+		if countFields(resp.Header) > maxHeaderFields {
+			return nil, ErrOversized
+		}
 		if resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
 		id := resp.Header.Get(platform.HeaderRequestID)
 		if id == ex.req.ID || (id == "" && platform.NotExecuted(resp.StatusCode, resp.Header)) {
+			ex.conn.input.allow(math.MaxInt)
 			return resp, nil
 		}
 		skipped++
 		if skipped > maxUnrelated {
 			return nil, ErrUnrelatedResponse
 		}
+		ex.conn.input.allow(maxUnrelatedBody)
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return nil, ex.responseError(err)
 		}
+		ex.conn.input.allow(maxHeaderBytes)
 	}
 }
 
+func countFields(h http.Header) int {
+	fields := 0
+	for _, values := range h {
+		fields += len(values)
+	}
+	return fields
+}
+
 // responseError returns the error for a failure to read the response.
 func (ex *exchange) responseError(err error) error {
 	if ex.ctx.Err() != nil {
 		return errors.WithMessage(ErrNoResponse, ex.ctx.Err().Error())
 	}
+	if ex.conn.input.exhausted() {
+		return errors.WithMessage(ErrOversized, err.Error())
+	}
 	if !time.Now().Before(ex.req.Deadline) {
 		return errors.WithMessage(ErrTimeout, err.Error())
 	}
