Send uploads to servers of the own region first, as downloads

Two thirds of the photographed reports crossed a link between regions. Ruled out: warmth; the objects of a route are asked for from one region. Change: routes with large bodies, up or down, rank the servers of the VM's region before all others.

--- a/internal/pick/pick_test.go
+++ b/internal/pick/pick_test.go
@@ -21,6 +21,7 @@
 var (
 	start  = time.Unix(1_800_000_000, 0)
 	lookup = &catalog.Route{Name: "lookup", Kind: catalog.Idempotent}
+	upload = &catalog.Route{Name: "upload", Kind: catalog.Upload}
 	pack   = &catalog.Route{Name: "pack", Kind: catalog.Download}
 )
 
@@ -103,15 +104,17 @@
 	}
 }
 
-func TestLargeAnswersStayInTheRegion(t *testing.T) {
+func TestLargeBodiesStayInTheRegion(t *testing.T) {
 	list := servers(12, "lj", "mb", "kp")
 	f := newFleet("vm-0", "mb", vms(7), list)
-	for i := range uint64(50) {
-		c := choose(t, f, pack, mix(i), start)
-		if c.Target.Region != "mb" {
-			t.Errorf("object %d goes to %s", i, c.Target.Region)
+	for _, route := range []*catalog.Route{pack, upload} {
+		for i := range uint64(50) {
+			c := choose(t, f, route, mix(i), start)
+			if c.Target.Region != "mb" {
+				t.Errorf("object %d of %s goes to %s", i, route.Name, c.Target.Region)
+			}
+			f.Done(c, Answered, nil, start)
 		}
-		f.Done(c, Answered, nil, start)
 	}
 	f.SetSnapshot(snapshot(servers(2, "lj", "kp"), nil), start)
 	choose(t, f, pack, 1, start)
--- a/internal/pick/rank.go
+++ b/internal/pick/rank.go
@@ -52,8 +52,10 @@
 }
 
 // preferLocal reports whether the servers in the region of this VM rank before all
-// others for a route. They do for downloads, whose answers are large.
-func preferLocal(route *catalog.Route) bool { return route.Kind == catalog.Download }
+// others for a route. They do where requests or answers are large.
+func preferLocal(route *catalog.Route) bool {
+	return route.Kind == catalog.Download || route.Kind == catalog.Upload
+}
 
 // ranked is a server with its sort keys for one object.
 type ranked struct {
