Read the response of a server that has not read the request's body

Cause: the client of backend servers wrote a buffered body of up to 256 KiB in one call before it read anything. A server that refuses or answers early and keeps the connection held the request until its deadline, and one that answers and resets lost its answer. Change: up to 8 KiB of the body go with the header, the rest is sent while the response is awaited. A failed write is an error only if nothing was sent; else the response decides. A connection whose body is not sent whole is not reused, as before.

--- a/internal/upstream/body.go
+++ b/internal/upstream/body.go
@@ -7,8 +7,8 @@
 	"github.com/pkg/errors"
 )
 
-// uploadBufferSize is the largest chunk, in bytes, of a streamed request body of
-// unknown length.
+// uploadBufferSize is the largest part, in bytes, in which a streamed request body
+// is passed on.
 const uploadBufferSize = 32 << 10
 
 // Body is the body of a response.
@@ -60,38 +60,47 @@
 	}
 }
 
-// startUpload sends the rest of a streamed body concurrently with waiting for the
+// startUpload sends the rest of the request concurrently with waiting for the
 // response. If the server responds before the body is sent, the connection is not
 // reused.
 func (ex *exchange) startUpload() {
 	ex.uploaded = make(chan error, 1)
-	go func() { ex.uploaded <- ex.sendStream() }()
+	go func() { ex.uploaded <- ex.upload() }()
+}
+
+// upload sends what encodeHeader left of the body.
+func (ex *exchange) upload() error {
+	if len(ex.req.Body) > maxInlineBody {
+		if err := ex.writeBody(ex.conn, ex.req.Body); err != nil {
+			return err
+		}
+	}
+	if ex.req.Stream == nil {
+		return nil
+	}
+	return ex.sendStream()
 }
 
 // sendStream sends the rest of a streamed body. It closes the connection if the
 // client's body ends early, so that the server does not take what it has received
 // for the whole body.
 func (ex *exchange) sendStream() error {
-	if ex.req.Length > 0 {
-		_, err := io.CopyN(ex.conn, ex.req.Stream, ex.req.Length-int64(len(ex.req.Body)))
-		if err != nil {
-			ex.conn.Close()
-		}
-		return err
-	}
 	buf := make([]byte, uploadBufferSize)
-	for {
+	remaining := ex.req.Length - int64(len(ex.req.Body))
+	for ex.req.Length < 0 || remaining > 0 {
 		n, err := ex.req.Stream.Read(buf)
-		if writeErr := writeChunk(ex.conn, buf[:n]); writeErr != nil {
+		if writeErr := ex.writeBody(ex.conn, buf[:n]); writeErr != nil {
 			return writeErr
 		}
-		if err == io.EOF {
+		remaining -= int64(n)
+		if err == io.EOF && ex.req.Length < 0 {
 			_, err = io.WriteString(ex.conn, "0\r\n\r\n")
 			return err
 		}
-		if err != nil {
+		if err != nil && remaining != 0 {
 			ex.conn.Close()
 			return err
 		}
 	}
+	return nil
 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -119,18 +119,19 @@
 	uploaded chan error
 }
 
-// run sends the request and reads the response header.
+// run sends the request and reads the response header. All of the request but its
+// beginning is sent while it waits, because a server may respond before it has
+// read a long body.
 func (ex *exchange) run() (*Response, error) {
 	// If setting the deadline fails, so does the write that follows.
 	_ = ex.conn.SetDeadline(ex.req.Deadline)
-	if n, err := ex.conn.Write(ex.encodeRequest()); err != nil {
+	// A server that resets the connection during the write may have responded
+	// before, so a failed write is an error only if nothing was sent.
+	if n, err := ex.conn.Write(ex.encodeHeader()); err != nil && n == 0 {
 		ex.abort()
-		if n == 0 {
-			return nil, errors.WithMessage(ErrNotSent, err.Error())
-		}
-		return nil, errors.WithMessage(ErrNoResponse, err.Error())
+		return nil, errors.WithMessage(ErrNotSent, err.Error())
 	}
-	if ex.req.Stream != nil {
+	if len(ex.req.Body) > maxInlineBody || ex.req.Stream != nil {
 		ex.startUpload()
 	}
 	resp, err := ex.readResponse()
@@ -146,12 +147,17 @@
 	}, nil
 }
 
-// encodeRequest returns the request line, the headers and the buffered part of
-// the body.
-func (ex *exchange) encodeRequest() []byte {
+// maxInlineBody is the size in bytes up to which the buffered part of a body is
+// sent together with the header. The send buffer of a connection takes as much.
+const maxInlineBody = 8 << 10
+
+// encodeHeader returns the request line and the headers, and the buffered part of
+// a body up to maxInlineBody.
+func (ex *exchange) encodeHeader() []byte {
 	req := ex.req
+	inline := len(req.Body) <= maxInlineBody
 	var b bytes.Buffer
-	b.Grow(1024 + len(req.Body))
+	b.Grow(1024 + min(len(req.Body), maxInlineBody))
 	b.WriteString(req.Method + " " + req.URI + " HTTP/1.1\r\nHost: " + req.Host + "\r\n")
 	// Writing to a bytes.Buffer does not fail.
 	_ = req.Header.Write(&b)
@@ -160,17 +166,26 @@
 	b.WriteString(platform.HeaderExpectedInstance + ": " + string(ex.server.ID) + "\r\n")
 	switch {
 	case req.Length > 0 || (req.Length == 0 && req.Method != http.MethodGet && req.Method != http.MethodHead):
-		b.WriteString("Content-Length: " + strconv.FormatInt(req.Length, 10) + "\r\n\r\n")
-		b.Write(req.Body)
+		b.WriteString("Content-Length: " + strconv.FormatInt(req.Length, 10) + "\r\n")
 	case req.Length < 0:
-		b.WriteString("Transfer-Encoding: chunked\r\n\r\n")
-		writeChunk(&b, req.Body)
-	default:
-		b.WriteString("\r\n")
+		b.WriteString("Transfer-Encoding: chunked\r\n")
+	}
+	b.WriteString("\r\n")
+	if inline {
+		_ = ex.writeBody(&b, req.Body)
 	}
 	return b.Bytes()
 }
 
+// writeBody writes a part of the request body in the framing of the request.
+func (ex *exchange) writeBody(w io.Writer, part []byte) error {
+	if ex.req.Length < 0 {
+		return writeChunk(w, part)
+	}
+	_, err := w.Write(part)
+	return err
+}
+
 // writeChunk writes data as one chunk of a chunked body. It writes nothing for
 // empty data, since an empty chunk would end the body.
 func writeChunk(w io.Writer, data []byte) error {
