Bound how long a client may stall in its body and in reading the answer

Cause: a client that stopped in the middle of its body held a request and its buffer until it closed, and was not answered at its deadline; one that did not read a large answer held the connection to the server as well. Change: the body may arrive until the request's deadline (then 408: not run, or 504 once a server has been sent a part), and the answer may be read until 2 s after it. Measured: TestClientThatStallsInItsBody and TestClientThatDoesNotRead fail before (no answer within 3 s, still sending after 5 s) and pass now.

--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -14,6 +15,11 @@
 // sent to one server only.
 const maxBufferedBody = 256 << 10
 
+// streamGrace is how long after the deadline a streamed body may still arrive. The
+// attempt at the server ends at the deadline; if the body ended first, net/http
+// would take the client for gone.
+const streamGrace = 100 * time.Millisecond
+
 // body is the body of a client's request: the buffered bytes, followed by the
 // unread rest if the body is too large to buffer.
 type body struct {
@@ -47,20 +53,34 @@
 	q.body.buffered = buffered
 	if len(buffered) == maxBufferedBody && int64(len(buffered)) != q.body.length {
 		q.body.rest = source
+		q.setReadDeadline(q.deadline.Add(streamGrace))
 		return false
 	}
 	q.body.length = int64(len(buffered))
+	// net/http goes on reading to notice when the client disconnects.
+	q.setReadDeadline(time.Time{})
 	return false
 }
 
+// setReadDeadline sets the time until which the client may send.
+func (q *request) setReadDeadline(at time.Time) {
+	// If this fails, the connection has failed, which net/http notices.
+	_ = http.NewResponseController(q.w).SetReadDeadline(at)
+}
+
 // rejectBody ends a request whose body could not be read. It refuses a body over
-// the configured limit and aborts the connection on any other error.
+// the configured limit and one that does not arrive in time, and aborts the
+// connection on any other error.
 func (q *request) rejectBody(err error) {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		q.refuse(http.StatusRequestEntityTooLarge, reasonBodyTooLarge)
 		return
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		q.refuse(http.StatusRequestTimeout, reasonBodyTimeout)
+		return
+	}
 	// The client disconnected while it sent the body.
 	q.logFailed("client broke off", "cause", err)
 	panic(http.ErrAbortHandler)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -21,6 +21,7 @@
 	"fuchsiaspar/internal/upstream"
 	"fuchsiaspar/platform"
 
+	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 )
 
@@ -28,6 +29,10 @@
 // sets a time limit.
 const defaultDeadline = 30 * time.Second
 
+// responseGrace is how long after its deadline a client may still read the
+// response: a buffered one takes about 0.4 s on the narrowest link.
+const responseGrace = 2 * time.Second
+
 // Options configures a Server.
 type Options struct {
 	// Snapshot returns the current configuration and servers. It never returns
@@ -105,6 +110,7 @@
 // serve validates the request, reads its body and sends it to a server.
 func (q *request) serve() {
 	q.id = q.r.Header.Get(platform.HeaderRequestID)
+	q.setDeadline(defaultDeadline)
 	if q.snapshot.Config == nil {
 		q.refuse(http.StatusServiceUnavailable, reasonNoConfig)
 		return
@@ -117,7 +123,7 @@
 		q.refuse(http.StatusNotFound, reasonNoRoute)
 		return
 	}
-	q.deadline = q.start.Add(q.timeLimit())
+	q.setDeadline(q.timeLimit())
 	if refused := q.readBody(); refused {
 		return
 	}
@@ -128,6 +134,22 @@
 	q.tryServers()
 }
 
+// setDeadline sets the deadline of the request, until which the client may send its
+// body, and shortly after which it must have read the response. A client that
+// stalls would hold the request forever.
+func (q *request) setDeadline(limit time.Duration) {
+	q.deadline = q.start.Add(limit)
+	control := http.NewResponseController(q.w)
+	err := control.SetWriteDeadline(q.deadline.Add(responseGrace))
+	if err == nil && q.r.ContentLength != 0 {
+		err = control.SetReadDeadline(q.deadline)
+	}
+	if err != nil && !errors.Is(err, http.ErrNotSupported) {
+		// The connection has failed; reading from it or writing to it will, too.
+		q.logFailed("connection without deadlines", "cause", err)
+	}
+}
+
 // matchRoute returns the route for the request's host and path, or nil. A Host
 // header that does not match as sent is tried without its port.
 func (q *request) matchRoute() *catalog.Route {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -375,3 +375,106 @@
 		t.Errorf("requests came over %d connections, want a third one after the lost response: %v", len(from), from)
 	}
 }
+
+// stallingClient sends the head of a request with a body of a megabyte and stalls
+// after part of the body. It returns the connection.
+func stallingClient(t *testing.T, front *httptest.Server, path string, part int) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", front.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h.example\r\n%s: id-1\r\n%s: 300\r\nContent-Length: 1000000\r\n\r\n%s",
+		path, platform.HeaderRequestID, platform.HeaderDeadline, strings.Repeat("x", part))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
+
+// A client that stalls in the middle of its body gets an answer by its deadline:
+// 408 states that the request has not run, which holds only while no server has
+// been sent any of it.
+func TestClientThatStallsInItsBody(t *testing.T) {
+	tests := []struct {
+		desc   string
+		part   int
+		status int
+	}{
+		{"before a server is chosen", 1000, http.StatusRequestTimeout},
+		{"while the body is streamed", maxBufferedBody + 1000, http.StatusGatewayTimeout},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			front, _ := newFront(t, serveOK)
+			conn := stallingClient(t, front, "/order/a", tt.part)
+			if err := conn.SetReadDeadline(time.Now().Add(3 * time.Second)); err != nil {
+				t.Fatal(err)
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp.Body.Close()
+			if resp.StatusCode != tt.status {
+				t.Errorf("status %d, want %d", resp.StatusCode, tt.status)
+			}
+		})
+	}
+}
+
+// A client that does not read a large answer must not hold the request for longer
+// than its deadline allows.
+func TestClientThatDoesNotRead(t *testing.T) {
+	ended := make(chan struct{})
+	front, _ := newFront(t, func(w http.ResponseWriter, r *http.Request) {
+		defer close(ended)
+		w.Header().Set(platform.HeaderRequestID, r.Header.Get(platform.HeaderRequestID))
+		w.Header().Set(platform.HeaderSeal, "seal")
+		block := make([]byte, 1<<20)
+		for range 256 {
+			if _, err := w.Write(block); err != nil {
+				return
+			}
+		}
+	})
+	conn, err := net.Dial("tcp", front.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := fmt.Fprintf(conn, "GET /read/a HTTP/1.1\r\nHost: h.example\r\n%s: id-1\r\n\r\n", platform.HeaderRequestID); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-ended:
+	case <-time.After(2*responseGrace + time.Second):
+		t.Error("the server is still sending")
+	}
+}
+
+// The limits of one request must not end the next one on the same connection.
+func TestKeptConnectionOutlivesTheLimitsOfItsLastRequest(t *testing.T) {
+	front, _ := newFront(t, serveOK)
+	client := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}
+	defer client.CloseIdleConnections()
+	for range 2 {
+		for _, path := range []string{"/order/a", "/elsewhere"} {
+			req, err := http.NewRequest("POST", front.URL+path, strings.NewReader("body"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			req.Host = "h.example"
+			req.Header.Set(platform.HeaderRequestID, "id-1")
+			req.Header.Set(platform.HeaderDeadline, "100")
+			resp, err := client.Do(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+		}
+		time.Sleep(100*time.Millisecond + responseGrace)
+	}
+}
--- a/internal/front/report.go
+++ b/internal/front/report.go
@@ -18,6 +18,7 @@
 	reasonNoRequestID  = "no_request_id"
 	reasonNoRoute      = "no_route"
 	reasonBodyTooLarge = "body_too_large"
+	reasonBodyTimeout  = "body_timeout"
 	reasonTimeout      = "timeout"
 	reasonNoConnection = "no_connection"
 	reasonClientLeft   = "client_left"
