Keep the lease of a VM's record after a renewal without an answer

Cause: one failed renewal dropped the lease. The VM then asked for a second one and wrote its record again, while the first might live on; where the next calls failed as well, the record was gone with nobody renewing it. A new record counted as alive for 3 s, its lease lasts 4 s. Change: only the store's word that the lease has ended makes the VM ask for a new one, at once. Both spans are 4 s. Measured: TestRenewalsOfTheRecord is new; 2 of its 4 cases contradict the code before.

--- a/internal/feed/registrar.go
+++ b/internal/feed/registrar.go
@@ -30,27 +30,34 @@
 	Put(ctx context.Context, key string, value []byte, lease uint64) error
 }
 
+// RegistrarOptions configures a Registrar.
+type RegistrarOptions struct {
+	Store LeaseStore
+	// Key is the key of the record.
+	Key string
+	// Encode returns the encoded record.
+	Encode func() ([]byte, error)
+	// IsListed reports whether the record is in this VM's replica of the store.
+	IsListed func() bool
+	// IsExpired reports whether an error of KeepAlive means that the lease has
+	// ended.
+	IsExpired func(error) bool
+	Log       *decisions.Log
+}
+
 // Registrar keeps the record of this VM in the store, under a lease, from Start
 // to Stop.
 type Registrar struct {
-	store LeaseStore
-	key   string
-	// encode returns the encoded record.
-	encode func() ([]byte, error)
-	// isListed reports whether the record is in this VM's replica of the store.
-	isListed func() bool
-	log      *decisions.Log
-	group    background.Group
+	opts  RegistrarOptions
+	group background.Group
 
 	// lease is zero while there is none.
 	lease       uint64
 	lastWritten string
 }
 
-// NewRegistrar returns a Registrar that writes the result of encode to key.
-func NewRegistrar(store LeaseStore, key string, encode func() ([]byte, error), isListed func() bool, log *decisions.Log) *Registrar {
-	return &Registrar{store: store, key: key, encode: encode, isListed: isListed, log: log}
-}
+// NewRegistrar returns a Registrar.
+func NewRegistrar(opts RegistrarOptions) *Registrar { return &Registrar{opts: opts} }
 
 // Start begins to write and renew the record.
 func (r *Registrar) Start(ctx context.Context) error {
@@ -71,14 +78,14 @@
 	}
 	lease := r.lease
 	r.lease = 0
-	return r.store.End(ctx, lease)
+	return r.opts.Store.End(ctx, lease)
 }
 
 func (r *Registrar) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait := renewInterval
 		if err := r.refresh(ctx); err != nil {
-			r.log.Event("failed to write the VM record", "cause", err)
+			r.opts.Log.Event("failed to write the VM record", "cause", err)
 			wait = recordRetryDelay
 		}
 		background.Sleep(ctx, wait)
@@ -86,20 +93,24 @@
 }
 
 // refresh renews the lease and writes the record if it is missing or has
-// changed. If the renewal fails, the lease is dropped and the next call requests
-// a new one.
+// changed. It requests a new lease only if the store has ended the old one: after
+// any other failure the old one may still hold the record.
 func (r *Registrar) refresh(ctx context.Context) error {
 	if r.lease != 0 {
-		if err := r.store.KeepAlive(ctx, r.lease); err != nil {
+		err := r.opts.Store.KeepAlive(ctx, r.lease)
+		switch {
+		case r.opts.IsExpired(err):
 			r.lease = 0
+			r.opts.Log.Event("lease of the VM record has ended")
+		case err != nil:
 			return err
 		}
 	}
-	value, err := r.encode()
+	value, err := r.opts.Encode()
 	if err != nil {
 		return err
 	}
-	if r.lease != 0 && r.lastWritten == string(value) && r.isListed() {
+	if r.lease != 0 && r.lastWritten == string(value) && r.opts.IsListed() {
 		return nil
 	}
 	return r.write(ctx, value)
@@ -107,13 +118,13 @@
 
 func (r *Registrar) write(ctx context.Context, value []byte) error {
 	if r.lease == 0 {
-		lease, err := r.store.Grant(ctx, recordTTL)
+		lease, err := r.opts.Store.Grant(ctx, recordTTL)
 		if err != nil {
 			return err
 		}
 		r.lease = lease
 	}
-	if err := r.store.Put(ctx, r.key, value, r.lease); err != nil {
+	if err := r.opts.Store.Put(ctx, r.opts.Key, value, r.lease); err != nil {
 		return err
 	}
 	r.lastWritten = string(value)
--- /dev/null
+++ b/internal/feed/registrar_test.go
@@ -0,0 +1,79 @@
+package feed
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"fuchsiaspar/internal/decisions"
+
+	"github.com/pkg/errors"
+)
+
+var errLeaseEnded, errNoAnswer = errors.New("no such lease"), errors.New("no answer")
+
+// fakeLeases records the calls of a Registrar and answers renewals with errors in
+// turn.
+type fakeLeases struct {
+	granted  uint64
+	renewals []error
+	calls    []string
+}
+
+func (f *fakeLeases) Grant(context.Context, time.Duration) (uint64, error) {
+	f.calls = append(f.calls, "grant")
+	f.granted++
+	return f.granted, nil
+}
+
+func (f *fakeLeases) KeepAlive(context.Context, uint64) error {
+	f.calls = append(f.calls, "renew")
+	err := f.renewals[0]
+	f.renewals = f.renewals[1:]
+	return err
+}
+
+func (f *fakeLeases) End(context.Context, uint64) error {
+	f.calls = append(f.calls, "end")
+	return nil
+}
+
+func (f *fakeLeases) Put(context.Context, string, []byte, uint64) error {
+	f.calls = append(f.calls, "put")
+	return nil
+}
+
+func TestRenewalsOfTheRecord(t *testing.T) {
+	tests := []struct {
+		desc     string
+		renewals []error
+		want     []string
+	}{
+		{"renewed", []error{nil, nil}, []string{"grant", "put", "renew", "renew"}},
+		{"one renewal without an answer", []error{errNoAnswer, nil}, []string{"grant", "put", "renew", "renew"}},
+		{"lease ended", []error{errLeaseEnded, nil}, []string{"grant", "put", "renew", "grant", "put", "renew"}},
+		{
+			"no answer, then ended", []error{errNoAnswer, errLeaseEnded},
+			[]string{"grant", "put", "renew", "renew", "grant", "put"},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			store := &fakeLeases{renewals: tt.renewals}
+			r := NewRegistrar(RegistrarOptions{
+				Store: store, Key: "vms/a", Log: decisions.Discard(),
+				Encode:    func() ([]byte, error) { return []byte("record"), nil },
+				IsListed:  func() bool { return true },
+				IsExpired: func(err error) bool { return errors.Is(err, errLeaseEnded) },
+			})
+			for range 1 + len(tt.renewals) {
+				// The failure of a renewal is repaired by the next call.
+				_ = r.refresh(context.Background())
+			}
+			if !slices.Equal(store.calls, tt.want) {
+				t.Errorf("calls %v, want %v", store.calls, tt.want)
+			}
+		})
+	}
+}
--- a/internal/liveness/table.go
+++ b/internal/liveness/table.go
@@ -20,8 +20,9 @@
 	// six gossip rounds.
 	aliveTimeout = 2400 * time.Millisecond
 	// newRecordGrace is how long a VM without heartbeats counts as alive after its
-	// record first appeared in the store: about the lease time of a record.
-	newRecordGrace = 3 * time.Second
+	// record first appeared in the store: the lease time of a record, after which
+	// the store itself has removed a VM that failed.
+	newRecordGrace = 4 * time.Second
 	// deadRetention is how long the state of a dead VM is kept, so that delayed
 	// heartbeats of it are recognized as old.
 	deadRetention = 30 * time.Second
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -192,9 +192,12 @@
 		return err
 	}
 	key := platform.PrefixVMs + string(b.settings.Name)
-	encode := func() ([]byte, error) { return platform.EncodeVM(b.node.liveness.Self()) }
-	isListed := func() bool { _, ok := b.copy.Item(key); return ok }
-	return b.register(NameRecord, feed.NewRegistrar(b.store, key, encode, isListed, b.node.log))
+	return b.register(NameRecord, feed.NewRegistrar(feed.RegistrarOptions{
+		Store: b.store, Key: key, Log: b.node.log,
+		Encode:    func() ([]byte, error) { return platform.EncodeVM(b.node.liveness.Self()) },
+		IsListed:  func() bool { _, ok := b.copy.Item(key); return ok },
+		IsExpired: func(err error) bool { return errors.Is(err, platform.ErrNotFound) },
+	}))
 }
 
 func (b *assembly) registerControl() error {
