Mend small faults that reading found

One cause each: a retired pool went on listing its last servers; the latency of a slot was read and written without a lock; a failure reason from another VM's header became a label unchecked; too many open acknowledgements were reported as a moved head and retried without end; a role with the address of the front panicked; an API failure with an unknown name exited with 0; two soaks started at once could share their loopback network. The first two and the acknowledgements have no test of their own.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 
+	gen "fuchsiaspar/gen/operator"
 	"fuchsiaspar/internal/platform/standin"
 )
 
@@ -128,3 +129,9 @@
 		t.Errorf("config show during the outage: %+v", got)
 	}
 }
+
+func TestExitCodeOfAnUnknownFailure(t *testing.T) {
+	if code := ExitCode(&gen.Failure{Name: "of_a_newer_server"}); code != ExitUnavailable {
+		t.Errorf("exit code %d, want %d: the outcome is unknown", code, ExitUnavailable)
+	}
+}
--- a/internal/cli/errors.go
+++ b/internal/cli/errors.go
@@ -71,7 +71,10 @@
 	case err == nil:
 		return ExitOK
 	case errors.As(err, &failure):
-		return exitCodes[failure.Name]
+		if code, known := exitCodes[failure.Name]; known {
+			return code
+		}
+		return ExitUnavailable
 	case errors.As(err, &refused):
 		return refused.code
 	case errors.As(err, &unreachable):
--- a/internal/config/gather.go
+++ b/internal/config/gather.go
@@ -21,7 +21,7 @@
 	}
 	defer s.dropPieces(req.Pieces)
 	if !s.openAck(p.attemptID(), p.next) {
-		return nil, errHeadMoved
+		return nil, errTooManyAcks
 	}
 	view := s.view()
 	answers := make([][]proposeAnswer, len(p.plan.required))
--- a/internal/config/propose.go
+++ b/internal/config/propose.go
@@ -94,6 +94,9 @@
 	if errors.As(err, &transient) {
 		return s.now().Before(retryUntil)
 	}
+	if errors.Is(err, errTooManyAcks) {
+		return s.now().Before(retryUntil)
+	}
 	return errors.Is(err, errHeadMoved)
 }
 
@@ -104,7 +107,7 @@
 	if errors.As(err, &transient) {
 		return transient.RefusedError
 	}
-	if errors.Is(err, errHeadMoved) {
+	if errors.Is(err, errHeadMoved) || errors.Is(err, errTooManyAcks) {
 		return ErrContended
 	}
 	return err
--- a/internal/config/repository.go
+++ b/internal/config/repository.go
@@ -33,6 +33,8 @@
 	ErrNoRevision = errors.New("config: the store keeps no such revision")
 	// errHeadMoved is returned when another change was committed first.
 	errHeadMoved = errors.New("config: the head moved")
+	// errTooManyAcks is returned while maxOpenAcks acknowledgements are open.
+	errTooManyAcks = errors.New("config: too many changes in progress")
 	// errUnresolved is returned for a write of the head whose outcome is
 	// unknown.
 	errUnresolved = errors.New("config: outcome of the commit is not known")
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -183,7 +183,7 @@
 	f := backendFailure(err)
 	var e *backend.Error
 	if errors.As(err, &e) && e.Header != nil {
-		f.Reason = model.Reason(e.Header.Get(header.Reason))
+		f.Reason = model.ParseReason(e.Header.Get(header.Reason))
 		return f
 	}
 	f.Outcome = model.OutcomeUnknown
--- a/internal/model/reason.go
+++ b/internal/model/reason.go
@@ -1,9 +1,24 @@
 package model
 
+import "strings"
+
 // Reason is the cause of a refusal, a retry or an unknown outcome. Its text is
 // the value of the Fuchsiaspar-Reason header and of the reason tag of counters.
 type Reason string
 
+// maxReasonLength is the length in bytes of the longest reason, with a margin.
+const maxReasonLength = 40
+
+// ParseReason returns the reason in a header of another process, or ReasonMalformed
+// if the text has not the form of a reason. Reasons become labels of metrics.
+func ParseReason(text string) Reason {
+	valid := len(text) <= maxReasonLength && strings.Trim(text, "abcdefghijklmnopqrstuvwxyz_") == ""
+	if !valid {
+		return ReasonMalformed
+	}
+	return Reason(text)
+}
+
 // Reasons for refusing a request before admission. ReasonNone means that there
 // is no reason to report.
 const (
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -271,7 +271,10 @@
 		Snapshot: b.node.state.Current, Age: b.feed.Age, Fleet: b.fleet, Client: b.client,
 		RetryBudget: b.repeats, Log: b.node.log, Scope: b.metrics.Scope,
 	})
-	b.node.listeners = newListeners(b)
+	var err error
+	if b.node.listeners, err = newListeners(b); err != nil {
+		return err
+	}
 	if err := b.register(NameHTTP, b.node.listeners); err != nil {
 		return err
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -195,3 +195,15 @@
 		t.Error("the record remains in the store")
 	}
 }
+
+func TestTheAddressOfTheFrontServesNothingElse(t *testing.T) {
+	address := freeAddress(t)
+	_, err := New(platform.NodeSettings{
+		Name: "vm-0", Zone: "z", Region: "r",
+		Listen: platform.Listen{Front: address, Ready: address, Directory: freeAddress(t), Peer: freeAddress(t)},
+		Store:  "127.0.0.1:1", Bounds: platform.Bounds{Grace: time.Second},
+	}, io.Discard)
+	if err == nil || !strings.Contains(err.Error(), address) {
+		t.Errorf("got %v, want an error that names %s", err, address)
+	}
+}
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -33,22 +33,30 @@
 	front     *http.Server
 }
 
-func newListeners(b *assembly) *listeners {
+func newListeners(b *assembly) (*listeners, error) {
 	s := &listeners{byAddress: map[string]*http.Server{}}
 	addresses := b.settings.Listen
 	s.front = newHTTPServer(b.node.front)
 	s.byAddress[addresses.Front] = s.front
-	s.handle(addresses.Ready, platform.PathReady, http.HandlerFunc(b.node.serveReady))
-	if addresses.Metrics != "" {
-		s.handle(addresses.Metrics, metricsPath, b.metrics)
-	}
-	s.handle(addresses.Directory, platform.PathResolve, directory.New(directory.Options{
+	lookups := directory.New(directory.Options{
 		Alive: b.node.liveness.Alive, Ready: b.node.Ready, MaxTTL: b.settings.Bounds.MaxTTL,
 		Log: b.node.log, Scope: b.metrics.Scope,
-	}))
-	s.handle(addresses.Peer, peer.Path, b.mesh)
-	s.handle(addresses.Peer, seedPath, &seedHandler{copy: b.copy, liveness: b.node.liveness})
-	return s
+	})
+	for _, role := range []struct {
+		address, path string
+		handler       http.Handler
+	}{
+		{addresses.Ready, platform.PathReady, http.HandlerFunc(b.node.serveReady)},
+		{addresses.Metrics, metricsPath, b.metrics},
+		{addresses.Directory, platform.PathResolve, lookups},
+		{addresses.Peer, peer.Path, b.mesh},
+		{addresses.Peer, seedPath, &seedHandler{copy: b.copy, liveness: b.node.liveness}},
+	} {
+		if err := s.handle(role.address, role.path, role.handler); err != nil {
+			return nil, err
+		}
+	}
+	return s, nil
 }
 
 func newHTTPServer(handler http.Handler) *http.Server {
@@ -57,15 +65,23 @@
 	}
 }
 
-// handle registers handler for path on the server of address. It must not be
-// used for the address of the front, which has no mux.
-func (s *listeners) handle(address, path string, handler http.Handler) {
+// handle registers handler for path on the server of address, unless that is empty.
+// The front has its address for itself, since it serves every path.
+func (s *listeners) handle(address, path string, handler http.Handler) error {
+	if address == "" {
+		return nil
+	}
 	server, ok := s.byAddress[address]
 	if !ok {
 		server = newHTTPServer(http.NewServeMux())
 		s.byAddress[address] = server
 	}
-	server.Handler.(*http.ServeMux).Handle(path, handler)
+	mux, ok := server.Handler.(*http.ServeMux)
+	if !ok {
+		return errors.Errorf("%s is the address of the front and cannot serve %s as well", address, path)
+	}
+	mux.Handle(path, handler)
+	return nil
 }
 
 // Start opens all listeners.
--- a/internal/owner/pool.go
+++ b/internal/owner/pool.go
@@ -8,6 +8,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fuchsiaspar/internal/admit"
@@ -120,8 +121,9 @@
 	id      uint64
 	cancel  context.CancelCauseFunc
 	started time.Time
-	// latency is the time until the server began to answer, zero before that.
-	latency time.Duration
+	// latency is the time in nanoseconds until the server began to answer, zero
+	// before that.
+	latency atomic.Int64
 	once    sync.Once
 }
 
@@ -252,9 +254,9 @@
 // Used returns the usage of a slot whose server showed the given behaviour.
 func Used(class health.Class) SlotUsage { return SlotUsage{class: class, used: true} }
 
-// MarkAnswered records that the server has begun to answer. It must not be called
-// concurrently with Release.
-func (s *Slot) MarkAnswered() { s.latency = time.Since(s.started) }
+// MarkAnswered records that the server has begun to answer. A call after Release has
+// no effect.
+func (s *Slot) MarkAnswered() { s.latency.Store(int64(time.Since(s.started))) }
 
 // Release returns the slot to the pool and reports how it was used. Only the first
 // call has an effect.
@@ -282,8 +284,8 @@
 // the time that the slot was held. The time to send a large answer would make its
 // server look slow.
 func (s *Slot) responseTime(took time.Duration) time.Duration {
-	if s.latency > 0 {
-		return s.latency
+	if latency := s.latency.Load(); latency > 0 {
+		return time.Duration(latency)
 	}
 	return took
 }
--- a/internal/owner/pools.go
+++ b/internal/owner/pools.go
@@ -111,6 +111,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.retired = true
+	clear(p.targets)
 	p.health.SetServers(now, nil)
 	p.apply(now, p.queue.SetServers(now, nil))
 	return len(p.running) > 0 || len(p.waiting) > 0
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -46,11 +46,29 @@
 // itself.
 const restartDelay = 200 * time.Millisecond
 
+// claim keeps the port of claimNetwork open.
+var claim net.Listener
+
+// claimNetwork returns x for the loopback addresses 127.x.*.*, which this soak has
+// for itself: it holds a port there until it exits.
+var claimNetwork = sync.OnceValue(func() int {
+	const first, count = 2, 200
+	for i := range count {
+		network := first + (os.Getpid()+i)%count
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:7000", network))
+		if err == nil {
+			claim = listener
+			return network
+		}
+	}
+	panic("soak: no free loopback network")
+})
+
 // listenAddresses returns the four addresses on which a VM listens: front,
 // directory, control and readiness. The loopback IP is not used as the source of
 // outgoing connections, so the ports are still free when a process restarts.
 func listenAddresses(number int) []string {
-	ip := fmt.Sprintf("127.%d.%d.%d", 2+os.Getpid()%200, 1+number/200, 1+number%200)
+	ip := fmt.Sprintf("127.%d.%d.%d", claimNetwork(), 1+number/200, 1+number%200)
 	var hostPorts []string
 	for port := 7001; port <= 7004; port++ {
 		hostPorts = append(hostPorts, net.JoinHostPort(ip, strconv.Itoa(port)))
