Let clients come back at once from servers that shed while idle

The retry budget allows one more attempt for every fifth request, so most of the refused go back to their client, which had to wait 0.3 s: its second try succeeds, but late. Change: a package of its own decides when a client may come back. After a refusal by a server that reports a free slot that is at once; after others 0.2 to 0.4 s, spread.

--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -2,24 +2,21 @@
 
 import (
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 
 	"fuchsiaspar/internal/header"
+	"fuchsiaspar/internal/overload"
 	"fuchsiaspar/internal/pick"
 	"fuchsiaspar/internal/upstream"
 	"fuchsiaspar/platform"
 )
 
-const (
-	// maxBufferedResponse is the size in bytes up to which a response is
-	// buffered completely before the first byte goes to the client, so that a
-	// request whose response is truncated can be retried on another server.
-	maxBufferedResponse = 512 << 10
-	// defaultRetryAfter is the Retry-After value, in seconds, of refusals other
-	// than a yield. A server is expected to have a free slot within this time.
-	defaultRetryAfter = "0.3"
-)
+// maxBufferedResponse is the size in bytes up to which a response is buffered
+// completely before the first byte goes to the client, so that a request whose
+// response is truncated can be retried on another server.
+const maxBufferedResponse = 512 << 10
 
 // forwardResponse sends the server's response to the client. If the server
 // answered with a 5xx status and the request may be retried, it reserves the
@@ -146,14 +143,19 @@
 	}
 }
 
-// retryAfter returns the Retry-After value for a refusal, in seconds. A request
-// that yielded to more urgent ones gets the latency objective of its route, in
-// which a burst of them may have passed.
-func (q *request) retryAfter(reason string) string {
-	if reason != string(pick.Yield) {
-		return defaultRetryAfter
-	}
-	return strconv.FormatFloat(q.route.TargetLatency.Seconds(), 'f', 1, 64)
+// refusal returns what decides when the client may come back.
+func (q *request) refusal(reason string) overload.Refusal {
+	r := overload.Refusal{Cause: overload.Full}
+	if q.route != nil {
+		r.Objective = q.route.TargetLatency
+	}
+	switch {
+	case reason == string(pick.Yield):
+		r.Cause = overload.Yielded
+	case q.shed && (reason == reasonRetryBudget || reason == reasonAttemptsUsed):
+		r.Cause = overload.Shed
+	}
+	return r
 }
 
 // refuse sends an error response made by the entry VM itself.
@@ -164,7 +166,8 @@
 		h.Set(platform.HeaderRequestID, q.id)
 	}
 	if status == http.StatusServiceUnavailable {
-		h.Set("Retry-After", q.retryAfter(reason))
+		wait := overload.RetryAfter(q.refusal(reason), rand.Float64())
+		h.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', -1, 64))
 	}
 	message := `{"error":"` + reason + `"}` + "\n"
 	h.Set("Content-Length", strconv.Itoa(len(message)))
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -134,6 +134,7 @@
 	q.attempts++
 	report := parseLoadReport(resp.Header)
 	if platform.NotExecuted(resp.Status, resp.Header) {
+		q.shed = report != nil && report.Running+report.Waiting < report.Slots
 		resp.Body.Discard()
 		q.recordOutcome(choice, pick.Refused, report)
 		q.logFailedAttempt("server refused", "status", resp.Status)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -103,6 +103,9 @@
 	tried []model.ServerID
 	// mayHaveRun reports whether a server may have run the request.
 	mayHaveRun bool
+	// shed reports whether the last attempt was refused by a server that reported a
+	// free slot.
+	shed bool
 	// lastChoice is the server chosen last, for log lines.
 	lastChoice pick.Choice
 }
