--- a/internal/node/seeds.go
+++ b/internal/node/seeds.go
@@ -64,7 +64,7 @@
 func newSeedClient(b *assembly) *seedClient {
 	return &seedClient{
 		addresses: b.settings.Seeds, self: b.settings.Listen.Peer, copy: b.copy, liveness: b.node.liveness,
-		log: b.node.log, http: &http.Client{Timeout: seedTimeout},
+		log: b.node.log, http: &http.Client{Timeout: seedTimeout, Transport: &http.Transport{MaxResponseHeaderBytes: maxHeaderBytes}},
 	}
 }
 
