Spare a store that refuses all calls in a large fleet

Ruled out: the readers, which retry every 0.4 s, 3 of them. Measured: TestLargeFleetSparesAStoreThatIsDown (117 VMs, 10 s) fails before; TestStoreTurnsAwayAllReaders holds before and after.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -38,9 +38,12 @@
 	staleAfter = 2500 * time.Millisecond
 	// readerRetryDelay is how long a reader waits after a failed store call.
 	readerRetryDelay = 400 * time.Millisecond
-	// followerRetryDelay is the mean interval between the store calls of a VM
-	// that is not a reader and has no peer with a current replica.
+	// followerRetryDelay is the least mean interval between the store calls of a
+	// VM that is not a reader and has no peer with a current replica.
 	followerRetryDelay = 1500 * time.Millisecond
+	// followerCallsPerSecond bounds these calls, summed over all VMs: one VM that
+	// reaches the store is enough for all.
+	followerCallsPerSecond = 20
 	// lagTolerance is how long another VM must have been ahead before this VM
 	// polls it: several times the delay from a reader to its followers.
 	lagTolerance = 250 * time.Millisecond
@@ -298,7 +301,8 @@
 	if readers[0].Name == s.opts.Self.Name {
 		return readerRetryDelay
 	}
-	return followerRetryDelay/2 + time.Duration(s.opts.Random.Int64N(int64(followerRetryDelay)))
+	mean := max(followerRetryDelay, time.Duration(len(s.opts.Alive()))*time.Second/followerCallsPerSecond)
+	return mean/2 + time.Duration(s.opts.Random.Int64N(int64(mean)))
 }
 
 func (s *Service) isStoreDown() bool {
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -324,6 +324,62 @@
 	})
 }
 
+// TestLargeFleetSparesAStoreThatIsDown plays 117 VMs whose store refuses all calls.
+// Calls are priced, and one VM that reaches the store is enough for all.
+func TestLargeFleetSparesAStoreThatIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const regions, perRegion = 3, 39
+		f := startFleet(t, regions, perRegion)
+		defer f.stop(t)
+		time.Sleep(2 * time.Second)
+		f.store.update(func() {
+			clear(f.store.calls)
+			for _, vm := range f.vms {
+				f.store.rejected[vm.Name] = true
+			}
+		})
+		const seconds = 10
+		time.Sleep(seconds * time.Second)
+		total := 0
+		for _, calls := range f.store.callCounts() {
+			total += calls
+		}
+		// Readers retry every readerRetryDelay; the first call of each other VM
+		// comes when its replica turns stale.
+		readers := regions * int(seconds*time.Second/readerRetryDelay)
+		if bound := readers + regions*perRegion + seconds*followerCallsPerSecond; total > bound {
+			t.Errorf("%d calls in %d s, want at most %d", total, seconds, bound)
+		}
+	})
+}
+
+// TestStoreTurnsAwayAllReaders lets the store refuse every reader and a third of the
+// other VMs. A change must reach all VMs through those that still reach it.
+func TestStoreTurnsAwayAllReaders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 3, 39)
+		defer f.stop(t)
+		time.Sleep(2 * time.Second)
+		f.store.update(func() {
+			for i, vm := range f.vms {
+				isReader := SelectReaders(f.vms, vm)[0].Name == vm.Name
+				f.store.rejected[vm.Name] = isReader || i%3 == 0
+			}
+		})
+		revision := f.store.put("op/config")
+		// The configuration must be in force within 3 s, or 6 s more while the
+		// store turns VMs away.
+		for end := time.Now().Add(9 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+			for i, from := range f.vms {
+				for _, to := range []catalog.VM{f.vms[(i+1)%len(f.vms)], f.vms[(i+40)%len(f.vms)]} {
+					f.feeds[to.Name].ObserveRevision(from, f.copies[from.Name].Revision(), time.Now())
+				}
+			}
+		}
+		f.expectRevision(t, revision)
+	})
+}
+
 func TestCompactedHistoryTriggersFullListing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := startFleet(t, 1, 2)
--- a/internal/feed/registrar.go
+++ b/internal/feed/registrar.go
@@ -14,8 +14,10 @@
 	recordTTL = 4 * time.Second
 	// renewInterval leaves time for a second attempt before the lease expires.
 	renewInterval = 1500 * time.Millisecond
-	// recordRetryDelay is the wait after a failed store call.
-	recordRetryDelay = 700 * time.Millisecond
+	// recordRetryDelay is the wait after a failed store call. It doubles with each
+	// further failure up to maxRecordRetryDelay, since every VM makes these calls.
+	recordRetryDelay    = 700 * time.Millisecond
+	maxRecordRetryDelay = 8 * recordRetryDelay
 )
 
 // LeaseStore is the subset of the store client that the Registrar uses.
@@ -82,11 +84,15 @@
 }
 
 func (r *Registrar) run(ctx context.Context) {
+	retryDelay := recordRetryDelay
 	for ctx.Err() == nil {
 		wait := renewInterval
 		if err := r.refresh(ctx); err != nil {
-			r.opts.Log.Event("failed to write the VM record", "cause", err)
-			wait = recordRetryDelay
+			r.opts.Log.Event("failed to write the VM record", "cause", err, "retry", retryDelay)
+			wait = retryDelay
+			retryDelay = min(2*retryDelay, maxRecordRetryDelay)
+		} else {
+			retryDelay = recordRetryDelay
 		}
 		background.Sleep(ctx, wait)
 	}
