--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"time"
 
 	"fuchsiaspar/internal/header"
 	"fuchsiaspar/internal/overload"
@@ -165,8 +166,9 @@
 	if q.id != "" {
 		h.Set(platform.HeaderRequestID, q.id)
 	}
+	var wait time.Duration
 	if status == http.StatusServiceUnavailable {
-		wait := overload.RetryAfter(q.refusal(reason), rand.Float64())
+		wait = overload.RetryAfter(q.refusal(reason), rand.Float64()).Round(time.Millisecond)
 		h.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', -1, 64))
 	}
 	message := `{"error":"` + reason + `"}` + "\n"
@@ -175,5 +177,5 @@
 	// A write error means that the client disconnected; the refusal is logged
 	// either way.
 	_, _ = io.WriteString(q.w, message)
-	q.logRefused(status, reason)
+	q.logRefused(status, reason, wait)
 }
--- a/internal/front/report.go
+++ b/internal/front/report.go
@@ -93,10 +93,15 @@
 	q.server.opts.Log.Served("answered", q.fields(now, "status", status)...)
 }
 
-// logRefused logs and counts an error response made by the entry VM.
-func (q *request) logRefused(status int, reason string) {
+// logRefused logs and counts an error response made by the entry VM. retryAfter is
+// zero if the client was not told when to come back.
+func (q *request) logRefused(status int, reason string, retryAfter time.Duration) {
 	q.server.metrics.refused(reason, status)
-	q.server.opts.Log.Failed("gave up", q.fields(time.Now(), "status", status, "reason", reason)...)
+	fields := q.fields(time.Now(), "status", status, "reason", reason)
+	if retryAfter > 0 {
+		fields = append(fields, "retry_after", retryAfter)
+	}
+	q.server.opts.Log.Failed("gave up", fields...)
 }
 
 // logFailedAttempt logs and counts an attempt whose response, if any, is not
