--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -205,6 +205,33 @@
 			},
 			want: "whole",
 		},
+		{
+			desc: "a body without a length is reset",
+			handle: func(c net.Conn, _ *http.Request) bool {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+platform.HeaderRequestID+": one\r\n\r\npart")
+				// The client reads the part before the reset discards it.
+				time.Sleep(50 * time.Millisecond)
+				_ = c.(*net.TCPConn).SetLinger(0)
+				return false
+			},
+			err: ErrTruncated,
+		},
+		{
+			desc: "a chunked body ends without its last chunk",
+			handle: func(c net.Conn, _ *http.Request) bool {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+platform.HeaderRequestID+": one\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n")
+				return false
+			},
+			err: ErrTruncated,
+		},
+		{
+			desc: "a status without a body ends its response",
+			handle: func(c net.Conn, _ *http.Request) bool {
+				_, _ = io.WriteString(c, "HTTP/1.1 204 No Content\r\n"+platform.HeaderRequestID+": one\r\n\r\n")
+				return true
+			},
+			want: "",
+		},
 	}
 	for _, tt := range tests {
 		t.Run(tt.desc, func(t *testing.T) {
