--- a/internal/soak/backend_test.go
+++ b/internal/soak/backend_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -35,7 +36,24 @@
 	return c.counts[id]
 }
 
-// backend is a backend server behind a fault-injecting proxy. It can drop the
+// responseFault is what a server does in place of a proper response to a request
+// that it has executed.
+type responseFault int
+
+const (
+	// responseReset resets the connection.
+	responseReset responseFault = iota
+	// responseBrokenOff resets the connection after half of the body.
+	responseBrokenOff
+	// responseDoubled sends the response a second time a little later.
+	responseDoubled
+	// responseEndlessHeader and responseEndlessBody send bytes until the VM closes.
+	responseEndlessHeader
+	responseEndlessBody
+	responseFaultCount
+)
+
+// backend is a backend server behind a fault-injecting proxy. It can spoil the
 // response of an executed request and refuse requests without executing them.
 type backend struct {
 	service    string
@@ -50,8 +68,9 @@
 	// sequence is the sequence number of the last store entry.
 	sequence int
 	random   *rand.Rand
-	// dropResponseRate and refusalRate are fractions of requests, from 0 to 1.
-	dropResponseRate, refusalRate float64
+	// spoilRate and refusalRate are fractions of requests, from 0 to 1.
+	spoilRate, refusalRate float64
+	responseFault          responseFault
 	// lastRequestAt is when the last request arrived. Requests that expect another
 	// instance do not count.
 	lastRequestAt time.Time
@@ -109,21 +128,21 @@
 	return b.lastRequestAt
 }
 
-// setFaultRates sets which fractions of requests, from 0 to 1, lose their response
-// or are refused.
-func (b *backend) setFaultRates(dropResponseRate, refusalRate float64) {
+// setFaultRates sets which fractions of requests, from 0 to 1, get f in place of
+// their response or are refused.
+func (b *backend) setFaultRates(f responseFault, spoilRate, refusalRate float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.dropResponseRate, b.refusalRate = dropResponseRate, refusalRate
+	b.responseFault, b.spoilRate, b.refusalRate = f, spoilRate, refusalRate
 }
 
 // drawOutcome records a request that arrived at now and randomly decides whether
-// its response is dropped, whether it is refused, and how long it takes.
-func (b *backend) drawOutcome(now time.Time) (dropResponse, refuse bool, processingTime time.Duration) {
+// its response is spoiled, whether it is refused, and how long it takes.
+func (b *backend) drawOutcome(now time.Time) (spoil, refuse bool, processingTime time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.lastRequestAt = now
-	return b.random.Float64() < b.dropResponseRate, b.random.Float64() < b.refusalRate, time.Duration(5+b.random.IntN(60)) * time.Millisecond
+	return b.random.Float64() < b.spoilRate, b.random.Float64() < b.refusalRate, time.Duration(5+b.random.IntN(60)) * time.Millisecond
 }
 
 // responseBody returns the complete response body expected for a request.
@@ -137,7 +156,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	dropResponse, refuse, processingTime := b.drawOutcome(time.Now())
+	spoil, refuse, processingTime := b.drawOutcome(time.Now())
 	if refuse {
 		w.Header().Set(platform.HeaderNotExecuted, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -145,8 +164,8 @@
 	}
 	b.executions.increment(requestID)
 	time.Sleep(processingTime)
-	if dropResponse {
-		resetConn(w)
+	if spoil {
+		b.spoilResponse(w, requestID)
 		return
 	}
 	w.Header().Set(platform.HeaderSeal, "seal of "+requestID)
@@ -154,15 +173,49 @@
 	_, _ = io.WriteString(w, responseBody(requestID))
 }
 
-// resetConn closes the connection of a request with a TCP reset instead of a
-// response.
-func resetConn(w http.ResponseWriter) {
+// spoilResponse does what the current fault says in place of a response.
+func (b *backend) spoilResponse(w http.ResponseWriter, requestID string) {
+	b.mu.Lock()
+	f := b.responseFault
+	b.mu.Unlock()
 	conn, _, err := w.(http.Hijacker).Hijack()
 	if err != nil {
 		return
 	}
+	defer conn.Close()
+	body := responseBody(requestID)
+	header := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal of %s\r\n",
+		platform.HeaderRequestID, requestID, platform.HeaderSeal, requestID)
+	whole := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", header, len(body), body)
+	switch f {
+	case responseBrokenOff:
+		_, _ = io.WriteString(conn, whole[:len(whole)-len(body)/2])
+	case responseDoubled:
+		_, _ = io.WriteString(conn, whole)
+		time.Sleep(lateCopyDelay)
+		_, _ = io.WriteString(conn, whole)
+		time.Sleep(lateCopyDelay)
+	case responseEndlessHeader:
+		writeEndlessly(conn, header+"A: ")
+	case responseEndlessBody:
+		writeEndlessly(conn, header+"\r\n")
+	}
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
-	conn.Close()
+}
+
+const (
+	// lateCopyDelay is about the time between two requests on a connection.
+	lateCopyDelay = 30 * time.Millisecond
+	// endlessPause keeps what a client collects of an endless body to some 40 MB.
+	endlessPause = 5 * time.Millisecond
+)
+
+// writeEndlessly writes start and then bytes until the other end closes.
+func writeEndlessly(conn net.Conn, start string) {
+	_, err := io.WriteString(conn, start)
+	for block := bytes.Repeat([]byte("x"), 64<<10); err == nil; time.Sleep(endlessPause) {
+		_, err = conn.Write(block)
+	}
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -193,8 +193,13 @@
 		f := fault(1 + h.random.IntN(int(faultCount)-1))
 		h.runInBackground(func() { b.proxy.setFault(f); time.Sleep(length); b.proxy.setFault(faultNone) })
 	case 6:
-		dropResponseRate, refusalRate := h.random.Float64()/2, h.random.Float64()/2
-		h.runInBackground(func() { b.setFaultRates(dropResponseRate, refusalRate); time.Sleep(length); b.setFaultRates(0, 0) })
+		f := responseFault(h.random.IntN(int(responseFaultCount)))
+		spoilRate, refusalRate := h.random.Float64()/2, h.random.Float64()/2
+		h.runInBackground(func() {
+			b.setFaultRates(f, spoilRate, refusalRate)
+			time.Sleep(length)
+			b.setFaultRates(f, 0, 0)
+		})
 	case 7:
 		h.restartCount++
 		b.restart(h.restartCount)
@@ -227,7 +232,7 @@
 	}
 	for _, b := range h.backends {
 		b.proxy.setFault(faultNone)
-		b.setFaultRates(0, 0)
+		b.setFaultRates(responseReset, 0, 0)
 		b.register("ready")
 	}
 	h.configure("desk")
