--- /dev/null
+++ b/internal/feed/poll.go
@@ -0,0 +1,132 @@
+package feed
+
+import (
+	"context"
+	"time"
+
+	"fuchsiaspar/internal/catalog"
+	"fuchsiaspar/internal/model"
+	"fuchsiaspar/internal/peer"
+	"fuchsiaspar/internal/replica"
+)
+
+// pollRequest asks for the events after revision After.
+type pollRequest struct {
+	After uint64 `cbor:"1,keyasint"`
+}
+
+// pollResponse carries a batch and the state of the sender's replica.
+type pollResponse struct {
+	Batch encodedBatch `cbor:"1,keyasint"`
+	// Age is the age of the sender's replica.
+	Age time.Duration `cbor:"2,keyasint"`
+	// RecoveredAgo is the time since the store last became reachable again, or
+	// negative if it never was unreachable.
+	RecoveredAgo time.Duration `cbor:"3,keyasint"`
+	// StoreDown reports that the sender cannot reach the store itself and so is
+	// no source of changes.
+	StoreDown bool `cbor:"4,keyasint,omitempty"`
+}
+
+// pollReader polls the first reader that is not backed off, that of the own
+// region first. It reports false if there is none.
+func (s *Service) pollReader(ctx context.Context, now time.Time) bool {
+	for _, vm := range SelectReaders(s.opts.Alive(), s.opts.Self) {
+		if vm.Name == s.opts.Self.Name || now.Before(s.avoidUntil[vm.Name]) {
+			continue
+		}
+		s.pollPeer(ctx, vm)
+		return true
+	}
+	return false
+}
+
+// catchUp polls a VM with a newer revision. ObserveRevision does not cancel this
+// poll during catchUpGrace, since a large change takes long on a slow link.
+func (s *Service) catchUp(ctx context.Context, vm catalog.VM, now time.Time) {
+	s.setCatchUpStart(now)
+	s.pollPeer(ctx, vm)
+	s.setCatchUpStart(time.Time{})
+}
+
+func (s *Service) setCatchUpStart(since time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.catchUpStart = since
+}
+
+func (s *Service) pollPeer(ctx context.Context, vm catalog.VM) {
+	if s.source != vm.Name {
+		s.opts.Log.Event("following", "peer", vm.Name, "revision", s.opts.Replica.Revision())
+		s.source = vm.Name
+	}
+	s.opts.Links.SetAddress(vm.Name, vm.Peer)
+	ctx, cancel := context.WithTimeout(ctx, longPollTimeout)
+	defer cancel()
+	s.mu.Lock()
+	s.cancelPoll = cancel
+	s.mu.Unlock()
+	var resp pollResponse
+	err := s.opts.Links.Call(ctx, vm.Name, peer.KindFeed, pollRequest{After: s.opts.Replica.Revision()}, &resp)
+	now := time.Now()
+	var batch replica.Batch
+	if err == nil {
+		batch, err = resp.Batch.decode()
+	}
+	if err != nil {
+		s.avoidUntil[vm.Name] = now.Add(peerBackoff)
+		s.opts.Log.Event("peer does not answer", "peer", vm.Name, "cause", err)
+		return
+	}
+	if resp.StoreDown || resp.Age > staleAfter {
+		s.avoidUntil[vm.Name] = now.Add(peerBackoff)
+	}
+	s.updateFreshness(resp, now)
+	s.opts.Replica.Apply(batch)
+}
+
+func (s *Service) updateFreshness(resp pollResponse, now time.Time) {
+	s.mu.Lock()
+	if syncedAt := now.Add(-resp.Age); syncedAt.After(s.syncedAt) {
+		s.syncedAt = syncedAt
+	}
+	if resp.RecoveredAgo >= 0 && now.Add(-resp.RecoveredAgo).After(s.recoveredAt) {
+		s.recoveredAt = now.Add(-resp.RecoveredAgo)
+	}
+	s.mu.Unlock()
+}
+
+// handlePoll answers a follower's poll as soon as there is a change, and after
+// longPollWait at the latest. It answers at once if this VM cannot reach the
+// store.
+func (s *Service) handlePoll(ctx context.Context, _ model.VMID, body []byte) (any, error) {
+	var req pollRequest
+	if err := peer.Unmarshal(body, &req); err != nil {
+		return nil, err
+	}
+	timer := time.NewTimer(longPollWait)
+	defer timer.Stop()
+	for waiting := true; waiting; {
+		changed := s.opts.Replica.Changed()
+		if s.opts.Replica.Revision() > req.After || s.isStoreDown() {
+			break
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			waiting = false
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	batch, err := s.batches.batchSince(req.After)
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	resp := pollResponse{Batch: batch, Age: s.Age(now), RecoveredAgo: -1, StoreDown: s.isStoreDown()}
+	if recoveredAt, _ := s.StoreStatus(now); !recoveredAt.IsZero() {
+		resp.RecoveredAgo = now.Sub(recoveredAt)
+	}
+	return resp, nil
+}
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -2,9 +2,7 @@
 // Its decisions depend on their arguments only.
 package overload
 
-import (
-	"time"
-)
+import "time"
 
 // Cause says why a request was refused.
 type Cause uint8
--- a/internal/pick/fleet.go
+++ b/internal/pick/fleet.go
@@ -20,9 +20,6 @@
 type Report struct {
 	// Running and Waiting count requests; Slots is how many run at once.
 	Running, Waiting, Slots int
-	// Slowness is how many times as long as usual the server's machine takes for
-	// a piece of work; zero if unknown.
-	Slowness float64
 }
 
 // Server is the state that this entry VM keeps about one backend server process.
