Count the slowness of a server's machine as a cost while it is fresh

Cause: servers of temiez-eller share their machines and report how long work takes there at the moment; requests went to them whatever they reported. Ruled out: the last sample for longer; the figure changes many times a second. Change: the last sample is a cost, (slowness - 1) x (1 + load), which fades with a time constant of 0.5 s. Servers that report none are not affected. Not measured: a moving average, and use for yielding.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -192,5 +192,5 @@
 	if !ok {
 		return nil
 	}
-	return &pick.Report{Running: load.Running, Waiting: load.Waiting, Slots: load.Slots}
+	return &pick.Report{Running: load.Running, Waiting: load.Waiting, Slots: load.Slots, Slowness: load.Slowness}
 }
--- a/internal/pick/fleet.go
+++ b/internal/pick/fleet.go
@@ -20,6 +20,9 @@
 type Report struct {
 	// Running and Waiting count requests; Slots is how many run at once.
 	Running, Waiting, Slots int
+	// Slowness is how many times as long as usual the server's machine takes for
+	// a piece of work; zero if unknown.
+	Slowness float64
 }
 
 // Server is the state that this entry VM keeps about one backend server process.
@@ -30,6 +33,7 @@
 	outstanding int
 	report      Report
 	reportedAt  time.Time
+	slowness    slowness
 	coldUntil   time.Time
 	coldSends   []time.Time
 	// coldSender reports whether this VM may send to the server while it is cold,
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -125,7 +125,7 @@
 	default:
 		c.Cost = rankStepCost * float64(rank)
 	}
-	c.Cost += c.Load + failureCost*server.health.currentFailureRate(now)
+	c.Cost += c.Load + failureCost*server.health.currentFailureRate(now) + server.slowness.cost(c.Load, now)
 	if c.Cold {
 		c.Cost += coldCost
 	}
@@ -230,6 +230,7 @@
 		// The report still includes the request that just ended.
 		report.Running = max(report.Running-1, 0)
 		server.report, server.reportedAt = *report, now
+		server.slowness.record(report.Slowness, now)
 	}
 	switch outcome {
 	case Answered:
