--- a/internal/front/report.go
+++ b/internal/front/report.go
@@ -94,7 +94,7 @@
 }
 
 // logRefused logs and counts an error response made by the entry VM. retryAfter is
-// zero if the client was not told when to come back.
+// zero if the response has no Retry-After header.
 func (q *request) logRefused(status int, reason string, retryAfter time.Duration) {
 	q.server.metrics.refused(reason, status)
 	fields := q.fields(time.Now(), "status", status, "reason", reason)
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -139,7 +139,7 @@
 }
 
 // A listing that is older than the replica holds no news. The events after it
-// must stay in the log, or a follower is told that it is complete without them.
+// must stay in the log, or a follower takes itself to be complete without them.
 func TestOldListingKeepsTheLog(t *testing.T) {
 	r := New()
 	r.Apply(Batch{Full: true, To: 20, Events: []Event{{Key: "servers/a", Revision: 3}}})
