Log the limits on requests that backend servers state

No log line and no metric mentioned the limits of servers, so the hypotheses of the incident could not be told apart. Each change of a server's limit is now a line with the number of requests sent so far: the difference between two lines is what this VM sent under the limit.

Logic is unchanged.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -133,6 +133,7 @@
 	}
 	q.attempts++
 	report := parseLoadReport(resp.Header)
+	q.recordLimit(choice, resp)
 	if platform.NotExecuted(resp.Status, resp.Header) {
 		q.shed = report != nil && report.Running+report.Waiting < report.Slots
 		resp.Body.Discard()
@@ -186,6 +187,20 @@
 	}
 }
 
+// recordLimit reports the request rate that a server states with its response. A
+// misdirected response comes from another server, and an unsealed one from none. A
+// refusal without a limit says nothing about it.
+func (q *request) recordLimit(choice pick.Choice, resp *upstream.Response) {
+	perSecond, stated, err := platform.ParseRequestLimit(resp.Header)
+	switch {
+	case resp.Status == http.StatusMisdirectedRequest:
+	case err != nil:
+		q.logFailed("invalid limit of a server", "cause", err)
+	case platform.Sealed(resp.Header), stated && platform.NotExecuted(resp.Status, resp.Header):
+		q.server.opts.Fleet.RecordLimit(choice, stated, perSecond, time.Now())
+	}
+}
+
 // parseLoadReport returns the load that a server sent with its response, or nil.
 func parseLoadReport(h http.Header) *pick.Report {
 	load, ok := platform.ParseLoad(h)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -204,7 +204,7 @@
 	s := b.settings
 	b.fleet = pick.NewFleet(pick.Options{
 		Self: s.Name, Region: s.Region, ColdFactor: s.Bounds.ColdFactor, ColdSlack: s.Bounds.ColdSlack,
-		OnEject: b.logEjection,
+		OnEject: b.logEjection, OnLimit: b.logLimit,
 	})
 	shares := share.New(s.Name, b.fleet, b.feed, b.mesh, b.node.liveness.Alive, b.newRandom())
 	if err := b.register(NameShare, shares); err != nil {
@@ -243,6 +243,17 @@
 		"lost", e.Unanswered, "failures", strconv.FormatFloat(e.FailureRate, 'f', 2, 64))
 }
 
+// logLimit logs and counts a change of the request rate that a server accepts.
+func (b *assembly) logLimit(c pick.LimitChange) {
+	b.metrics.Scope.Tagged(map[string]string{"service": string(c.Server.Service)}).Counter("server_limit_changes").Inc(1)
+	message := "server limits its requests"
+	if !c.Limited {
+		message = "server ends its limit"
+	}
+	b.node.log.Event(message, "server", c.Server.ID, "service", c.Server.Service, "zone", c.Server.Zone,
+		"per_second", c.PerSecond, "previous", c.Previous, "sent", c.Sent)
+}
+
 // onTick passes the number of live VMs to the services that depend on it and
 // updates the gauges.
 func (b *assembly) onTick(now time.Time) {
--- a/internal/pick/fleet.go
+++ b/internal/pick/fleet.go
@@ -34,8 +34,11 @@
 	report      Report
 	reportedAt  time.Time
 	slowness    slowness
-	coldUntil   time.Time
-	coldSends   []time.Time
+	// sent counts the requests that this VM has sent to the server.
+	sent      uint64
+	limit     requestLimit
+	coldUntil time.Time
+	coldSends []time.Time
 	// coldSender reports whether this VM may send to the server while it is cold,
 	// as of senderGeneration of the entry VMs.
 	coldSender       bool
@@ -77,6 +80,9 @@
 	// OnEject, if not nil, is called on each ejection with the Fleet's lock held.
 	// It must not block or call the Fleet.
 	OnEject func(Ejection)
+	// OnLimit, if not nil, is called when the limit that a server states changes,
+	// with the Fleet's lock held. It must not block or call the Fleet.
+	OnLimit func(LimitChange)
 }
 
 // Ejection describes a temporary exclusion of a server and its cause.
@@ -96,6 +102,9 @@
 	if options.OnEject == nil {
 		options.OnEject = func(Ejection) {}
 	}
+	if options.OnLimit == nil {
+		options.OnLimit = func(LimitChange) {}
+	}
 	return &Fleet{
 		options: options, servers: map[model.ServerID]*Server{}, byService: map[model.ServiceName][]candidate{},
 		uses: newUseLog(), remoteByVM: map[model.VMID]vmCounts{}, remoteTotals: share.Counts{},
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -178,6 +178,7 @@
 
 func (f *Fleet) recordStart(c Choice, now time.Time) {
 	c.Server.outstanding++
+	c.Server.sent++
 	if c.Cold {
 		c.Server.coldSends = append(c.Server.coldSends, now)
 	}
