Keep all VMs together to the request limit of a backend server

Seen by servers: one that had stated that it takes 6.2 requests a second got 70 in 4 s, where 42 are tolerated. Callers saw nothing.

Cause: VMs ignored the limit. The class is a limit on the sum over all VMs that nobody enforces: the logs of the new lines show 14 servers with a sum of 1.7 to 2.4 times the limit over 19 s, and for 13 of them no VM that exceeded it alone. So a VM that merely kept to the limit by itself would not have been enough, and an equal division would have wasted most of it: VMs have between 0.3 and 7.7 requests a second for one server.

Change: VMs report their requests at limited servers with the load messages that they exchange anyway. Each VM keeps a balance of the limit that it debits for the requests of all; one that sends without having heard of another's request puts it into debt. The balance determines which objects may go to the server, those first that rank it first, so each object keeps meeting servers that know it. Limits travel with the reports, so a VM that starts knows them before its first answer. Requests for which only limited servers are left are refused at once with a reason of their own.

Ruled out: the restart of a VM (the first server exceeds its limit before it).

--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -305,7 +305,7 @@
 
 func TestTolerantRequestIsRefusedUnsentWhileItsServerIsBusy(t *testing.T) {
 	front, b := newFront(t, func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set("X-Fuchsiaspar-Server-Load", "3,4,3")
+		w.Header().Set(platform.HeaderLoad, "3,4,3")
 		serveOK(w, r)
 	})
 	if status, _, _ := sendRequest(t, front, "GET", "/read/a", ""); status != 200 {
@@ -485,3 +485,40 @@
 		time.Sleep(100*time.Millisecond + responseGrace)
 	}
 }
+
+// TestLimitOfAServerIsKept guards against a server that gets every request although its
+// answers limit them, and against limits that another process states.
+func TestLimitOfAServerIsKept(t *testing.T) {
+	const sent, few = 12, 4
+	limited := func(limit string, respond behaviour) behaviour {
+		return func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(platform.HeaderRequestLimit, limit)
+			w.Header().Set(platform.HeaderLoad, "0,0,3")
+			respond(w, r)
+		}
+	}
+	tests := []struct {
+		desc    string
+		respond behaviour
+		kept    bool
+	}{
+		{"in an answer", limited("0", serveOK), true},
+		{"in a refusal", limited("0", serveStatus(http.StatusServiceUnavailable, true)), true},
+		{"in a failure", limited("0", serveStatus(http.StatusInternalServerError, false)), true},
+		{"ample", limited("1000", serveOK), false},
+		{"malformed", limited("some", serveOK), false},
+		{"of another server at the address", limited("0", serveStatus(http.StatusMisdirectedRequest, true)), false},
+		{"without the server's seal", limited("0", unsealed), false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			front, b := newFront(t, tt.respond)
+			for range sent {
+				sendRequest(t, front, "POST", "/order/a", "")
+			}
+			if got := b.count("id-1"); tt.kept != (got <= few) {
+				t.Errorf("%d of %d requests reached the server", got, sent)
+			}
+		})
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -251,7 +251,8 @@
 		message = "server ends its limit"
 	}
 	b.node.log.Event(message, "server", c.Server.ID, "service", c.Server.Service, "zone", c.Server.Zone,
-		"per_second", c.PerSecond, "previous", c.Previous, "sent", c.Sent)
+		"per_second", c.PerSecond, "previous", c.Previous, "source", c.Source, "sent", c.Sent,
+		"tokens", strconv.FormatFloat(c.Tokens, 'f', 1, 64))
 }
 
 // onTick passes the number of live VMs to the services that depend on it and
--- a/internal/pick/fleet.go
+++ b/internal/pick/fleet.go
@@ -52,8 +52,10 @@
 type Fleet struct {
 	options Options
 
-	mu        sync.Mutex
-	servers   map[model.ServerID]*Server
+	mu      sync.Mutex
+	servers map[model.ServerID]*Server
+	// byHash holds the servers by the hash under which VMs report them.
+	byHash    map[uint64]*Server
 	byService map[model.ServiceName][]candidate
 	uses      useLog
 	// remoteByVM holds the outstanding requests that each other VM reported,
@@ -106,7 +108,7 @@
 		options.OnLimit = func(LimitChange) {}
 	}
 	return &Fleet{
-		options: options, servers: map[model.ServerID]*Server{}, byService: map[model.ServiceName][]candidate{},
+		options: options, servers: map[model.ServerID]*Server{}, byHash: map[uint64]*Server{}, byService: map[model.ServiceName][]candidate{},
 		uses: newUseLog(), remoteByVM: map[model.VMID]vmCounts{}, remoteTotals: share.Counts{},
 		senders: senders{self: hashString(string(options.Self)), generation: 1},
 	}
@@ -166,7 +168,7 @@
 	}
 	if !known {
 		server = &Server{Server: entry, hash: hashString(string(entry.ID))}
-		f.servers[entry.ID] = server
+		f.servers[entry.ID], f.byHash[server.hash] = server, server
 		f.setCold(server, entry.ColdRemaining, now)
 		return server
 	}
@@ -197,6 +199,7 @@
 			server.removed = true
 			removed = append(removed, server.Server)
 			delete(f.servers, id)
+			delete(f.byHash, server.hash)
 		}
 	}
 	return removed
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -43,6 +43,9 @@
 	// busy and has not handled the object lately, or is cold and has received its
 	// share of requests.
 	AllFull Reason = "all_full"
+	// Limited means the same, but for servers that have received as many requests as
+	// they say they take.
+	Limited Reason = "server_limits"
 	// Yield means that the request tolerates latency and its server is too loaded
 	// to take it without delaying more urgent requests.
 	Yield Reason = "yield"
@@ -81,9 +84,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	list := f.byService[q.Service]
-	top := topRanked(list, q.Object, preferLocal(q.Route), func(s *Server) bool {
-		return regionAllowed(s, q.Route.Regions) && !excluded(q.Exclude, s.ID) && f.eligible(s, now)
-	})
+	top, limited := f.topServers(list, q, now)
 	best := Choice{Cost: math.Inf(1)}
 	for rank, entry := range top.entries[:top.count] {
 		c := f.evaluate(entry.server, rank, q.Object, now)
@@ -93,10 +94,13 @@
 	}
 	if best.Server == nil {
 		allowed := func(c candidate) bool { return regionAllowed(c.server, q.Route.Regions) }
-		if slices.ContainsFunc(list, allowed) {
-			return best, AllFull
+		switch {
+		case !slices.ContainsFunc(list, allowed):
+			return best, NoServers
+		case limited:
+			return best, Limited
 		}
-		return best, NoServers
+		return best, AllFull
 	}
 	if f.tolerant[q.Route.Name] && f.mustYield(best.Server, now) {
 		return best, Yield
@@ -105,6 +109,23 @@
 	return best, ""
 }
 
+// topServers returns the first servers of the object's ranking that may get the
+// request, and whether servers among the first ones limit their requests.
+func (f *Fleet) topServers(list []candidate, q Query, now time.Time) (top ranking, limited bool) {
+	localFirst := preferLocal(q.Route)
+	eligible := func(s *Server) bool {
+		return regionAllowed(s, q.Route.Regions) && !excluded(q.Exclude, s.ID) && f.eligible(s, now)
+	}
+	top = topRanked(list, q.Object, localFirst, eligible)
+	if !top.anyLimited() {
+		return top, false
+	}
+	first := top.entries[0].server
+	return topRanked(list, q.Object, localFirst, func(s *Server) bool {
+		return eligible(s) && s.limit.allows(limitPosition(q.Object, s, s == first), now)
+	}), true
+}
+
 // evaluate returns the server as a candidate for object, with its cost. The cost
 // is infinite for a server with a full queue, and for one that has not handled
 // the object lately and has no free slot: work on an object that is not cached
@@ -141,7 +162,7 @@
 	return false
 }
 
-// eligible reports whether a server may get a request now.
+// eligible reports whether a server may get a request now, apart from its limit.
 func (f *Fleet) eligible(s *Server, now time.Time) bool {
 	if s.health.ejected(now) {
 		return false
@@ -179,6 +200,7 @@
 func (f *Fleet) recordStart(c Choice, now time.Time) {
 	c.Server.outstanding++
 	c.Server.sent++
+	c.Server.limit.recordSend(now)
 	if c.Cold {
 		c.Server.coldSends = append(c.Server.coldSends, now)
 	}
--- a/internal/pick/rank.go
+++ b/internal/pick/rank.go
@@ -36,6 +36,18 @@
 // hashing; the server with the highest weight ranks first.
 func serverWeight(object, server uint64) uint64 { return mix(object ^ bits.RotateLeft64(server, 17)) }
 
+// limitPosition returns the place of an object in the order in which the objects get
+// the requests that a server takes: from 0 to 1, the same in every process. Those that
+// rank the server first come before those that moved there.
+func limitPosition(object uint64, server *Server, first bool) float64 {
+	const mantissaBits = 53
+	position := float64(mix(object^bits.RotateLeft64(server.hash, 41))>>(64-mantissaBits)) / (1 << mantissaBits)
+	if first {
+		return position / 2
+	}
+	return (1 + position) / 2
+}
+
 // ObjectHash returns the hash of the object that a request concerns, the same in
 // every process.
 func ObjectHash(host, prefix, object string) uint64 {
@@ -94,6 +106,11 @@
 	return top
 }
 
+// anyLimited reports whether one of the servers limits its requests.
+func (r *ranking) anyLimited() bool {
+	return slices.ContainsFunc(r.entries[:r.count], func(e ranked) bool { return e.server.limit.current.limited })
+}
+
 // insert adds an entry, which must rank before the last one if there are maxRank.
 func (r *ranking) insert(entry ranked) {
 	if r.count < maxRank {
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -1,6 +1,7 @@
 // Package share exchanges load between entry VMs. Each VM periodically sends the
 // others its number of outstanding requests at each backend server, so that every
-// VM can estimate the queue of a server from the requests of all VMs. The messages
+// VM can estimate the queue of a server from the requests of all VMs, and reports its
+// requests to servers that limit them. The messages
 // also carry the revision of the sender's replica of the store, so that a VM with a
 // stale replica notices.
 package share
@@ -37,12 +38,33 @@
 // Counts maps the hash of a server to its number of outstanding requests.
 type Counts map[uint64]int
 
+// LimitReport is what a VM reports about a server that limits its requests.
+type LimitReport struct {
+	// Sent is the number of requests that the VM has sent since it learned of the
+	// limit. It begins again with each process and each limit.
+	Sent uint64 `cbor:"1,keyasint,omitempty"`
+	// Stated reports that the remaining fields hold what the server itself said to
+	// the VM.
+	Stated bool `cbor:"2,keyasint,omitempty"`
+	// Limited reports whether the server stated a limit, and PerSecond is its number
+	// of requests per second from all VMs together.
+	Limited   bool    `cbor:"3,keyasint,omitempty"`
+	PerSecond float64 `cbor:"4,keyasint,omitempty"`
+	// Age is the time since the server said so.
+	Age time.Duration `cbor:"5,keyasint,omitempty"`
+}
+
+// LimitReports maps the hash of a server to the report about it.
+type LimitReports map[uint64]LimitReport
+
 // message is the message that VMs send each other.
 type message struct {
 	// Revision is the store revision of the sender's replica.
 	Revision uint64 `cbor:"1,keyasint"`
 	// Counts are the sender's outstanding requests.
 	Counts Counts `cbor:"2,keyasint,omitempty"`
+	// Limits are the sender's reports about servers that limit their requests.
+	Limits LimitReports `cbor:"3,keyasint,omitempty"`
 }
 
 // Feed maintains this VM's replica of the store.
@@ -59,6 +81,10 @@
 	Outstanding() Counts
 	// SetRemoteCounts replaces the outstanding requests of another VM.
 	SetRemoteCounts(vm model.VMID, counts Counts, now time.Time)
+	// LimitReports returns this VM's reports about servers that limit their requests.
+	LimitReports(now time.Time) LimitReports
+	// SetRemoteLimits applies the reports of another VM.
+	SetRemoteLimits(vm model.VMID, reports LimitReports, now time.Time)
 	// ExpireRemoteCounts removes the counts of VMs that stopped sending.
 	ExpireRemoteCounts(now time.Time)
 }
@@ -78,7 +104,7 @@
 
 	// The fields below are used only by the sending goroutine.
 	rounds int
-	// lastSentEmpty reports that the last message had no counts. Further empty
+	// lastSentEmpty reports that the last message had neither counts nor limits. Further empty
 	// ones are not sent.
 	lastSentEmpty bool
 	rng           *rand.Rand
@@ -106,6 +132,7 @@
 	s.lastReceived[from] = now
 	s.mu.Unlock()
 	s.fleet.SetRemoteCounts(from, msg.Counts, now)
+	s.fleet.SetRemoteLimits(from, msg.Limits, now)
 	for _, vm := range s.liveVMs() {
 		if vm.Name == from {
 			s.feed.ObserveRevision(vm, msg.Revision, now)
@@ -117,15 +144,16 @@
 func (s *Service) sendRound(now time.Time) {
 	s.rounds++
 	s.fleet.ExpireRemoteCounts(now)
-	counts := s.fleet.Outstanding()
-	if len(counts) == 0 && s.lastSentEmpty {
+	msg := message{Revision: s.feed.Revision(), Counts: s.fleet.Outstanding(), Limits: s.fleet.LimitReports(now)}
+	empty := len(msg.Counts) == 0 && len(msg.Limits) == 0
+	if empty && s.lastSentEmpty {
 		return
 	}
-	s.lastSentEmpty = len(counts) == 0
+	s.lastSentEmpty = empty
 	for _, vm := range s.recipients(now, s.rounds%broadcastEvery == 0) {
 		s.links.SetAddress(vm.Name, vm.Peer)
 		// A lost message needs no retry: the next one replaces it.
-		_ = s.links.Send(vm.Name, peer.KindLoads, message{Revision: s.feed.Revision(), Counts: counts})
+		_ = s.links.Send(vm.Name, peer.KindLoads, msg)
 	}
 }
 
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -19,6 +19,9 @@
 	mu       sync.Mutex
 	own      Counts
 	received map[model.VMID]Counts
+	// ownLimits are reported, and receivedLimits holds the reports received.
+	ownLimits      LimitReports
+	receivedLimits map[model.VMID]LimitReports
 	// messages is the number of messages received.
 	messages int
 }
@@ -36,6 +39,18 @@
 	f.messages++
 }
 
+func (f *fakeFleet) LimitReports(time.Time) LimitReports {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ownLimits
+}
+
+func (f *fakeFleet) SetRemoteLimits(vm model.VMID, reports LimitReports, _ time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.receivedLimits[vm] = reports
+}
+
 func (f *fakeFleet) ExpireRemoteCounts(time.Time) {}
 
 func (f *fakeFleet) stats() (from, messages int) {
@@ -69,7 +84,7 @@
 	}
 	var fleets []*fakeFleet
 	for i, vm := range vms {
-		fleet := &fakeFleet{own: own(i), received: map[model.VMID]Counts{}}
+		fleet := &fakeFleet{own: own(i), received: map[model.VMID]Counts{}, receivedLimits: map[model.VMID]LimitReports{}}
 		fleets = append(fleets, fleet)
 		endpoint := net.Join(vm.Name)
 		s := New(vm.Name, fleet, &fakeFeed{revision: 1}, endpoint, func() []catalog.VM { return vms }, rand.New(rand.NewPCG(uint64(i), 1)))
@@ -120,3 +135,23 @@
 		}
 	})
 }
+
+// TestLimitReportsReachOtherVMs guards against limits of servers that only the VM knows
+// that a server told, also if that VM has no request outstanding.
+func TestLimitReportsReachOtherVMs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleets := startAll(t, 3, func(int) Counts { return nil })
+		want := LimitReport{Sent: 4, Stated: true, Limited: true, PerSecond: 6.5, Age: 30 * time.Millisecond}
+		fleets[0].mu.Lock()
+		fleets[0].ownLimits = LimitReports{7: want}
+		fleets[0].mu.Unlock()
+		time.Sleep(2 * time.Second)
+		for i, fleet := range fleets[1:] {
+			fleet.mu.Lock()
+			if got := fleet.receivedLimits["vm-00"][7]; got != want {
+				t.Errorf("vm-%02d received %+v, want %+v", i+1, got, want)
+			}
+			fleet.mu.Unlock()
+		}
+	})
+}
