Log when the store has been restored from an older copy

Logs said that the store had dropped its history, not that it had gone back, so the hypotheses of the incident could not be told apart. Batches and events now have the era of the store, and a batch that is older than the copy is a line.

Logic is unchanged.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -121,6 +121,7 @@
 	avoidUntil    map[model.VMID]time.Time
 	source        model.VMID
 	stale         bool
+	era           uint64
 }
 
 // New returns a Service that serves polls at once and updates the replica once
@@ -245,12 +246,24 @@
 	}
 	s.handleStoreSuccess(now)
 	s.relist = false
+	s.logRestore(batch)
 	applied := s.opts.Replica.Apply(batch)
 	if len(applied) > 0 {
 		background.Sleep(ctx, batchDelay)
 	}
 }
 
+// logRestore logs a batch that shows that the store went back to an older state.
+func (s *Service) logRestore(batch replica.Batch) {
+	current := s.opts.Replica.Revision()
+	if batch.Era == s.era && batch.To >= current {
+		return
+	}
+	s.opts.Log.Event("store restored from an older copy", "era", batch.Era, "previous", s.era, "listed", batch.Full,
+		"events", len(batch.Events), "store_revision", batch.To, "revision", current)
+	s.era = batch.Era
+}
+
 func (s *Service) fetch(ctx context.Context) (replica.Batch, error) {
 	after := s.opts.Replica.Revision()
 	if after == 0 || s.relist {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -23,6 +23,8 @@
 	// Revision is the store revision of the change.
 	Revision uint64 `cbor:"3,keyasint"`
 	Deleted  bool   `cbor:"4,keyasint,omitempty"`
+	// Era is the era of the store in which the change was made.
+	Era uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Batch is a set of events that brings a replica up to revision To. A Full batch
@@ -32,6 +34,9 @@
 	Events []Event `cbor:"2,keyasint,omitempty"`
 	// To is the revision up to which a replica is complete after the batch.
 	To uint64 `cbor:"3,keyasint"`
+	// Era is the number of times that the store has been restored from an older copy.
+	// Its revisions are given out again in each era.
+	Era uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Replica is a copy of the store's items. It is safe for concurrent use.
