Follow a store that has been restored from an older copy

Cause: copies of the store are ordered by revision alone, and a restored store gives its revisions out again. A copy at revision 48 took the listing of a store at 47 for old and watched from 48 on, where the store had meanwhile written version 11; it never saw it. The class is an order by a number that another process may reset. Ruled out: VMs that cling to an older configuration that they have read again (version 9 was the newest they knew).

Change: positions in the store's history are pairs of its era and a revision, in the copies, in polls between VMs, in the positions that VMs announce to each other, and in the control state. A new era begins with a full listing. What a copy holds then stays if its writer gave it a higher version than the listing has (the version of a configuration; start and heartbeat of a server), until it is written again, so that a restore takes no configuration and no drain back. After a restore, as after an outage, missing entries of servers have time to come back. A reader whose store is behind it without a new era pauses between listings.

Tests: TestRestoredStoreTakesNoConfigurationBack fails on the code before ('timed out waiting: the third configuration is in force') and passes now. TestStoreBehindTheCopiesIsSpared does not end without the pause: a reader lists for ever.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -65,8 +65,8 @@
 type Store interface {
 	// List returns every item whose key starts with prefix, as a full batch.
 	List(ctx context.Context, prefix string) (replica.Batch, error)
-	// Watch returns the events after revision after. Without any, it returns an
-	// empty batch once wait has passed.
+	// Watch returns the events after revision after of the store's current era.
+	// Without any, it returns an empty batch once wait has passed.
 	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (replica.Batch, error)
 }
 
@@ -103,11 +103,11 @@
 	// recoveredAt is when the store last became reachable again, for this VM or
 	// for a reader that it polls.
 	recoveredAt time.Time
-	// aheadRevision is a revision newer than the replica's that another VM has
-	// had since laggingSince.
-	aheadRevision uint64
+	// aheadPosition is a position after the replica's that another VM has had since
+	// laggingSince.
+	aheadPosition replica.Position
 	laggingSince  time.Time
-	// aheadPeer is a VM with a newer revision to poll next; nil if there is none.
+	// aheadPeer is a VM with a later position to poll next; nil if there is none.
 	aheadPeer *catalog.VM
 	// cancelPoll cancels the poll in progress.
 	cancelPoll context.CancelFunc
@@ -121,7 +121,6 @@
 	avoidUntil    map[model.VMID]time.Time
 	source        model.VMID
 	stale         bool
-	era           uint64
 }
 
 // New returns a Service that serves polls at once and updates the replica once
@@ -161,24 +160,24 @@
 	return s.recoveredAt, now.Sub(s.syncedAt) > staleAfter
 }
 
-// Revision returns the revision of the replica.
-func (s *Service) Revision() uint64 { return s.opts.Replica.Revision() }
+// Position returns the position of the replica.
+func (s *Service) Position() replica.Position { return s.opts.Replica.Position() }
 
-// ObserveRevision reports the revision that vm has. If other VMs stay ahead for
+// ObservePosition reports the position that vm has. If other VMs stay ahead for
 // longer than lagTolerance, the source of this replica has silently lost the
 // store, so vm is polled next.
-func (s *Service) ObserveRevision(vm catalog.VM, revision uint64, now time.Time) {
+func (s *Service) ObservePosition(vm catalog.VM, position replica.Position, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	current := s.opts.Replica.Revision()
+	current := s.opts.Replica.Position()
 	switch {
-	case revision <= current:
-	case s.aheadRevision <= current:
-		s.aheadRevision, s.laggingSince = revision, now
+	case !position.After(current):
+	case !s.aheadPosition.After(current):
+		s.aheadPosition, s.laggingSince = position, now
 	case now.Sub(s.catchUpStart) < catchUpGrace:
 		// A catch-up poll is in progress.
 	case now.Sub(s.laggingSince) >= lagTolerance:
-		s.aheadRevision, s.aheadPeer = 0, &vm
+		s.aheadPosition, s.aheadPeer = replica.Position{}, &vm
 		s.cancelPoll()
 	}
 }
@@ -197,7 +196,7 @@
 		now := time.Now()
 		s.logStaleness(now)
 		if vm := s.popAheadPeer(); vm != nil {
-			s.opts.Log.Event("left behind", "peer", vm.Name, "revision", s.opts.Replica.Revision(), "following", s.source)
+			s.opts.Log.Event("left behind", "peer", vm.Name, "revision", s.opts.Replica.Position().Revision, "following", s.source)
 			s.catchUp(ctx, *vm, now)
 			continue
 		}
@@ -218,10 +217,10 @@
 	}
 	s.stale = stale
 	if stale {
-		s.opts.Log.Event("copy of the store is stale", "revision", s.opts.Replica.Revision(), "age", s.Age(now))
+		s.opts.Log.Event("copy of the store is stale", "revision", s.opts.Replica.Position().Revision, "age", s.Age(now))
 		return
 	}
-	s.opts.Log.Event("copy of the store is current", "revision", s.opts.Replica.Revision())
+	s.opts.Log.Event("copy of the store is current", "revision", s.opts.Replica.Position().Revision)
 }
 
 // shouldReadStore reports whether this VM calls the store now: as the reader of
@@ -230,7 +229,7 @@
 	if now.Before(s.nextStoreCall) {
 		return false
 	}
-	if s.opts.Replica.Revision() == 0 {
+	if s.opts.Replica.Position().IsZero() {
 		return true
 	}
 	readers := SelectReaders(s.opts.Alive(), s.opts.Self)
@@ -244,38 +243,43 @@
 		s.handleStoreError(err, now)
 		return
 	}
-	s.handleStoreSuccess(now)
+	current := s.opts.Replica.Position()
+	restored := !current.IsZero() && batch.Era > current.Era
+	if restored && !batch.Full {
+		s.relist = true
+		return
+	}
+	s.handleStoreSuccess(restored, now)
+	if restored {
+		s.opts.Log.Event("store restored from an older copy", "era", batch.Era, "previous", current.Era,
+			"store_revision", batch.To, "revision", current.Revision, "items", len(batch.Events))
+	}
 	s.relist = false
-	s.logRestore(batch)
 	applied := s.opts.Replica.Apply(batch)
-	if len(applied) > 0 {
+	switch {
+	case len(applied) > 0:
 		background.Sleep(ctx, batchDelay)
+	case current.After(batch.Position()):
+		// A store that states no era has gone back; the replica can't follow until
+		// its revisions are newer.
+		s.nextStoreCall = now.Add(readerRetryDelay)
 	}
 }
 
-// logRestore logs a batch that shows that the store went back to an older state.
-func (s *Service) logRestore(batch replica.Batch) {
-	current := s.opts.Replica.Revision()
-	if batch.Era == s.era && batch.To >= current {
-		return
-	}
-	s.opts.Log.Event("store restored from an older copy", "era", batch.Era, "previous", s.era, "listed", batch.Full,
-		"events", len(batch.Events), "store_revision", batch.To, "revision", current)
-	s.era = batch.Era
-}
-
+// fetch lists the store if the replica is empty or can't continue from its position, and
+// watches it otherwise.
 func (s *Service) fetch(ctx context.Context) (replica.Batch, error) {
-	after := s.opts.Replica.Revision()
-	if after == 0 || s.relist {
+	position := s.opts.Replica.Position()
+	if position.IsZero() || s.relist {
 		return s.opts.Store.List(ctx, allKeys)
 	}
-	return s.opts.Store.Watch(ctx, allKeys, after, watchTimeout)
+	return s.opts.Store.Watch(ctx, allKeys, position.Revision, watchTimeout)
 }
 
 func (s *Service) handleStoreError(err error, now time.Time) {
 	if s.opts.IsCompacted(err) {
 		s.relist = true
-		s.opts.Log.Event("store dropped its history", "revision", s.opts.Replica.Revision())
+		s.opts.Log.Event("store dropped its history", "revision", s.opts.Replica.Position().Revision)
 		return
 	}
 	s.nextStoreCall = now.Add(s.storeRetryDelay())
@@ -306,16 +310,18 @@
 	return s.storeDown
 }
 
-func (s *Service) handleStoreSuccess(now time.Time) {
+// handleStoreSuccess records a call that succeeded. After a restore, as after an outage,
+// entries may be missing until their writers have written them again.
+func (s *Service) handleStoreSuccess(restored bool, now time.Time) {
 	s.mu.Lock()
 	recovered := s.storeDown
 	s.storeDown = false
 	s.syncedAt = now
-	if recovered {
+	if recovered || restored {
 		s.recoveredAt = now
 	}
 	s.mu.Unlock()
 	if recovered {
-		s.opts.Log.Event("store regained", "revision", s.opts.Replica.Revision())
+		s.opts.Log.Event("store regained", "revision", s.opts.Replica.Position().Revision)
 	}
 }
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -27,6 +28,7 @@
 // fakeStore is a store that some VMs cannot reach.
 type fakeStore struct {
 	mu        sync.Mutex
+	era       uint64
 	revision  uint64
 	history   []replica.Event
 	compacted uint64
@@ -45,12 +47,28 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	s.history = append(s.history, replica.Event{Key: key, Value: []byte{1}, Revision: s.revision})
+	s.history = append(s.history, replica.Event{Key: key, Value: []byte{1}, Revision: s.revision, Era: s.era})
 	close(s.changed)
 	s.changed = make(chan struct{})
 	return s.revision
 }
 
+// restore goes back to the state at revision. If numbered is set, a new era begins.
+func (s *fakeStore) restore(revision uint64, numbered bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if numbered {
+		s.era++
+	}
+	s.revision = revision
+	s.history = slices.DeleteFunc(s.history, func(e replica.Event) bool { return e.Revision > revision })
+	for i := range s.history {
+		s.history[i].Era = s.era
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 func (s *fakeStore) update(change func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -93,7 +111,7 @@
 	for _, e := range v.store.history {
 		items[e.Key] = e
 	}
-	batch := replica.Batch{Full: true, To: v.store.revision}
+	batch := replica.Batch{Full: true, To: v.store.revision, Era: v.store.era}
 	for _, e := range items {
 		batch.Events = append(batch.Events, e)
 	}
@@ -112,7 +130,7 @@
 			return replica.Batch{}, errRejected
 		}
 		v.store.mu.Lock()
-		batch := replica.Batch{To: v.store.revision}
+		batch := replica.Batch{To: v.store.revision, Era: v.store.era}
 		for _, e := range v.store.history {
 			if e.Revision > after {
 				batch.Events = append(batch.Events, e)
@@ -120,7 +138,7 @@
 		}
 		changed, compacted := v.store.changed, v.store.compacted
 		v.store.mu.Unlock()
-		if after < compacted {
+		if after < compacted || after > batch.To {
 			return replica.Batch{}, errCompacted
 		}
 		if len(batch.Events) > 0 {
@@ -158,7 +176,7 @@
 		}
 	}
 	for i, vm := range f.vms {
-		f.copies[vm.Name] = replica.New()
+		f.copies[vm.Name] = replica.New(nil)
 		f.feeds[vm.Name] = New(Options{
 			Self: vm, Store: storeView{f.store, vm.Name}, Links: f.net.Join(vm.Name), Replica: f.copies[vm.Name],
 			Alive:       func() []catalog.VM { return f.vms },
@@ -187,7 +205,7 @@
 func (f *fleet) expectRevision(t *testing.T, revision uint64) {
 	t.Helper()
 	for _, vm := range f.vms {
-		if got := f.copies[vm.Name].Revision(); got < revision {
+		if got := f.copies[vm.Name].Position().Revision; got < revision {
 			t.Errorf("%s is at revision %d, want %d", vm.Name, got, revision)
 		}
 	}
@@ -275,12 +293,12 @@
 		for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 			for _, from := range f.vms {
 				for _, to := range f.vms {
-					f.feeds[to.Name].ObserveRevision(from, f.copies[from.Name].Revision(), time.Now())
+					f.feeds[to.Name].ObservePosition(from, f.copies[from.Name].Position(), time.Now())
 				}
 			}
 		}
 		for _, vm := range f.vms {
-			if got := f.copies[vm.Name].Revision(); vm.Name != reader.Name && got < revision {
+			if got := f.copies[vm.Name].Position().Revision; vm.Name != reader.Name && got < revision {
 				t.Errorf("%s is at revision %d, want %d", vm.Name, got, revision)
 			}
 		}
@@ -372,7 +390,7 @@
 		for end := time.Now().Add(9 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 			for i, from := range f.vms {
 				for _, to := range []catalog.VM{f.vms[(i+1)%len(f.vms)], f.vms[(i+40)%len(f.vms)]} {
-					f.feeds[to.Name].ObserveRevision(from, f.copies[from.Name].Revision(), time.Now())
+					f.feeds[to.Name].ObservePosition(from, f.copies[from.Name].Position(), time.Now())
 				}
 			}
 		}
@@ -410,7 +428,7 @@
 		// serves its followers.
 		time.Sleep(3 * time.Second)
 		for _, vm := range f.vms {
-			if got := f.copies[vm.Name].Revision(); vm.Name != dead.Name && got < revision {
+			if got := f.copies[vm.Name].Position().Revision; vm.Name != dead.Name && got < revision {
 				t.Errorf("%s is at revision %d, want %d", vm.Name, got, revision)
 			}
 		}
@@ -452,10 +470,10 @@
 		// A configuration must take effect within 2 s.
 		for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 			for _, from := range f.vms[1:] {
-				f.feeds[slow.Name].ObserveRevision(from, revision, time.Now())
+				f.feeds[slow.Name].ObservePosition(from, replica.Position{Revision: revision}, time.Now())
 			}
 		}
-		if got := f.copies[slow.Name].Revision(); got < revision {
+		if got := f.copies[slow.Name].Position().Revision; got < revision {
 			t.Errorf("the VM is at revision %d, want %d", got, revision)
 		}
 	})
@@ -482,3 +500,74 @@
 		}
 	}
 }
+
+// TestChangesAfterARestoreReachAllVMs guards against copies that stay behind a store that
+// went back to an older state and gives its revisions out again.
+func TestChangesAfterARestoreReachAllVMs(t *testing.T) {
+	tests := []struct {
+		desc string
+		// again is the number of changes after the restore; ten had been made before.
+		again int
+	}{
+		{"fewer changes than were lost", 3},
+		{"as many", 10},
+		{"more than were lost before anyone called", 15},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := startFleet(t, 3, 3)
+				defer f.stop(t)
+				before := f.store.put("op/config")
+				for i := range 10 {
+					f.store.put(fmt.Sprint("servers/", i))
+				}
+				time.Sleep(2 * time.Second)
+				f.store.restore(before, true)
+				var want replica.Position
+				for i := range tt.again {
+					want = replica.Position{Era: 1, Revision: f.store.put(fmt.Sprint("servers/again-", i))}
+				}
+				time.Sleep(2 * time.Second)
+				for _, vm := range f.vms {
+					c := f.copies[vm.Name]
+					if got := c.Position(); got != want {
+						t.Errorf("%s is at %+v, want %+v", vm.Name, got, want)
+					}
+					if got := len(c.Items("servers/")); got != tt.again {
+						t.Errorf("%s has %d servers, want %d", vm.Name, got, tt.again)
+					}
+					recoveredAt, _ := f.feeds[vm.Name].StoreStatus(time.Now())
+					if recoveredAt.IsZero() {
+						t.Errorf("%s takes missing entries for gone", vm.Name)
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestStoreBehindTheCopiesIsSpared guards against readers that list a store again and
+// again which went back without saying so.
+func TestStoreBehindTheCopiesIsSpared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const regions, seconds = 3, 10
+		f := startFleet(t, regions, 3)
+		defer f.stop(t)
+		for i := range 10 {
+			f.store.put(fmt.Sprint("servers/", i))
+		}
+		time.Sleep(2 * time.Second)
+		f.store.restore(4, false)
+		before := f.store.callCounts()
+		time.Sleep(seconds * time.Second)
+		calls := 0
+		for vm, count := range f.store.callCounts() {
+			calls += count - before[vm]
+		}
+		// A watch and a listing for each retry.
+		if most := 2 * regions * seconds * int(time.Second/readerRetryDelay+1); calls > most {
+			t.Errorf("%d calls in %d s, want at most %d", calls, seconds, most)
+		}
+	})
+}
--- a/internal/feed/pack.go
+++ b/internal/feed/pack.go
@@ -73,15 +73,15 @@
 	copy *replica.Replica
 
 	mu        sync.Mutex
-	after, to uint64
+	after, to replica.Position
 	encoded   encodedBatch
 }
 
-// batchSince returns the encoded events after revision after.
-func (p *batchCache) batchSince(after uint64) (encodedBatch, error) {
+// batchSince returns the encoded events after a position.
+func (p *batchCache) batchSince(after replica.Position) (encodedBatch, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.to != 0 && p.after == after && p.to == p.copy.Revision() {
+	if !p.to.IsZero() && p.after == after && p.to == p.copy.Position() {
 		return p.encoded, nil
 	}
 	batch := p.copy.Since(after)
@@ -89,6 +89,6 @@
 	if err != nil {
 		return encodedBatch{}, err
 	}
-	p.after, p.to, p.encoded = after, batch.To, out
+	p.after, p.to, p.encoded = after, batch.Position(), out
 	return out, nil
 }
--- a/internal/feed/pack_test.go
+++ b/internal/feed/pack_test.go
@@ -56,26 +56,26 @@
 }
 
 func TestFollowersOfOneRevisionShareABatch(t *testing.T) {
-	p := batchCache{copy: replica.New()}
+	p := batchCache{copy: replica.New(nil)}
 	p.copy.Apply(replica.Batch{Full: true, To: 1})
 	p.copy.Apply(serverEntries(2000))
-	first, err := p.batchSince(1)
+	first, err := p.batchSince(replica.Position{Revision: 1})
 	if err != nil {
 		t.Fatal(err)
 	}
-	again, err := p.batchSince(1)
+	again, err := p.batchSince(replica.Position{Revision: 1})
 	if err != nil || &first.Data[0] != &again.Data[0] {
 		t.Errorf("encoded again: %v", err)
 	}
 	p.copy.Apply(replica.Batch{To: 2001, Events: []replica.Event{{Key: "op/config", Revision: 2001}}})
-	later, err := p.batchSince(1)
+	later, err := p.batchSince(replica.Position{Revision: 1})
 	if err != nil {
 		t.Fatal(err)
 	}
 	if batch, err := later.decode(); err != nil || batch.To != 2001 {
 		t.Errorf("got up to %d, %v; want 2001", batch.To, err)
 	}
-	if batch, err := p.batchSince(2000); err != nil || batch.Deflate {
+	if batch, err := p.batchSince(replica.Position{Revision: 2000}); err != nil || batch.Deflate {
 		t.Errorf("a single event is compressed: %v", err)
 	}
 }
--- a/internal/feed/poll.go
+++ b/internal/feed/poll.go
@@ -10,9 +10,14 @@
 	"fuchsiaspar/internal/replica"
 )
 
-// pollRequest asks for the events after revision After.
+// pollRequest asks for the events after revision After of Era.
 type pollRequest struct {
 	After uint64 `cbor:"1,keyasint"`
+	Era   uint64 `cbor:"2,keyasint,omitempty"`
+}
+
+func (r pollRequest) position() replica.Position {
+	return replica.Position{Era: r.Era, Revision: r.After}
 }
 
 // pollResponse carries a batch and the state of the sender's replica.
@@ -41,7 +46,7 @@
 	return false
 }
 
-// catchUp polls a VM with a newer revision. ObserveRevision does not cancel this
+// catchUp polls a VM with a later position. ObservePosition does not cancel this
 // poll during catchUpGrace, since a large change takes long on a slow link.
 func (s *Service) catchUp(ctx context.Context, vm catalog.VM, now time.Time) {
 	s.setCatchUpStart(now)
@@ -57,7 +62,7 @@
 
 func (s *Service) pollPeer(ctx context.Context, vm catalog.VM) {
 	if s.source != vm.Name {
-		s.opts.Log.Event("following", "peer", vm.Name, "revision", s.opts.Replica.Revision())
+		s.opts.Log.Event("following", "peer", vm.Name, "revision", s.opts.Replica.Position().Revision)
 		s.source = vm.Name
 	}
 	s.opts.Links.SetAddress(vm.Name, vm.Peer)
@@ -67,7 +72,8 @@
 	s.cancelPoll = cancel
 	s.mu.Unlock()
 	var resp pollResponse
-	err := s.opts.Links.Call(ctx, vm.Name, peer.KindFeed, pollRequest{After: s.opts.Replica.Revision()}, &resp)
+	position := s.opts.Replica.Position()
+	err := s.opts.Links.Call(ctx, vm.Name, peer.KindFeed, pollRequest{After: position.Revision, Era: position.Era}, &resp)
 	now := time.Now()
 	var batch replica.Batch
 	if err == nil {
@@ -108,7 +114,7 @@
 	defer timer.Stop()
 	for waiting := true; waiting; {
 		changed := s.opts.Replica.Changed()
-		if s.opts.Replica.Revision() > req.After || s.isStoreDown() {
+		if s.opts.Replica.Position().After(req.position()) || s.isStoreDown() {
 			break
 		}
 		select {
@@ -119,7 +125,7 @@
 			return nil, ctx.Err()
 		}
 	}
-	batch, err := s.batches.batchSince(req.After)
+	batch, err := s.batches.batchSince(req.position())
 	if err != nil {
 		return nil, err
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -174,7 +174,7 @@
 }
 
 func (b *assembly) registerStore() error {
-	b.copy = replica.New()
+	b.copy = replica.New(platform.ItemVersion)
 	calls := b.metrics.Scope
 	b.store = platform.NewClient(b.settings.Store, func(call string, took time.Duration, err error) {
 		outcome := "ok"
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -161,6 +161,44 @@
 	eventually(t, "look-ups at both return both", func() bool { return len(a.resolvedAddresses()) == 2 && len(b.resolvedAddresses()) == 2 })
 }
 
+// TestRestoredStoreTakesNoConfigurationBack guards against a configuration that is not in
+// force after the store went back to an older copy, and against an older one that returns.
+func TestRestoredStoreTakesNoConfigurationBack(t *testing.T) {
+	store := storetest.Start(t, 500)
+	for _, service := range []string{"first", "second", "third"} {
+		startBackend(t, store, "i-"+service, service, 0)
+	}
+	configure(store, 1, "first")
+	backup := store.Backup()
+	vms := []*Node{startNode(t, "vm-a", store), startNode(t, "vm-b", store)}
+	configure(store, 2, "second")
+	for range 20 {
+		// So many revisions are given out again.
+		store.Put(platform.PrefixServers+"i-other", []byte("no entry"))
+	}
+	for _, vm := range vms {
+		eventually(t, "the second configuration is in force", vm.serves("second"))
+	}
+	store.Restore(backup)
+	checkNever := func(d time.Duration, service string) {
+		t.Helper()
+		for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+			for _, vm := range vms {
+				if vm.serves(service)() {
+					t.Fatalf("%s serves %q after the store was restored", vm.settings.Name, service)
+				}
+			}
+		}
+	}
+	checkNever(time.Second, "first")
+	configure(store, 2, "second")
+	checkNever(500*time.Millisecond, "first")
+	configure(store, 3, "third")
+	for _, vm := range vms {
+		eventually(t, "the third configuration is in force", vm.serves("third"))
+	}
+}
+
 func TestPlannedStopCutsNothing(t *testing.T) {
 	store := storetest.Start(t, 100)
 	startBackend(t, store, "i-1", "one", 600*time.Millisecond)
--- a/internal/node/seeds.go
+++ b/internal/node/seeds.go
@@ -39,7 +39,7 @@
 
 // ServeHTTP implements http.Handler.
 func (h *seedHandler) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
-	data, err := peer.Marshal(seedResponse{States: h.liveness.States(), Batch: h.copy.Since(0)})
+	data, err := peer.Marshal(seedResponse{States: h.liveness.States(), Batch: h.copy.Since(replica.Position{})})
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
@@ -81,7 +81,7 @@
 func (s *seedClient) Stop(ctx context.Context) error { return s.group.Stop(ctx) }
 
 func (s *seedClient) run(ctx context.Context) {
-	for background.Sleep(ctx, seedRetryDelay) && s.copy.Revision() == 0 {
+	for background.Sleep(ctx, seedRetryDelay) && s.copy.Position().IsZero() {
 		for _, address := range s.addresses {
 			if address != s.self {
 				s.fetch(ctx, address)
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -65,18 +65,18 @@
 	properties.Property("replicas", prop.ForAll(func(seed uint64) string {
 		random := rand.New(rand.NewPCG(seed, 1))
 		store := &fakeStore{items: map[string]Event{}}
-		reader, follower := New(), New()
+		reader, follower := New(nil), New(nil)
 		newest := map[string]uint64{}
 		var delayed []Batch
 		for range 120 {
 			store.mutate(random)
 			switch random.IntN(5) {
 			case 0:
-				reader.Apply(store.batch(min(reader.Revision(), store.revision)))
+				reader.Apply(store.batch(min(reader.Position().Revision, store.revision)))
 			case 1:
 				reader.Apply(store.fullBatch())
 			case 2:
-				delayed = append(delayed, reader.Since(follower.Revision()))
+				delayed = append(delayed, reader.Since(follower.Position()))
 			case 3:
 				delayed = append(delayed, store.fullBatch())
 			case 4:
@@ -91,8 +91,8 @@
 				newest[item.Key] = item.Revision
 			}
 		}
-		reader.Apply(store.batch(reader.Revision()))
-		follower.Apply(reader.Since(follower.Revision()))
+		reader.Apply(store.batch(reader.Position().Revision))
+		follower.Apply(reader.Since(follower.Position()))
 		if !sameItems(reader, store.items) || !sameItems(follower, store.items) {
 			return "the replicas differ from the store"
 		}
@@ -102,14 +102,14 @@
 }
 
 func TestFollowerBehindTheLogGetsEverything(t *testing.T) {
-	r := New()
+	r := New(nil)
 	for i := uint64(1); i <= maxLogEvents+10; i++ {
 		r.Apply(Batch{Events: []Event{{Key: fmt.Sprint(i % 7), Value: []byte("v"), Revision: i}}, To: i})
 	}
-	if batch := r.Since(5); !batch.Full || len(batch.Events) != 7 {
+	if batch := r.Since(Position{Revision: 5}); !batch.Full || len(batch.Events) != 7 {
 		t.Errorf("got full %v with %d items", batch.Full, len(batch.Events))
 	}
-	if batch := r.Since(maxLogEvents + 5); batch.Full || len(batch.Events) != 5 {
+	if batch := r.Since(Position{Revision: maxLogEvents + 5}); batch.Full || len(batch.Events) != 5 {
 		t.Errorf("got full %v with %d events", batch.Full, len(batch.Events))
 	}
 }
@@ -117,15 +117,15 @@
 // A configuration may be hundreds of kilobytes in size. After a rapid series of
 // changes a follower on a slow link must get only the latest one.
 func TestFollowersGetOnlyTheNewestOfAKey(t *testing.T) {
-	r := New()
+	r := New(nil)
 	r.Apply(Batch{Full: true, Events: []Event{{Key: "op/config", Revision: 1}}, To: 1})
 	r.Apply(Batch{To: 6, Events: []Event{
 		{Key: "op/config", Revision: 2}, {Key: "servers/a", Revision: 3}, {Key: "op/config", Revision: 4},
 		{Key: "servers/a", Revision: 5, Deleted: true}, {Key: "op/config", Revision: 6},
 	}})
-	follower := New()
+	follower := New(nil)
 	follower.Apply(Batch{Full: true, Events: []Event{{Key: "op/config", Revision: 1}}, To: 1})
-	batch := r.Since(1)
+	batch := r.Since(Position{Revision: 1})
 	if len(batch.Events) != 2 || batch.To != 6 {
 		t.Errorf("%d events up to revision %d, want the 2 latest up to 6", len(batch.Events), batch.To)
 	}
@@ -141,14 +141,14 @@
 // A listing that is older than the replica holds no news. The events after it
 // must stay in the log, or a follower takes itself to be complete without them.
 func TestOldListingKeepsTheLog(t *testing.T) {
-	r := New()
+	r := New(nil)
 	r.Apply(Batch{Full: true, To: 20, Events: []Event{{Key: "servers/a", Revision: 3}}})
 	r.Apply(Batch{To: 29, Events: []Event{{Key: "op/config", Revision: 29}, {Key: "servers/a", Revision: 25, Deleted: true}}})
 	r.Apply(Batch{Full: true, To: 14, Events: []Event{{Key: "servers/a", Revision: 3}}})
 	if _, ok := r.Item("servers/a"); ok {
 		t.Error("the old listing brought back a deleted server")
 	}
-	if batch := r.Since(20); batch.Full || len(batch.Events) != 2 || batch.To != 29 {
+	if batch := r.Since(Position{Revision: 20}); batch.Full || len(batch.Events) != 2 || batch.To != 29 {
 		t.Errorf("Since(20) returns full %v, %d events up to %d; want 2 events up to 29", batch.Full, len(batch.Events), batch.To)
 	}
 }
@@ -186,7 +186,7 @@
 // staleKey returns a key whose state in r contradicts the revision up to which r
 // claims to be complete. A state newer than that revision is allowed.
 func (h *history) staleKey(r *Replica) string {
-	complete := r.Revision()
+	complete := r.Position().Revision
 	for k := range historyKeys {
 		key := fmt.Sprint("k", k)
 		want, known := h.stateAt(key, complete)
@@ -222,7 +222,7 @@
 		random := rand.New(rand.NewPCG(seed, 2))
 		store := &history{fakeStore{items: map[string]Event{}}}
 		store.mutate(random)
-		replicas := []*Replica{New(), New(), New(), New()}
+		replicas := []*Replica{New(nil), New(nil), New(nil), New(nil)}
 		type delivery struct {
 			to    *Replica
 			batch Batch
@@ -238,12 +238,12 @@
 			case 2:
 				batch = store.listInPages(random)
 			case 3:
-				if to.Revision() == 0 {
+				if to.Position().Revision == 0 {
 					continue
 				}
-				batch = store.batch(to.Revision())
+				batch = store.batch(to.Position().Revision)
 			default:
-				batch = from.Since(to.Revision())
+				batch = from.Since(to.Position())
 			}
 			if random.IntN(3) > 0 {
 				delayed = append(delayed, delivery{to, batch})
@@ -254,7 +254,7 @@
 			}
 			to.Apply(batch)
 			if key := store.staleKey(to); key != "" {
-				return fmt.Sprintf("%s is stale in a replica at revision %d after a batch %+v", key, to.Revision(), batch)
+				return fmt.Sprintf("%s is stale in a replica at revision %d after a batch %+v", key, to.Position().Revision, batch)
 			}
 		}
 		return ""
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -2,7 +2,7 @@
 // others its number of outstanding requests at each backend server, so that every
 // VM can estimate the queue of a server from the requests of all VMs, and reports its
 // requests to servers that limit them. The messages
-// also carry the revision of the sender's replica of the store, so that a VM with a
+// also carry the position of the sender's replica of the store, so that a VM with a
 // stale replica notices.
 package share
 
@@ -18,6 +18,7 @@
 	"fuchsiaspar/internal/catalog"
 	"fuchsiaspar/internal/model"
 	"fuchsiaspar/internal/peer"
+	"fuchsiaspar/internal/replica"
 )
 
 const (
@@ -59,8 +60,9 @@
 
 // message is the message that VMs send each other.
 type message struct {
-	// Revision is the store revision of the sender's replica.
+	// Revision and Era are the position of the sender's replica of the store.
 	Revision uint64 `cbor:"1,keyasint"`
+	Era      uint64 `cbor:"4,keyasint,omitempty"`
 	// Counts are the sender's outstanding requests.
 	Counts Counts `cbor:"2,keyasint,omitempty"`
 	// Limits are the sender's reports about servers that limit their requests.
@@ -69,10 +71,10 @@
 
 // Feed maintains this VM's replica of the store.
 type Feed interface {
-	// Revision returns the revision of the replica.
-	Revision() uint64
-	// ObserveRevision reports that vm's replica is at revision.
-	ObserveRevision(vm catalog.VM, revision uint64, now time.Time)
+	// Position returns the position of the replica.
+	Position() replica.Position
+	// ObservePosition reports that vm's replica is at position.
+	ObservePosition(vm catalog.VM, position replica.Position, now time.Time)
 }
 
 // Fleet holds the outstanding requests of this VM and of other VMs.
@@ -135,7 +137,7 @@
 	s.fleet.SetRemoteLimits(from, msg.Limits, now)
 	for _, vm := range s.liveVMs() {
 		if vm.Name == from {
-			s.feed.ObserveRevision(vm, msg.Revision, now)
+			s.feed.ObservePosition(vm, replica.Position{Era: msg.Era, Revision: msg.Revision}, now)
 		}
 	}
 	return nil, nil
@@ -144,7 +146,8 @@
 func (s *Service) sendRound(now time.Time) {
 	s.rounds++
 	s.fleet.ExpireRemoteCounts(now)
-	msg := message{Revision: s.feed.Revision(), Counts: s.fleet.Outstanding(), Limits: s.fleet.LimitReports(now)}
+	position := s.feed.Position()
+	msg := message{Revision: position.Revision, Era: position.Era, Counts: s.fleet.Outstanding(), Limits: s.fleet.LimitReports(now)}
 	empty := len(msg.Counts) == 0 && len(msg.Limits) == 0
 	if empty && s.lastSentEmpty {
 		return
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -12,6 +12,7 @@
 	"fuchsiaspar/internal/catalog"
 	"fuchsiaspar/internal/model"
 	"fuchsiaspar/internal/peer/peertest"
+	"fuchsiaspar/internal/replica"
 )
 
 // fakeFleet has fixed outstanding requests and records the counts it receives.
@@ -59,19 +60,21 @@
 	return len(f.received), f.messages
 }
 
-// fakeFeed is at a fixed revision and records the highest revision of a hint.
+// fakeFeed is at a fixed position and records the latest position of a hint.
 type fakeFeed struct {
-	revision uint64
+	position replica.Position
 	mu       sync.Mutex
-	newest   uint64
+	newest   replica.Position
 }
 
-func (f *fakeFeed) Revision() uint64 { return f.revision }
+func (f *fakeFeed) Position() replica.Position { return f.position }
 
-func (f *fakeFeed) ObserveRevision(_ catalog.VM, revision uint64, _ time.Time) {
+func (f *fakeFeed) ObservePosition(_ catalog.VM, position replica.Position, _ time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.newest = max(f.newest, revision)
+	if position.After(f.newest) {
+		f.newest = position
+	}
 }
 
 func startAll(t *testing.T, count int, own func(i int) Counts) []*fakeFleet {
@@ -87,7 +90,7 @@
 		fleet := &fakeFleet{own: own(i), received: map[model.VMID]Counts{}, receivedLimits: map[model.VMID]LimitReports{}}
 		fleets = append(fleets, fleet)
 		endpoint := net.Join(vm.Name)
-		s := New(vm.Name, fleet, &fakeFeed{revision: 1}, endpoint, func() []catalog.VM { return vms }, rand.New(rand.NewPCG(uint64(i), 1)))
+		s := New(vm.Name, fleet, &fakeFeed{position: replica.Position{Era: 1, Revision: 1}}, endpoint, func() []catalog.VM { return vms }, rand.New(rand.NewPCG(uint64(i), 1)))
 		if err := s.Start(context.Background()); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/state/service.go
+++ b/internal/state/service.go
@@ -32,8 +32,8 @@
 	opts    Options
 	group   background.Group
 	current atomic.Pointer[catalog.Snapshot]
-	// appliedRevision is the revision up to which the Builder is complete.
-	appliedRevision uint64
+	// applied is the position up to which the Builder is complete.
+	applied replica.Position
 }
 
 // New returns a Service with an empty snapshot.
@@ -76,12 +76,12 @@
 }
 
 func (s *Service) update(now time.Time) {
-	batch := s.opts.Replica.Since(s.appliedRevision)
-	if batch.To == s.appliedRevision && len(batch.Events) == 0 {
+	batch := s.opts.Replica.Since(s.applied)
+	if batch.Position() == s.applied && len(batch.Events) == 0 {
 		return
 	}
 	s.opts.Builder.Apply(batch, s.opts.Outage(now), now)
-	s.appliedRevision = batch.To
+	s.applied = batch.Position()
 	s.publish(now)
 }
 
@@ -92,7 +92,7 @@
 }
 
 func (s *Service) publish(now time.Time) {
-	snapshot := s.opts.Builder.Snapshot(s.appliedRevision)
+	snapshot := s.opts.Builder.Snapshot(s.applied.Revision)
 	s.current.Store(snapshot)
 	s.opts.OnSnapshot(snapshot, now)
 }
