Keep a zone evacuated while the store has lost the evacuation

Found by looking for the cause of the lost configuration elsewhere. Callers would have reached the servers of an evacuated zone between the return of a restored store and the moment at which the operator has written the evacuation again.

Cause: entries of servers that vanish with the store have time to come back, evacuations had none. The same holds for a listing after an outage in which the history was dropped.

TestEvacuationSurvivesARestore fails on the code before in four of five cases ('evacuated after the listing: false, want true') and passes now.

--- a/internal/state/builder.go
+++ b/internal/state/builder.go
@@ -46,9 +46,11 @@
 	decoder Decoder
 	log     *decisions.Log
 
-	config    *catalog.Config
-	servers   map[model.ServerID]serverEntry
-	evacuated map[model.Zone]bool
+	config  *catalog.Config
+	servers map[model.ServerID]serverEntry
+	// evacuated holds the evacuated zones, each with the time at which a zone whose
+	// evacuation vanished from the store is taken back; zero while it is there.
+	evacuated map[model.Zone]time.Time
 	vms       map[model.VMID]catalog.VM
 	// knownKeys holds the keys of all items, to find those a full batch lacks.
 	knownKeys map[string]bool
@@ -63,7 +65,7 @@
 		decoder:   decode,
 		log:       log,
 		servers:   map[model.ServerID]serverEntry{},
-		evacuated: map[model.Zone]bool{},
+		evacuated: map[model.Zone]time.Time{},
 		vms:       map[model.VMID]catalog.VM{},
 		knownKeys: map[string]bool{},
 	}
@@ -99,15 +101,25 @@
 	}
 }
 
+// removeUnlisted removes what a full batch lacks. After an outage its writer may not have
+// written it again yet.
 func (b *Builder) removeUnlisted(batch replica.Batch, outage Outage, now time.Time) {
 	listedKeys := make(map[string]bool, len(batch.Events))
 	for _, event := range batch.Events {
 		listedKeys[event.Key] = true
 	}
 	for key := range b.knownKeys {
-		if !listedKeys[key] {
-			b.applyEvent(replica.Event{Key: key, Deleted: true, Revision: batch.To}, outage, now)
+		if listedKeys[key] {
+			continue
+		}
+		zone, isEvacuation := strings.CutPrefix(key, b.decoder.EvacuatePrefix)
+		if deadline := outage.graceDeadline(now); isEvacuation && !deadline.IsZero() {
+			delete(b.knownKeys, key)
+			b.evacuated[model.Zone(zone)] = deadline
+			b.log.Event("evacuation vanished while the store was away", "zone", zone, "revision", batch.To, "until", deadline.Sub(now))
+			continue
 		}
+		b.applyEvent(replica.Event{Key: key, Deleted: true, Revision: batch.To}, outage, now)
 	}
 }
 
@@ -153,15 +165,18 @@
 
 func (b *Builder) applyEvacuation(event replica.Event) {
 	zone := model.Zone(strings.TrimPrefix(event.Key, b.decoder.EvacuatePrefix))
+	_, evacuated := b.evacuated[zone]
 	if event.Deleted {
+		if evacuated {
+			b.log.Event("zone taken back", "zone", zone, "revision", event.Revision)
+		}
 		delete(b.evacuated, zone)
-		b.log.Event("zone taken back", "zone", zone, "revision", event.Revision)
 		return
 	}
-	if !b.evacuated[zone] {
+	if !evacuated {
 		b.log.Event("zone evacuated", "zone", zone, "revision", event.Revision)
 	}
-	b.evacuated[zone] = true
+	b.evacuated[zone] = time.Time{}
 }
 
 func (b *Builder) applyServer(event replica.Event, outage Outage, now time.Time) {
@@ -217,11 +232,11 @@
 	b.vms[name] = vm
 }
 
-// Expire removes the servers whose entries did not reappear in time, and reports
-// whether it removed any. While the replica is disconnected, entries cannot
-// reappear, so the grace period starts over.
+// Expire removes the servers and the evacuations whose entries did not reappear in
+// time, and reports whether it removed any. While the replica is disconnected, entries
+// cannot reappear, so the grace period starts over.
 func (b *Builder) Expire(outage Outage, now time.Time) bool {
-	removed := false
+	removed := b.expireEvacuations(outage, now)
 	for id, entry := range b.servers {
 		if entry.expiresAt.IsZero() {
 			continue
@@ -240,6 +255,22 @@
 	return removed
 }
 
+func (b *Builder) expireEvacuations(outage Outage, now time.Time) bool {
+	removed := false
+	for zone, expiresAt := range b.evacuated {
+		switch {
+		case expiresAt.IsZero():
+		case outage.Disconnected:
+			b.evacuated[zone] = now.Add(missingEntryGrace)
+		case now.After(expiresAt):
+			delete(b.evacuated, zone)
+			removed = true
+			b.log.Event("zone taken back", "zone", zone, "cause", "evacuation did not reappear")
+		}
+	}
+	return removed
+}
+
 // Snapshot returns the current state as a snapshot with the given revision.
 func (b *Builder) Snapshot(revision uint64) *catalog.Snapshot {
 	servers := make([]*catalog.Server, 0, len(b.servers))
--- a/internal/state/builder_test.go
+++ b/internal/state/builder_test.go
@@ -158,3 +158,40 @@
 		t.Errorf("configuration updated at %v, servers updated at %v", s.ConfigUpdatedAt, s.ServersUpdatedAt)
 	}
 }
+
+// TestEvacuationSurvivesARestore guards against requests to an evacuated zone after the
+// store has lost the evacuation, until the operator has written it again.
+func TestEvacuationSurvivesARestore(t *testing.T) {
+	tests := []struct {
+		desc   string
+		outage Outage
+		// later is applied, if it has a key, one second after the listing.
+		later replica.Event
+		// evacuated is expected at once and after the grace period.
+		evacuated, still bool
+	}{
+		{"not written again", Outage{RecoveredAt: start}, replica.Event{}, true, false},
+		{"written again", Outage{RecoveredAt: start}, put("evacuate/z1", "{}", 8), true, true},
+		{"taken back", Outage{RecoveredAt: start}, deleted("evacuate/z1", 8), true, false},
+		{"still disconnected", Outage{Disconnected: true}, replica.Event{}, true, true},
+		{"no outage", Outage{}, replica.Event{}, false, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			b := NewBuilder(testDecoder(), decisions.Discard())
+			apply(b, Outage{}, start, put("servers/a", "s,ready", 1), put("evacuate/z1", "{}", 2))
+			b.Apply(replica.Batch{Full: true, To: 7, Era: 2, Events: []replica.Event{put("servers/a", "s,ready", 1)}}, tt.outage, start)
+			if got := usable(b) == 0; got != tt.evacuated {
+				t.Errorf("evacuated after the listing: %v, want %v", got, tt.evacuated)
+			}
+			if tt.later.Key != "" {
+				apply(b, tt.outage, start.Add(time.Second), tt.later)
+			}
+			b.Expire(tt.outage, start.Add(time.Second))
+			b.Expire(tt.outage, start.Add(missingEntryGrace+time.Millisecond))
+			if got := usable(b) == 0; got != tt.still {
+				t.Errorf("evacuated after the grace period: %v, want %v", got, tt.still)
+			}
+		})
+	}
+}
