Hold back servers that had left and come back with a restored store

Found by looking for the cause of the lost configuration elsewhere: a server whose entry had been removed before a restore was listed again by the older copy and got requests until its entry lapsed, about 4.5 s later, although every VM had acknowledged that it left.

Cause: the removal was remembered nowhere but in the store. Change: a VM remembers for a minute which server processes left. One that a restored store lists again gets nothing for 5 s; by then its entry has lapsed, or the server lives and is used. A new process under the same id is used at once. The status of the store that the feed gives is a type now, since it has a third part.

TestServerThatLeftStaysAwayAfterARestore fails with the hold taken out ('used after the listing: true, want false') and passes with it.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -103,6 +103,8 @@
 	// recoveredAt is when the store last became reachable again, for this VM or
 	// for a reader that it polls.
 	recoveredAt time.Time
+	// restoredAt is when the replica last went over to a later era of the store.
+	restoredAt time.Time
 	// aheadPosition is a position after the replica's that another VM has had since
 	// laggingSince.
 	aheadPosition replica.Position
@@ -152,12 +154,20 @@
 	return now.Sub(s.syncedAt)
 }
 
-// StoreStatus returns when the store last became reachable again after an
-// outage, zero if never, and whether the replica is stale now.
-func (s *Service) StoreStatus(now time.Time) (recoveredAt time.Time, disconnected bool) {
+// StoreStatus describes the state of the store as seen by this VM.
+type StoreStatus struct {
+	// RecoveredAt is when the store last became reachable again after an outage, and
+	// RestoredAt when the replica last went over to a later era; zero means never.
+	RecoveredAt, RestoredAt time.Time
+	// Disconnected reports whether the replica is stale.
+	Disconnected bool
+}
+
+// StoreStatus returns the state of the store.
+func (s *Service) StoreStatus(now time.Time) StoreStatus {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.recoveredAt, now.Sub(s.syncedAt) > staleAfter
+	return StoreStatus{RecoveredAt: s.recoveredAt, RestoredAt: s.restoredAt, Disconnected: now.Sub(s.syncedAt) > staleAfter}
 }
 
 // Position returns the position of the replica.
@@ -244,16 +254,12 @@
 		return
 	}
 	current := s.opts.Replica.Position()
-	restored := !current.IsZero() && batch.Era > current.Era
-	if restored && !batch.Full {
+	if beginsEra(batch, current) && !batch.Full {
 		s.relist = true
 		return
 	}
-	s.handleStoreSuccess(restored, now)
-	if restored {
-		s.opts.Log.Event("store restored from an older copy", "era", batch.Era, "previous", current.Era,
-			"store_revision", batch.To, "revision", current.Revision, "items", len(batch.Events))
-	}
+	s.handleStoreSuccess(now)
+	s.noteRestore(batch, current, now)
 	s.relist = false
 	applied := s.opts.Replica.Apply(batch)
 	switch {
@@ -266,6 +272,26 @@
 	}
 }
 
+// beginsEra reports whether batch comes from a store that has been restored since the
+// replica was at position.
+func beginsEra(batch replica.Batch, position replica.Position) bool {
+	return !position.IsZero() && batch.Era > position.Era
+}
+
+// noteRestore records that batch begins a new era, before the replica at position applies
+// it. As after an outage, entries may be missing until their writers have written them
+// again.
+func (s *Service) noteRestore(batch replica.Batch, position replica.Position, now time.Time) {
+	if !beginsEra(batch, position) {
+		return
+	}
+	s.mu.Lock()
+	s.recoveredAt, s.restoredAt = now, now
+	s.mu.Unlock()
+	s.opts.Log.Event("store restored from an older copy", "era", batch.Era, "previous", position.Era,
+		"store_revision", batch.To, "revision", position.Revision, "items", len(batch.Events))
+}
+
 // fetch lists the store if the replica is empty or can't continue from its position, and
 // watches it otherwise.
 func (s *Service) fetch(ctx context.Context) (replica.Batch, error) {
@@ -310,14 +336,12 @@
 	return s.storeDown
 }
 
-// handleStoreSuccess records a call that succeeded. After a restore, as after an outage,
-// entries may be missing until their writers have written them again.
-func (s *Service) handleStoreSuccess(restored bool, now time.Time) {
+func (s *Service) handleStoreSuccess(now time.Time) {
 	s.mu.Lock()
 	recovered := s.storeDown
 	s.storeDown = false
 	s.syncedAt = now
-	if recovered || restored {
+	if recovered {
 		s.recoveredAt = now
 	}
 	s.mu.Unlock()
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -246,7 +246,7 @@
 		time.Sleep(2 * time.Second)
 		f.expectRevision(t, revision)
 		for _, vm := range f.vms {
-			if _, disconnected := f.feeds[vm.Name].StoreStatus(time.Now()); disconnected {
+			if disconnected := f.feeds[vm.Name].StoreStatus(time.Now()).Disconnected; disconnected {
 				t.Errorf("%s reports its replica as stale", vm.Name)
 			}
 		}
@@ -321,7 +321,7 @@
 		calls := f.store.callCounts()
 		for _, vm := range f.vms {
 			total += calls[vm.Name]
-			if _, disconnected := f.feeds[vm.Name].StoreStatus(time.Now()); !disconnected {
+			if disconnected := f.feeds[vm.Name].StoreStatus(time.Now()).Disconnected; !disconnected {
 				t.Errorf("%s reports its replica as current", vm.Name)
 			}
 		}
@@ -335,7 +335,7 @@
 		time.Sleep(2 * time.Second)
 		f.expectRevision(t, revision)
 		for _, vm := range f.vms {
-			if at, disconnected := f.feeds[vm.Name].StoreStatus(time.Now()); disconnected || at.Before(recoveredAt) {
+			if status := f.feeds[vm.Name].StoreStatus(time.Now()); status.Disconnected || status.RecoveredAt.Before(recoveredAt) {
 				t.Errorf("%s did not notice that the store recovered", vm.Name)
 			}
 		}
@@ -537,9 +537,8 @@
 					if got := len(c.Items("servers/")); got != tt.again {
 						t.Errorf("%s has %d servers, want %d", vm.Name, got, tt.again)
 					}
-					recoveredAt, _ := f.feeds[vm.Name].StoreStatus(time.Now())
-					if recoveredAt.IsZero() {
-						t.Errorf("%s takes missing entries for gone", vm.Name)
+					if status := f.feeds[vm.Name].StoreStatus(time.Now()); status.RecoveredAt.IsZero() || status.RestoredAt.IsZero() {
+						t.Errorf("%s takes missing entries for gone: %+v", vm.Name, status)
 					}
 				}
 			})
--- a/internal/feed/poll.go
+++ b/internal/feed/poll.go
@@ -88,6 +88,7 @@
 		s.avoidUntil[vm.Name] = now.Add(peerBackoff)
 	}
 	s.updateFreshness(resp, now)
+	s.noteRestore(batch, position, now)
 	s.opts.Replica.Apply(batch)
 }
 
@@ -131,7 +132,7 @@
 	}
 	now := time.Now()
 	resp := pollResponse{Batch: batch, Age: s.Age(now), RecoveredAgo: -1, StoreDown: s.isStoreDown()}
-	if recoveredAt, _ := s.StoreStatus(now); !recoveredAt.IsZero() {
+	if recoveredAt := s.StoreStatus(now).RecoveredAt; !recoveredAt.IsZero() {
 		resp.RecoveredAgo = now.Sub(recoveredAt)
 	}
 	return resp, nil
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -224,8 +224,8 @@
 			VM: platform.DecodeVM,
 		}, b.node.log),
 		Outage: func(now time.Time) state.Outage {
-			recoveredAt, disconnected := b.feed.StoreStatus(now)
-			return state.Outage{Disconnected: disconnected, RecoveredAt: recoveredAt}
+			status := b.feed.StoreStatus(now)
+			return state.Outage{Disconnected: status.Disconnected, RecoveredAt: status.RecoveredAt, RestoredAt: status.RestoredAt}
 		},
 		OnSnapshot: func(snapshot *catalog.Snapshot, now time.Time) {
 			b.client.CloseIdle(b.fleet.SetSnapshot(snapshot, now))
--- a/internal/state/builder.go
+++ b/internal/state/builder.go
@@ -18,6 +18,16 @@
 // during an outage, so entries vanish although their servers are running.
 const missingEntryGrace = 2200 * time.Millisecond
 
+const (
+	// returnHold is how long a server that had left gets no requests after its entry
+	// came back with a restored store: the entries of servers that are gone lapse after
+	// three heartbeats, 4.5 s.
+	returnHold = 5 * time.Second
+	// departureMemory is how long it is remembered that a server left. Copies from
+	// which a store is restored are some seconds old.
+	departureMemory = time.Minute
+)
+
 // Decoder defines the keys of the store's items and decodes their values.
 type Decoder struct {
 	// ConfigKey is the key of the configuration. The prefixes are followed by the
@@ -38,6 +48,15 @@
 	// expiresAt is when a server whose entry vanished is removed; zero while the
 	// entry exists.
 	expiresAt time.Time
+	// heldUntil is when a server that had left may get requests again; zero if it had
+	// not left.
+	heldUntil time.Time
+}
+
+// departure records that a server process left.
+type departure struct {
+	started int64
+	at      time.Time
 }
 
 // Builder turns events into snapshots. The current time is always passed in. A
@@ -48,6 +67,8 @@
 
 	config  *catalog.Config
 	servers map[model.ServerID]serverEntry
+	// departed holds the servers that left lately.
+	departed map[model.ServerID]departure
 	// evacuated holds the evacuated zones, each with the time at which a zone whose
 	// evacuation vanished from the store is taken back; zero while it is there.
 	evacuated map[model.Zone]time.Time
@@ -65,6 +86,7 @@
 		decoder:   decode,
 		log:       log,
 		servers:   map[model.ServerID]serverEntry{},
+		departed:  map[model.ServerID]departure{},
 		evacuated: map[model.Zone]time.Time{},
 		vms:       map[model.VMID]catalog.VM{},
 		knownKeys: map[string]bool{},
@@ -77,6 +99,9 @@
 	Disconnected bool
 	// RecoveredAt is when the store last became reachable again; zero means never.
 	RecoveredAt time.Time
+	// RestoredAt is when the replica last went over to a store that had been restored
+	// from an older copy; zero means never.
+	RestoredAt time.Time
 }
 
 // graceDeadline returns until when a server whose entry vanished at now may be
@@ -91,6 +116,12 @@
 	return time.Time{}
 }
 
+// bringsBack reports whether entries that appear at now may be those of the copy from
+// which the store was restored.
+func (o Outage) bringsBack(now time.Time) bool {
+	return !o.RestoredAt.IsZero() && now.Sub(o.RestoredAt) < missingEntryGrace
+}
+
 // Apply applies a batch. Items that a full batch lacks are removed.
 func (b *Builder) Apply(batch replica.Batch, outage Outage, now time.Time) {
 	if batch.Full {
@@ -192,13 +223,34 @@
 		return
 	}
 	previous, known := b.servers[id]
-	b.servers[id] = serverEntry{server: server}
+	b.servers[id] = serverEntry{server: server, heldUntil: b.holdUntil(server, event, outage, now)}
 	if !known || previous.server.Draining != server.Draining || previous.server.Started != server.Started {
 		b.log.Event("server listed", "server", id, "service", server.Service, "zone", server.Zone,
 			"draining", server.Draining, "cold", server.ColdRemaining, "revision", event.Revision)
 	}
 }
 
+// holdUntil returns until when a listed server gets no requests because this process of
+// it had left; zero if it may get them.
+func (b *Builder) holdUntil(server *catalog.Server, event replica.Event, outage Outage, now time.Time) time.Time {
+	previous, known := b.servers[server.ID]
+	if known && previous.server.Started == server.Started {
+		return previous.heldUntil
+	}
+	left, ok := b.departed[server.ID]
+	if known || !ok || left.started != server.Started || !outage.bringsBack(now) {
+		return time.Time{}
+	}
+	b.log.Event("server that had left is listed again", "server", server.ID, "revision", event.Revision, "held", returnHold)
+	return now.Add(returnHold)
+}
+
+// removeServer removes a server that left.
+func (b *Builder) removeServer(id model.ServerID, now time.Time) {
+	b.departed[id] = departure{started: b.servers[id].server.Started, at: now}
+	delete(b.servers, id)
+}
+
 // handleServerDeletion removes a server whose entry was deleted. During an
 // outage and shortly after one it keeps the server for a grace period, unless
 // the server is draining.
@@ -209,7 +261,7 @@
 	}
 	deadline := outage.graceDeadline(now)
 	if deadline.IsZero() || entry.server.Draining {
-		delete(b.servers, id)
+		b.removeServer(id, now)
 		b.log.Event("server gone", "server", id, "revision", event.Revision)
 		return
 	}
@@ -233,11 +285,28 @@
 }
 
 // Expire removes the servers and the evacuations whose entries did not reappear in
-// time, and reports whether it removed any. While the replica is disconnected, entries
-// cannot reappear, so the grace period starts over.
+// time, and releases the servers that were held. It reports whether it changed anything.
+// While the replica is disconnected, entries cannot reappear, so the grace period starts
+// over.
 func (b *Builder) Expire(outage Outage, now time.Time) bool {
-	removed := b.expireEvacuations(outage, now)
+	for id, left := range b.departed {
+		if now.Sub(left.at) > departureMemory {
+			delete(b.departed, id)
+		}
+	}
+	evacuationsChanged := b.expireEvacuations(outage, now)
+	return b.expireServers(outage, now) || evacuationsChanged
+}
+
+func (b *Builder) expireServers(outage Outage, now time.Time) bool {
+	changed := false
 	for id, entry := range b.servers {
+		if !entry.heldUntil.IsZero() && now.After(entry.heldUntil) {
+			entry.heldUntil = time.Time{}
+			b.servers[id] = entry
+			changed, b.serversUpdatedAt = true, now
+			b.log.Event("server released", "server", id, "cause", "its entry has not lapsed")
+		}
 		if entry.expiresAt.IsZero() {
 			continue
 		}
@@ -247,12 +316,12 @@
 			continue
 		}
 		if now.After(entry.expiresAt) {
-			delete(b.servers, id)
-			removed, b.serversUpdatedAt = true, now
+			b.removeServer(id, now)
+			changed, b.serversUpdatedAt = true, now
 			b.log.Event("server gone", "server", id, "cause", "entry did not reappear")
 		}
 	}
-	return removed
+	return changed
 }
 
 func (b *Builder) expireEvacuations(outage Outage, now time.Time) bool {
@@ -275,7 +344,9 @@
 func (b *Builder) Snapshot(revision uint64) *catalog.Snapshot {
 	servers := make([]*catalog.Server, 0, len(b.servers))
 	for _, entry := range b.servers {
-		servers = append(servers, entry.server)
+		if entry.heldUntil.IsZero() {
+			servers = append(servers, entry.server)
+		}
 	}
 	evacuated := make(map[model.Zone]bool, len(b.evacuated))
 	for zone := range b.evacuated {
--- a/internal/state/builder_test.go
+++ b/internal/state/builder_test.go
@@ -32,7 +32,7 @@
 				return nil, errors.New("no state")
 			}
 			return &catalog.Server{
-				ID: model.ServerID(strings.TrimPrefix(key, "servers/")), Service: model.ServiceName(service),
+				Started: int64(len(service)), ID: model.ServerID(strings.TrimPrefix(key, "servers/")), Service: model.ServiceName(service),
 				Zone: "z1", Draining: state == "draining",
 			}, nil
 		},
@@ -195,3 +195,49 @@
 		})
 	}
 }
+
+// TestServerThatLeftStaysAwayAfterARestore guards against requests to a server that had left
+// before the store went back to a copy that still lists it.
+func TestServerThatLeftStaysAwayAfterARestore(t *testing.T) {
+	restored := Outage{RecoveredAt: start, RestoredAt: start}
+	tests := []struct {
+		desc   string
+		left   time.Duration
+		outage Outage
+		entry  replica.Event
+		// used is expected at once, usedLater after returnHold.
+		used, usedLater bool
+	}{
+		{"listed by the copy", 10 * time.Second, restored, put("servers/a", "s,ready", 1), false, true},
+		{"a new process", 10 * time.Second, restored, put("servers/a", "s2,ready", 9), true, true},
+		{"left long ago", 2 * departureMemory, restored, put("servers/a", "s,ready", 1), true, true},
+		{"no restore", 10 * time.Second, Outage{RecoveredAt: start}, put("servers/a", "s,ready", 9), true, true},
+		{"draining in the copy", 10 * time.Second, restored, put("servers/a", "s,draining", 1), false, false},
+	}
+	count := func(b *Builder) int { return usable(b) + len(b.Snapshot(0).Servers["s2"]) }
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			b := NewBuilder(testDecoder(), decisions.Discard())
+			apply(b, Outage{}, start.Add(-tt.left), put("servers/a", "s,ready", 1), put("servers/b", "other,ready", 2), deleted("servers/a", 3))
+			b.Expire(Outage{}, start)
+			b.Apply(replica.Batch{Full: true, To: 9, Era: 2, Events: []replica.Event{tt.entry, put("servers/b", "other,ready", 2)}}, tt.outage, start)
+			if got := count(b) == 1; got != tt.used {
+				t.Errorf("used after the listing: %v, want %v", got, tt.used)
+			}
+			b.Expire(tt.outage, start.Add(returnHold+time.Millisecond))
+			if got := count(b) == 1; got != tt.usedLater {
+				t.Errorf("used after %v: %v, want %v", returnHold, got, tt.usedLater)
+			}
+		})
+	}
+	t.Run("its entry lapses", func(t *testing.T) {
+		b := NewBuilder(testDecoder(), decisions.Discard())
+		apply(b, Outage{}, start, put("servers/a", "s,ready", 1), deleted("servers/a", 3))
+		b.Apply(replica.Batch{Full: true, To: 2, Era: 2, Events: []replica.Event{put("servers/a", "s,ready", 1)}}, restored, start)
+		apply(b, restored, start.Add(4*time.Second), deleted("servers/a", 4))
+		b.Expire(restored, start.Add(returnHold+time.Millisecond))
+		if usable(b) != 0 {
+			t.Error("a server whose entry lapsed is used")
+		}
+	})
+}
