Let watches of the own interface continue after a restore

Change: the adapter remembers the era in which the last watch of a prefix returned, and lists the prefix when it is another one.

TestWatchContinuesAfterARestore fails on the code before for five changes after the restore (two of them are missing) and passes now.

--- a/internal/platform/kvstore/kvstore.go
+++ b/internal/platform/kvstore/kvstore.go
@@ -36,6 +36,9 @@
 
 	mu     sync.Mutex
 	random *rand.Rand
+	// watchEras holds the era of the store in which the last watch of each prefix
+	// returned. Revisions from before a restore mean nothing in a later era.
+	watchEras map[string]uint64
 }
 
 var (
@@ -46,7 +49,7 @@
 // New returns a Store that makes its calls through client. The source random
 // provides the jitter of retries.
 func New(client *kv.Client, random *rand.Rand, logger *log.Logger) *Store {
-	return &Store{client: client, random: random, logger: logger}
+	return &Store{client: client, random: random, logger: logger, watchEras: map[string]uint64{}}
 }
 
 // Get implements platform.Store.
@@ -57,13 +60,12 @@
 
 // List implements platform.Store.
 func (s *Store) List(ctx context.Context, prefix string) ([]platform.Entry, error) {
-	entries, _, err := s.list(ctx, prefix)
-	return entries, err
+	batch, err := s.list(ctx, prefix)
+	return toEntries(batch), err
 }
 
-func (s *Store) list(ctx context.Context, prefix string) ([]platform.Entry, uint64, error) {
-	batch, err := retryRateLimited(ctx, s, func() (replica.Batch, error) { return s.client.List(ctx, prefix) })
-	return toEntries(batch), batch.To, err
+func (s *Store) list(ctx context.Context, prefix string) (replica.Batch, error) {
+	return retryRateLimited(ctx, s, func() (replica.Batch, error) { return s.client.List(ctx, prefix) })
 }
 
 // Put implements platform.Store.
@@ -96,23 +98,50 @@
 }
 
 // Watch implements platform.Store. If the store no longer keeps the history after
-// the given revision, Watch returns all current entries under prefix. Deletions
-// made in the meantime are then missing.
+// the given revision, or has been restored from an older copy since the last Watch of
+// prefix, Watch returns all current entries under prefix. Deletions made in the meantime
+// are then missing.
 func (s *Store) Watch(ctx context.Context, prefix string, after uint64) ([]platform.Entry, uint64, error) {
 	for {
 		batch, err := retryRateLimited(ctx, s, func() (replica.Batch, error) { return s.client.Watch(ctx, prefix, after, watchWait) })
 		switch {
-		case errors.Is(err, kv.ErrCompacted):
-			return s.list(ctx, prefix)
+		case errors.Is(err, kv.ErrCompacted), err == nil && s.isRestored(prefix, batch.Era):
+			return s.relist(ctx, prefix, after)
 		case err != nil:
 			return nil, after, err
-		case len(batch.Events) > 0:
+		}
+		s.setWatchEra(prefix, batch.Era)
+		if len(batch.Events) > 0 {
 			return toEntries(batch), batch.To, nil
 		}
 		after = max(after, batch.To)
 	}
 }
 
+// relist returns all entries under prefix, for a watch that can't continue from after.
+func (s *Store) relist(ctx context.Context, prefix string, after uint64) ([]platform.Entry, uint64, error) {
+	batch, err := s.list(ctx, prefix)
+	if err != nil {
+		return nil, after, err
+	}
+	s.setWatchEra(prefix, batch.Era)
+	return toEntries(batch), batch.To, nil
+}
+
+// isRestored reports whether the store has been restored since the last watch of prefix.
+func (s *Store) isRestored(prefix string, era uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	last, ok := s.watchEras[prefix]
+	return ok && last != era
+}
+
+func (s *Store) setWatchEra(prefix string, era uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watchEras[prefix] = era
+}
+
 // VMs implements platform.VMList. It returns the backend servers registered in
 // the store, but no entry VMs, which find each other through their seeds and the
 // zones' records. It skips and logs invalid items.
--- a/internal/platform/kvstore/kvstore_test.go
+++ b/internal/platform/kvstore/kvstore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -155,3 +156,38 @@
 		t.Errorf("got %+v", vms)
 	}
 }
+
+// TestWatchContinuesAfterARestore guards against watches that miss the changes of a store
+// that went back and gives its revisions out again.
+func TestWatchContinuesAfterARestore(t *testing.T) {
+	for _, again := range []int{2, 5} {
+		t.Run(fmt.Sprint(again, " changes after the restore"), func(t *testing.T) {
+			store, fake := newStoreWithFake(t)
+			fake.Put("head", []byte("a"))
+			backup := fake.Backup()
+			for range 3 {
+				fake.Put("head", []byte("lost"))
+			}
+			_, after, err := store.Watch(t.Context(), "head", 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			fake.Restore(backup)
+			for i := range again {
+				fake.Put("head", fmt.Append(nil, "again-", i))
+			}
+			entries, latest, err := store.Watch(t.Context(), "head", after)
+			if err != nil {
+				t.Fatal(err)
+			}
+			want := fmt.Sprint("again-", again-1)
+			if len(entries) != 1 || string(entries[0].Value) != want {
+				t.Fatalf("got %v, want %s", entries, want)
+			}
+			fake.Put("head", []byte("next"))
+			if entries, _, err = store.Watch(t.Context(), "head", latest); err != nil || len(entries) != 1 || string(entries[0].Value) != "next" {
+				t.Errorf("got %v, %v; want the next change", entries, err)
+			}
+		})
+	}
+}
