Drop the lease of a VM's record when the store is restored

Suspected by reading, after the cause of the lost configuration: a restored store has lost the leases granted since its copy was made and may give their IDs out again. A VM that renews such a lease keeps another VM's record alive in place of its own, and ends it at its planned stop.

Change: a lease counts for the era in which it was granted. After a restore the VM asks for a new one and writes its record again; the old one expires by itself.

TestLeaseFromBeforeARestoreIsNotUsed guards it.

--- a/internal/feed/registrar.go
+++ b/internal/feed/registrar.go
@@ -6,6 +6,7 @@
 
 	"fuchsiaspar/internal/background"
 	"fuchsiaspar/internal/decisions"
+	"fuchsiaspar/internal/replica"
 )
 
 const (
@@ -41,6 +42,9 @@
 	Encode func() ([]byte, error)
 	// IsListed reports whether the record is in this VM's replica of the store.
 	IsListed func() bool
+	// Position returns the position of the replica. A lease does not outlast its era:
+	// the store may have lost it and given its ID to another VM.
+	Position func() replica.Position
 	// IsExpired reports whether an error of KeepAlive means that the lease has
 	// ended.
 	IsExpired func(error) bool
@@ -53,8 +57,10 @@
 	opts  RegistrarOptions
 	group background.Group
 
-	// lease is zero while there is none.
+	// lease is zero while there is none. It was granted when the replica was at
+	// grantedAt.
 	lease       uint64
+	grantedAt   replica.Position
 	lastWritten string
 }
 
@@ -75,6 +81,7 @@
 	if err := r.group.Stop(ctx); err != nil {
 		return err
 	}
+	r.dropOldLease()
 	if r.lease == 0 {
 		return nil
 	}
@@ -83,6 +90,20 @@
 	return r.opts.Store.End(ctx, lease)
 }
 
+// dropOldLease forgets the lease if the store has been restored since it was granted. If
+// the store still has it, it expires.
+func (r *Registrar) dropOldLease() {
+	position := r.opts.Position()
+	if r.grantedAt.IsZero() {
+		// The lease was granted before the replica had been filled.
+		r.grantedAt = position
+	}
+	if r.lease != 0 && position.Era != r.grantedAt.Era {
+		r.lease = 0
+		r.opts.Log.Event("lease of the VM record is from before a restore", "era", position.Era, "granted_in", r.grantedAt.Era)
+	}
+}
+
 func (r *Registrar) run(ctx context.Context) {
 	retryDelay := recordRetryDelay
 	for ctx.Err() == nil {
@@ -99,9 +120,10 @@
 }
 
 // refresh renews the lease and writes the record if it is missing or has
-// changed. It requests a new lease only if the store has ended the old one: after
-// any other failure the old one may still hold the record.
+// changed. It requests a new lease only if the store has ended or lost the old one:
+// after any other failure the old one may still hold the record.
 func (r *Registrar) refresh(ctx context.Context) error {
+	r.dropOldLease()
 	if r.lease != 0 {
 		err := r.opts.Store.KeepAlive(ctx, r.lease)
 		switch {
@@ -124,11 +146,12 @@
 
 func (r *Registrar) write(ctx context.Context, value []byte) error {
 	if r.lease == 0 {
+		position := r.opts.Position()
 		lease, err := r.opts.Store.Grant(ctx, recordTTL)
 		if err != nil {
 			return err
 		}
-		r.lease = lease
+		r.lease, r.grantedAt = lease, position
 	}
 	if err := r.opts.Store.Put(ctx, r.opts.Key, value, r.lease); err != nil {
 		return err
--- a/internal/feed/registrar_test.go
+++ b/internal/feed/registrar_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"fuchsiaspar/internal/decisions"
+	"fuchsiaspar/internal/replica"
 
 	"github.com/pkg/errors"
 )
@@ -65,6 +66,7 @@
 				Store: store, Key: "vms/a", Log: decisions.Discard(),
 				Encode:    func() ([]byte, error) { return []byte("record"), nil },
 				IsListed:  func() bool { return true },
+				Position:  func() replica.Position { return replica.Position{Era: 1, Revision: 1} },
 				IsExpired: func(err error) bool { return errors.Is(err, errLeaseEnded) },
 			})
 			for range 1 + len(tt.renewals) {
@@ -77,3 +79,51 @@
 		})
 	}
 }
+
+// TestLeaseFromBeforeARestoreIsNotUsed guards against a VM that renews, writes under or ends
+// a lease whose ID a restored store has given to another VM.
+func TestLeaseFromBeforeARestoreIsNotUsed(t *testing.T) {
+	tests := []struct {
+		desc string
+		// granted is the position of the replica when the lease is granted.
+		granted replica.Position
+		stop    bool
+		want    []string
+	}{
+		{"renewal", replica.Position{Era: 1, Revision: 9}, false, []string{"grant", "put", "grant", "put", "renew"}},
+		{"planned stop", replica.Position{Era: 1, Revision: 9}, true, []string{"grant", "put"}},
+		{"granted before the replica was filled", replica.Position{}, false, []string{"grant", "put", "renew", "renew"}},
+		{"planned stop without a restore", replica.Position{Era: 2, Revision: 1}, true, []string{"grant", "put", "end"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			position, store := tt.granted, &fakeLeases{renewals: []error{nil, nil}}
+			r := NewRegistrar(RegistrarOptions{
+				Store: store, Key: "vms/a", Log: decisions.Discard(),
+				Encode:    func() ([]byte, error) { return []byte("record"), nil },
+				IsListed:  func() bool { return true },
+				Position:  func() replica.Position { return position },
+				IsExpired: func(error) bool { return false },
+			})
+			if err := r.refresh(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			position = replica.Position{Era: 2, Revision: 3}
+			if tt.stop {
+				if err := r.Stop(t.Context()); err != nil {
+					t.Fatal(err)
+				}
+			}
+			for range 2 {
+				if !tt.stop {
+					if err := r.refresh(t.Context()); err != nil {
+						t.Fatal(err)
+					}
+				}
+			}
+			if !slices.Equal(store.calls, tt.want) {
+				t.Errorf("calls %v, want %v", store.calls, tt.want)
+			}
+		})
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -196,6 +196,7 @@
 		Store: b.store, Key: key, Log: b.node.log,
 		Encode:    func() ([]byte, error) { return platform.EncodeVM(b.node.liveness.Self()) },
 		IsListed:  func() bool { _, ok := b.copy.Item(key); return ok },
+		Position:  b.copy.Position,
 		IsExpired: func(err error) bool { return errors.Is(err, platform.ErrNotFound) },
 	}))
 }
