Restore the store from older copies in the fault soak

The soak plays restores beside its other faults: the store goes back to a copy of up to 3 s, and the operator and the servers write again within 0.8 s. Entries of servers state the start of their process now, as the platform's do.

--- a/internal/soak/backend_test.go
+++ b/internal/soak/backend_test.go
@@ -62,7 +62,13 @@
 	executions *executionCounter
 	store      *storetest.Store
 
+	// registration is held while the entry in the store is written; entry is its text.
+	registration sync.Mutex
+	entry        []byte
+
 	mu sync.Mutex
+	// started is the start of the simulated process in Unix milliseconds.
+	started int64
 	// instanceID identifies the simulated process and changes on each restart.
 	instanceID string
 	// sequence is the sequence number of the last store entry.
@@ -80,7 +86,7 @@
 func startBackend(t *testing.T, store *storetest.Store, executions *executionCounter, service string, index int, seed uint64) *backend {
 	b := &backend{
 		service: service, executions: executions, store: store, instanceID: fmt.Sprintf("i-%s-%d", service, index),
-		random: rand.New(rand.NewPCG(seed, uint64(index))),
+		random: rand.New(rand.NewPCG(seed, uint64(index))), started: time.Now().UnixMilli(),
 	}
 	b.server = httptest.NewServer(b)
 	t.Cleanup(func() {
@@ -94,13 +100,16 @@
 
 // register writes the server's entry with the given state to the store.
 func (b *backend) register(state string) {
+	b.registration.Lock()
+	defer b.registration.Unlock()
 	b.mu.Lock()
 	b.sequence++
-	instanceID, sequence := b.instanceID, b.sequence
+	instanceID, sequence, started := b.instanceID, b.sequence, b.started
 	b.mu.Unlock()
-	b.store.Put(platform.PrefixServers+instanceID, fmt.Appendf(nil,
-		`{"address":%q,"info":{"service":%q,"version":"v1","zone":"z1","slots":3},"status":{"state":%q,"sequence":%d,"cold_left_ms":0}}`,
-		b.proxy.address(), b.service, state, sequence))
+	b.entry = fmt.Appendf(nil,
+		`{"address":%q,"born":%d,"info":{"service":%q,"version":"v1","zone":"z1","slots":3},"status":{"state":%q,"sequence":%d,"cold_left_ms":0}}`,
+		b.proxy.address(), started, b.service, state, sequence)
+	b.store.Put(platform.PrefixServers+instanceID, b.entry)
 }
 
 // restart simulates a process restart: the entry is deleted, all connections are
@@ -110,6 +119,7 @@
 	b.server.CloseClientConnections()
 	b.mu.Lock()
 	b.instanceID = fmt.Sprintf("i-%s-new-%d", b.service, generation)
+	b.started, b.sequence = time.Now().UnixMilli(), 0
 	b.mu.Unlock()
 	b.register("ready")
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -57,8 +57,12 @@
 	backends   []*backend
 	executions *executionCounter
 	clients    []*client
-	// configVersion is the version of the newest configuration.
-	configVersion atomic.Int64
+	// operator is held while the operator writes.
+	operator sync.Mutex
+	// configVersion is the version of the newest configuration, configDocument its text.
+	configVersion  atomic.Int64
+	configDocument []byte
+	restorer       *restorer
 	// restartCount counts restarts of backend servers, to name new instances.
 	restartCount int
 	// activeFaults tracks running faults that end after a limited time.
@@ -103,6 +107,7 @@
 	}
 	for end := time.Now().Add(*faultDuration); time.Now().Before(end); {
 		h.injectFault()
+		h.restorer.maybeRestore()
 		time.Sleep(time.Duration(100+h.random.IntN(400)) * time.Millisecond)
 	}
 	h.activeFaults.Wait()
@@ -126,6 +131,7 @@
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), store: storetest.Start(t, 100),
 		executions: &executionCounter{counts: map[string]int{}},
 	}
+	h.restorer = newRestorer(h, seed)
 	dir := t.TempDir()
 	t.Cleanup(func() { saveLogs(t, dir, seed) })
 	for _, service := range []string{"desk", "vault"} {
@@ -162,12 +168,15 @@
 // configure writes a new configuration version to the store. All its routes lead to
 // service, including one whose path prefix exists only in this version.
 func (h *harness) configure(service string) {
+	h.operator.Lock()
+	defer h.operator.Unlock()
 	version := h.configVersion.Load() + 1
 	route := `{"host":"h.example","path_prefix":%q,"kind":%q,"timeout_ms":2000,"target_latency_ms":300,"service":%q,"max_attempts":2,"session_affinity":true}`
-	h.store.Put(platform.KeyConfig, fmt.Appendf(nil,
+	h.configDocument = fmt.Appendf(nil,
 		`{"version":%d,"routes":{"read":%s,"order":%s,"v%d":%s},"services":{"desk":{},"vault":{}},"limits":{"max_body_bytes":1000000}}`,
 		version, fmt.Sprintf(route, "/read/", "idempotent", service), fmt.Sprintf(route, "/order/", "non_idempotent", service),
-		version, fmt.Sprintf(route, fmt.Sprintf("/v%d/", version), "idempotent", service)))
+		version, fmt.Sprintf(route, fmt.Sprintf("/v%d/", version), "idempotent", service))
+	h.store.Put(platform.KeyConfig, h.configDocument)
 	h.configVersion.Store(version)
 }
 
