Let every object have its turn at servers that limit their requests

Which objects get the requests that a limited server takes was fixed by their names. Where all servers of a service state limits, the same objects were refused for as long as the limits lasted: 14 of 40 in the test, over 30 s.

Change: the order rotates once in 30 s. TestLimitServesEveryObjectInTurn fails without the rotation for those 14 objects and passes with it.

--- a/internal/pick/limit_test.go
+++ b/internal/pick/limit_test.go
@@ -29,6 +29,8 @@
 	simReportInterval = 100 * time.Millisecond
 	simReportDelay    = 30 * time.Millisecond
 	simAnswerTime     = 120 * time.Millisecond
+	// simObjects is the number of objects that requests are for.
+	simObjects = 40
 	// simRecipients bounds the VMs that receive one report.
 	simRecipients = 24
 )
@@ -57,6 +59,8 @@
 	noticed     map[string]time.Time
 	firstStated map[model.ServerID]time.Time
 	refused     int
+	// served counts the requests by object.
+	served map[uint64]int
 }
 
 type simEvent struct {
@@ -68,7 +72,7 @@
 	s := &limitSim{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: start, vms: vms(vmCount), list: servers(serverCount, "lj"),
 		limits: map[model.ServerID]float64{}, cut: map[int]bool{}, arrivals: map[model.ServerID][]time.Time{},
-		all: map[model.ServerID][]time.Time{}, noticed: map[string]time.Time{}, firstStated: map[model.ServerID]time.Time{},
+		all: map[model.ServerID][]time.Time{}, noticed: map[string]time.Time{}, served: map[uint64]int{}, firstStated: map[model.ServerID]time.Time{},
 	}
 	for i := range vmCount {
 		s.fleets = append(s.fleets, newFleet(fmt.Sprint("vm-", i), "lj", s.vms, s.list))
@@ -144,12 +148,13 @@
 
 func (s *limitSim) request() {
 	vm := s.drawVM()
-	fleet := s.fleets[vm]
-	choice, reason := fleet.Pick(Query{Route: lookup, Service: "desk", Object: uint64(s.rng.IntN(40))}, s.now)
+	fleet, object := s.fleets[vm], uint64(s.rng.IntN(simObjects))
+	choice, reason := fleet.Pick(Query{Route: lookup, Service: "desk", Object: object}, s.now)
 	if reason != "" {
 		s.refused++
 		return
 	}
+	s.served[object]++
 	id := choice.Target.ID
 	noticed, known := s.noticed[fmt.Sprint(vm, id)]
 	s.all[id] = append(s.all[id], s.now)
@@ -277,6 +282,23 @@
 	}
 }
 
+// TestLimitServesEveryObjectInTurn guards against objects that are refused for as long as
+// limits last, while others are always served.
+func TestLimitServesEveryObjectInTurn(t *testing.T) {
+	s := newLimitSim(t, 7, 8, 1)
+	s.limitAll(5)
+	s.run(4*time.Second, 160)
+	clear(s.served)
+	s.run(limitRotation, 160)
+	// Each object has 120 requests, and the limits suffice for 30 of them.
+	const few = 10
+	for object := range uint64(simObjects) {
+		if got := s.served[object]; got < few {
+			t.Errorf("%d requests for object %d served in %v, want at least %d", got, object, limitRotation, few)
+		}
+	}
+}
+
 // TestEndOfALimitReachesAllVMs guards against limits that outlive the server's need: a VM
 // to which the server no longer states one, and the others by its report, send freely.
 func TestEndOfALimitReachesAllVMs(t *testing.T) {
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -122,7 +122,7 @@
 	}
 	first := top.entries[0].server
 	return topRanked(list, q.Object, localFirst, func(s *Server) bool {
-		return eligible(s) && s.limit.allows(limitPosition(q.Object, s, s == first), now)
+		return eligible(s) && s.limit.allows(limitPosition(q.Object, s, s == first, now), now)
 	}), true
 }
 
--- a/internal/pick/rank.go
+++ b/internal/pick/rank.go
@@ -2,8 +2,10 @@
 
 import (
 	"hash/fnv"
+	"math"
 	"math/bits"
 	"slices"
+	"time"
 
 	"fuchsiaspar/internal/catalog"
 	"fuchsiaspar/internal/model"
@@ -36,12 +38,19 @@
 // hashing; the server with the highest weight ranks first.
 func serverWeight(object, server uint64) uint64 { return mix(object ^ bits.RotateLeft64(server, 17)) }
 
+// limitRotation is the time in which every object of a limited server has its turn: longer
+// than warmTTL, so that few objects move at any moment.
+const limitRotation = 30 * time.Second
+
 // limitPosition returns the place of an object in the order in which the objects get
-// the requests that a server takes: from 0 to 1, the same in every process. Those that
-// rank the server first come before those that moved there.
-func limitPosition(object uint64, server *Server, first bool) float64 {
+// the requests that a server takes: from 0 to 1, about the same on all VMs. Those that
+// rank the server first come before those that moved there. The order rotates, so that no
+// object is refused for as long as the limit lasts.
+func limitPosition(object uint64, server *Server, first bool, now time.Time) float64 {
 	const mantissaBits = 53
 	position := float64(mix(object^bits.RotateLeft64(server.hash, 41))>>(64-mantissaBits)) / (1 << mantissaBits)
+	position += float64(now.UnixMilli()%limitRotation.Milliseconds()) / float64(limitRotation.Milliseconds())
+	position -= math.Floor(position)
 	if first {
 		return position / 2
 	}
