--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -139,8 +139,8 @@
 	})
 }
 
-// TestLimitReportsReachOtherVMs guards against limits of servers that only the VM knows
-// that a server told, also if that VM has no request outstanding.
+// TestLimitReportsReachOtherVMs guards against limits that only the VMs know to which the
+// server stated them, also if those have no request outstanding.
 func TestLimitReportsReachOtherVMs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fleets := startAll(t, 3, func(int) Counts { return nil })
