--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -56,8 +56,8 @@
 	changed chan struct{}
 }
 
-// New returns an empty replica. versionOf tells which of two values is newer where the
-// store has been restored in between; nil if values have no versions.
+// New returns an empty replica. versionOf orders the values of a key across eras of the
+// store; nil if values have no versions.
 func New(versionOf VersionOf) *Replica {
 	if versionOf == nil {
 		versionOf = func(string, []byte) (Version, bool) { return Version{}, false }
