--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -81,7 +81,7 @@
 
 // startVMs starts one VM for each of the zones and waits until all are ready.
 func (w *world) startVMs(zones []string, regions map[string]string) error {
-	vms, err := newVMs(w.dir, zones, regions, w.store.address)
+	vms, err := newVMs(w.dir, zones, regions, w.store)
 	if err != nil {
 		return err
 	}
@@ -124,6 +124,7 @@
 	"foreign-refusal": foreignRefusal,
 	"stale-follower":  staleFollower,
 	"changed-body":    changedBody,
+	"departed-server": departedServer,
 }
 
 func main() {
@@ -145,7 +146,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
-	w := &world{rec: rec, trouble: os.Getenv("TROUBLE") != "0", runs: newRuns(), dir: dir}
+	w := &world{rec: rec, store: newStore(), trouble: os.Getenv("TROUBLE") != "0", runs: newRuns(), dir: dir}
 	defer w.close()
 	stopped := make(chan os.Signal, 1)
 	signal.Notify(stopped, os.Interrupt, syscall.SIGTERM)
@@ -156,9 +157,7 @@
 	done := make(chan result, 1)
 	go func() {
 		var r result
-		if w.store, r.err = startStore(); r.err == nil {
-			r.violations, r.err = f(w)
-		}
+		r.violations, r.err = f(w)
 		done <- r
 	}()
 	select {
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -28,7 +29,7 @@
 
 // store is a stand-in of the platform's metadata store. It keeps its whole history.
 type store struct {
-	address string
+	mux *http.ServeMux
 
 	mu        sync.Mutex
 	revision  uint64
@@ -37,18 +38,21 @@
 	leases    map[uint64]heldLease
 	lastLease uint64
 	changed   chan struct{}
+	// busy makes the store answer every call with 503.
+	busy bool
+	// reads counts the listings and watches of each VM, and failedReads those among
+	// them that got 503 since the VM's last one that didn't.
+	reads, failedReads map[string]int
+	// onWatch, if set, is told the VM of each watch that the store takes.
+	onWatch func(vm string)
 }
 
-func startStore() (*store, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
+func newStore() *store {
+	mux := http.NewServeMux()
 	s := &store{
-		address: listener.Addr().String(), revision: 1, items: map[string]item{},
-		leases: map[uint64]heldLease{}, changed: make(chan struct{}),
+		mux: mux, revision: 1, items: map[string]item{}, leases: map[uint64]heldLease{},
+		changed: make(chan struct{}), reads: map[string]int{}, failedReads: map[string]int{},
 	}
-	mux := http.NewServeMux()
 	mux.HandleFunc("GET /-/kv-key", s.handleGet)
 	mux.HandleFunc("GET /-/kv-range", s.handleRange)
 	mux.HandleFunc("GET /-/kv-watch", s.handleWatch)
@@ -56,13 +60,68 @@
 	mux.HandleFunc("POST /-/kv-lease", s.handleGrant)
 	mux.HandleFunc("POST /-/kv-keep/{id}", s.handleKeep)
 	mux.HandleFunc("DELETE /-/kv-lease-end/{id}", s.handleEnd)
+	return s
+}
+
+// listen opens an address of the store for one VM.
+func (s *store) listen(vm string) (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
 	go func() {
 		_ = http.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			w.Header().Set("Store-Era", "1")
-			mux.ServeHTTP(w, r)
+			if s.take(vm, r.URL.Path) {
+				s.mux.ServeHTTP(w, r)
+				return
+			}
+			w.WriteHeader(http.StatusServiceUnavailable)
 		}))
 	}()
-	return s, nil
+	return listener.Addr().String(), nil
+}
+
+// take notes a call and reports whether the store executes it.
+func (s *store) take(vm, path string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if path == "/-/kv-watch" || path == "/-/kv-range" {
+		s.reads[vm]++
+		s.failedReads[vm]++
+		if !s.busy {
+			s.failedReads[vm] = 0
+		}
+	}
+	if path == "/-/kv-watch" && !s.busy && s.onWatch != nil {
+		go s.onWatch(vm)
+	}
+	return !s.busy
+}
+
+func (s *store) setBusy(busy bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.busy = busy
+}
+
+func (s *store) setOnWatch(f func(vm string)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onWatch = f
+}
+
+// unrecovered returns the VMs whose last listing or watch got 503.
+func (s *store) unrecovered() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var names []string
+	for vm, failed := range s.failedReads {
+		if failed > 0 {
+			names = append(names, vm)
+		}
+	}
+	return names
 }
 
 // put writes a key without a lease, as the operator and the servers do. Its return is
@@ -267,3 +326,10 @@
 	s.endLease(id)
 	w.WriteHeader(http.StatusOK)
 }
+
+// readCounts returns the number of listings and watches of each VM.
+func (s *store) readCounts() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.reads)
+}
--- a/review/standin/vm.go
+++ b/review/standin/vm.go
@@ -60,7 +60,7 @@
 }
 
 // newVMs writes the settings of one VM for each of the zones. regions maps zones to regions.
-func newVMs(dir string, zones []string, regions map[string]string, storeAddress string) ([]*vm, error) {
+func newVMs(dir string, zones []string, regions map[string]string, platformStore *store) ([]*vm, error) {
 	var vms []*vm
 	var seeds []string
 	for i, zone := range zones {
@@ -68,11 +68,15 @@
 		if err != nil {
 			return nil, err
 		}
+		name := fmt.Sprintf("edge-%s-%d", zone, i+1)
+		storeAddress, err := platformStore.listen(name)
+		if err != nil {
+			return nil, err
+		}
 		path, err := startCutProxy(storeAddress)
 		if err != nil {
 			return nil, err
 		}
-		name := fmt.Sprintf("edge-%s-%d", zone, i+1)
 		vms = append(vms, &vm{
 			name: name, zone: zone, region: regions[zone], front: a[0], ready: a[1], control: a[2],
 			directory: a[3], metrics: a[4], storePath: path,
