--- a/review/standin/case_foreign_refusal.go
+++ b/review/standin/case_foreign_refusal.go
@@ -14,16 +14,17 @@
 func foreignRefusal(w *world) ([]string, error) {
 	const (
 		playFor = 24 * time.Second
-		// The disruption: 5 s at a time, 60 % of the servers, 3 % of their answers.
-		spell, pause = 5 * time.Second, time.Second
-		serverShare  = 0.6
-		answerShare  = 0.03
+		// The disruption: 5 s at a time, at most 60 % of the servers, 3 % of their answers.
+		spell, pause  = 5 * time.Second, time.Second
+		servers       = 6
+		faultyServers = servers * 6 / 10
+		answerShare   = 0.03
 	)
 	var disrupted atomic.Bool
 	zones := []string{"lj-a", "mb-a", "kp-a"}
 	regions := map[string]string{"lj-a": "lj", "mb-a": "mb", "kp-a": "kp"}
-	for i := range 6 {
-		faulty := float64(i) < 6*serverShare-0.5
+	for i := range servers {
+		faulty := i < faultyServers
 		s := &server{
 			id: fmt.Sprintf("i-desk-%d", i), service: "lease-desk", zone: zones[i%3], slots: 3, queue: 9, tellsLoad: true,
 			work: func(*http.Request) time.Duration { return time.Duration(40+rand.IntN(40)) * time.Millisecond },
