--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"fuchsiaspar/internal/fullduplex"
+
 	"github.com/pkg/errors"
 )
 
@@ -43,7 +45,8 @@
 	}
 	source := io.Reader(q.r.Body)
 	if limit > 0 {
-		source = http.MaxBytesReader(q.w, q.r.Body, limit)
+		// The reader must not touch the response, which may be written meanwhile.
+		source = http.MaxBytesReader(nil, q.r.Body, limit)
 	}
 	buffered, err := io.ReadAll(io.LimitReader(source, maxBufferedBody))
 	if err != nil {
@@ -52,9 +55,7 @@
 	}
 	q.body.buffered = buffered
 	if len(buffered) == maxBufferedBody && int64(len(buffered)) != q.body.length {
-		q.body.rest = source
-		q.setReadDeadline(q.deadline.Add(streamGrace))
-		return false
+		return q.streamRest(source)
 	}
 	q.body.length = int64(len(buffered))
 	// net/http goes on reading to notice when the client disconnects.
@@ -62,6 +63,19 @@
 	return false
 }
 
+// streamRest leaves the rest of the body to be read while the response is written. It
+// reports whether the request was refused.
+func (q *request) streamRest(source io.Reader) bool {
+	w, rest := fullduplex.Wrap(q.w, source)
+	if err := rest.Forward(); err != nil {
+		q.rejectBody(err)
+		return true
+	}
+	q.w, q.body.rest = w, rest
+	q.setReadDeadline(q.deadline.Add(streamGrace))
+	return false
+}
+
 // setReadDeadline sets the time until which the client may send.
 func (q *request) setReadDeadline(at time.Time) {
 	// If this fails, the connection has failed, which net/http notices.
