--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -40,6 +40,7 @@
 	q.mayHaveRun = true
 	if q.route.Kind.Repeatable() && q.reserveRetry() == "" {
 		q.logFailedAttempt("server failed", "status", resp.Status)
+		resp.Body.Close()
 		return resultRetry
 	}
 	q.writeResponse(resp, buffered, true)
@@ -116,14 +117,40 @@
 	if complete && q.r.Method != http.MethodHead {
 		h.Set("Content-Length", strconv.Itoa(len(buffered)))
 	}
+	if resp.Body.Uploading() {
+		// The next request on the connection would wait for the end of the upload.
+		h.Set("Connection", "close")
+	}
 	q.w.WriteHeader(resp.Status)
 	_, err := q.w.Write(buffered)
 	if err == nil && !complete {
 		_, err = io.Copy(q.w, resp.Body)
-		resp.Body.Close()
 	}
 	q.logServed(resp.Status, err)
-	return err == nil
+	if err != nil {
+		resp.Body.Close()
+		return false
+	}
+	q.finishUpload(resp)
+	return true
+}
+
+// flush sends what has been written of the response.
+func (q *request) flush() {
+	if err := http.NewResponseController(q.w).Flush(); err != nil {
+		q.logFailed("answer not flushed", "cause", err)
+	}
+}
+
+// finishUpload sends what is left of the request to a server that responded before it had
+// read the request. The client gets the response first.
+func (q *request) finishUpload(resp *upstream.Response) {
+	if resp.Body.Uploading() {
+		q.flush()
+	}
+	if err := resp.Body.AwaitUpload(); err != nil {
+		q.logFailed("rest of the request not sent", "cause", err)
+	}
 }
 
 // fail ends a request for which no server gave a response that can be
--- a/internal/front/duplex_test.go
+++ b/internal/front/duplex_test.go
@@ -95,6 +95,8 @@
 	}{
 		{"chunked, the response ends after the body", chunked, 64 << 10},
 		{"with a length, the response ends after the body", withLength, 64 << 10},
+		{"chunked, the response ends before the body", chunked, 0},
+		{"with a length, the response ends before the body", withLength, 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.desc, func(t *testing.T) {
--- a/internal/upstream/body.go
+++ b/internal/upstream/body.go
@@ -34,14 +34,32 @@
 	return n, errors.WithMessage(ErrTruncated, err.Error())
 }
 
-// end finishes the exchange after the body was read to its end.
+// end finishes the exchange after the body was read to its end, unless the request is
+// still being sent.
 func (b *Body) end() {
-	if !b.ended {
+	if !b.ended && !b.ex.uploading() {
 		b.ended = true
 		b.ex.finish(b.resp)
 	}
 }
 
+// Uploading reports whether a part of the request still has to be sent. A server may
+// respond before it has read a long request.
+func (b *Body) Uploading() bool { return !b.ended && b.ex.uploading() }
+
+// AwaitUpload waits until the request was sent, after the body was read to its end, and
+// returns the error of sending it. If it isn't called while Uploading, the rest of the
+// request is lost once its context ends.
+func (b *Body) AwaitUpload() error {
+	if b.ended {
+		return nil
+	}
+	err := b.ex.awaitUpload()
+	b.ended = true
+	b.ex.finish(b.resp)
+	return err
+}
+
 // Discard closes a body that is not needed. The connection is reused if the whole
 // body has already arrived.
 func (b *Body) Discard() {
@@ -52,7 +70,8 @@
 	b.Close()
 }
 
-// Close closes the connection unless the body was read to its end.
+// Close closes the connection unless the body was read to its end and the request was
+// sent.
 func (b *Body) Close() {
 	if !b.ended {
 		b.ended = true
@@ -61,8 +80,7 @@
 }
 
 // startUpload sends the rest of the request concurrently with waiting for the
-// response. If the server responds before the body is sent, the connection is not
-// reused.
+// response.
 func (ex *exchange) startUpload() {
 	ex.uploaded = make(chan error, 1)
 	go func() { ex.uploaded <- ex.upload() }()
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -114,9 +114,10 @@
 	// stop ends the watch on ctx. It reports false if ctx is already done and
 	// the connection is therefore being closed.
 	stop func() bool
-	// uploaded receives the result of sending a streamed body. It is nil if the
-	// body is not streamed.
+	// uploaded receives the result of the upload. It is nil while none is running.
 	uploaded chan error
+	// uploadErr is the error of an upload that failed.
+	uploadErr error
 }
 
 // run sends the request and reads the response header. All of the request but its
@@ -259,11 +260,11 @@
 	ex.conn.Close()
 }
 
-// finish ends an exchange whose response was read completely. The connection
-// becomes idle if it can be reused, and is closed otherwise.
+// finish ends an exchange whose response was read completely and whose request was
+// sent. The connection becomes idle if it can be reused, and is closed otherwise.
 func (ex *exchange) finish(resp *http.Response) {
 	now := time.Now()
-	if !ex.stop() || resp.Close || !ex.uploadDone() || ex.conn.reader.Buffered() > 0 {
+	if !ex.stop() || resp.Close || ex.uploadErr != nil || ex.conn.reader.Buffered() > 0 {
 		ex.conn.Close()
 		return
 	}
@@ -271,15 +272,26 @@
 	ex.client.put(ex.server, ex.conn)
 }
 
-// uploadDone reports whether the whole request was sent.
-func (ex *exchange) uploadDone() bool {
+// uploading reports whether a part of the request is still being sent.
+func (ex *exchange) uploading() bool {
 	if ex.uploaded == nil {
-		return true
+		return false
 	}
 	select {
-	case err := <-ex.uploaded:
-		return err == nil
-	default:
+	case ex.uploadErr = <-ex.uploaded:
+		ex.uploaded = nil
 		return false
+	default:
+		return true
+	}
+}
+
+// awaitUpload waits for the end of the upload, which the deadline of the connection and
+// the end of the context bound.
+func (ex *exchange) awaitUpload() error {
+	if ex.uploaded != nil {
+		ex.uploadErr = <-ex.uploaded
+		ex.uploaded = nil
 	}
+	return ex.uploadErr
 }
