--- a/internal/backend/standin/work.go
+++ b/internal/backend/standin/work.go
@@ -32,6 +32,7 @@
 	FaultResetBefore = "reset-before" // the connection is lost before the run
 	FaultResetAfter  = "reset-after"  // the connection is lost after the run
 	FaultNoLength    = "no-length"    // the body is delimited by the end of the connection
+	FaultEarly       = "early"        // the response begins before the request body is read, and ends with its digest
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
@@ -60,6 +61,10 @@
 		s.shed(w, id)
 		return
 	}
+	if r.FormValue("fault") == FaultEarly {
+		answerEarly(w, r)
+		return
+	}
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		panic(http.ErrAbortHandler)
 	}
@@ -86,6 +91,21 @@
 	s.endRun(id, backend.StateFinished)
 }
 
+// answerEarly writes a part of the response, reads the request body, and ends the
+// response with its digest.
+func answerEarly(w http.ResponseWriter, r *http.Request) {
+	control := http.NewResponseController(w)
+	if control.EnableFullDuplex() != nil || writeContent(w, r.Header.Get(HeaderOrder), blockBytes) != nil || control.Flush() != nil {
+		panic(http.ErrAbortHandler)
+	}
+	digest, err := Digest(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	// A write error means that the caller disconnected.
+	_, _ = io.WriteString(w, digest)
+}
+
 func withDeadline(r *http.Request) (context.Context, context.CancelFunc) {
 	ms, err := strconv.ParseInt(r.Header.Get(backend.HeaderDeadline), 10, 64)
 	if err != nil {
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"fuchsiaspar/internal/backend"
+	"fuchsiaspar/internal/fullduplex"
 	"fuchsiaspar/internal/header"
 	"fuchsiaspar/internal/model"
 	"fuchsiaspar/internal/once"
@@ -32,7 +33,8 @@
 	s.inFlight.enter()
 	defer s.inFlight.leave()
 	s.setRelayHeaders(w, r)
-	j, f := s.parseRelay(r)
+	w, upload := fullduplex.Wrap(w, r.Body)
+	j, f := s.parseRelay(r, upload)
 	if f != nil {
 		s.writeRelayFailure(w, nil, f)
 		return
@@ -127,7 +129,7 @@
 	return f
 }
 
-func (s *Server) parseRelay(r *http.Request) (*relayedAttempt, *Failure) {
+func (s *Server) parseRelay(r *http.Request, upload *fullduplex.Body) (*relayedAttempt, *Failure) {
 	rest := strings.TrimPrefix(r.URL.EscapedPath(), RelayPath)
 	service, path, ok := strings.Cut(rest, "/")
 	attempt := r.Header.Get(header.Attempt)
@@ -160,7 +162,7 @@
 		method:   r.Method,
 		path:     path,
 		header:   h,
-		body:     newReplayableBody(r.Body, r.ContentLength, 0),
+		body:     newReplayableBody(upload, r.ContentLength, 0, upload.Forward),
 		deadline: deadline,
 	}
 	j.mayStart = func() bool { return s.options.Attempts.Start(j.attempt) }
--- a/internal/entry/replay.go
+++ b/internal/entry/replay.go
@@ -14,6 +14,8 @@
 // replayableBody is a request body that can be sent again if it fits in memory.
 type replayableBody struct {
 	source io.Reader
+	// forward is called before the source is handed to another goroutine.
+	forward func() error
 	// length is the length in bytes, negative if unknown.
 	length int64
 	// limit is the maximum number of bytes to buffer.
@@ -25,8 +27,8 @@
 	consumed bool
 }
 
-func newReplayableBody(source io.Reader, length int64, limit int) *replayableBody {
-	b := &replayableBody{source: source, length: length, limit: limit}
+func newReplayableBody(source io.Reader, length int64, limit int, forward func() error) *replayableBody {
+	b := &replayableBody{source: source, forward: forward, length: length, limit: limit}
 	if length == 0 {
 		b.complete = true
 	}
@@ -60,6 +62,9 @@
 	if b.consumed {
 		return nil, 0, errBodyConsumed
 	}
+	if err := b.forward(); err != nil {
+		return nil, 0, err
+	}
 	b.consumed = true
 	return io.MultiReader(bytes.NewReader(b.buffered), b.source), b.length, nil
 }
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"fuchsiaspar/internal/config"
+	"fuchsiaspar/internal/fullduplex"
 	"fuchsiaspar/internal/header"
 	"fuchsiaspar/internal/model"
 )
@@ -74,7 +75,7 @@
 }
 
 // parseRequest validates a caller's request against the current configuration.
-func (s *Server) parseRequest(r *http.Request) (*request, *Failure) {
+func (s *Server) parseRequest(r *http.Request, upload *fullduplex.Body) (*request, *Failure) {
 	state := s.source.State()
 	if state == nil || state.Config == nil {
 		return nil, notRun(http.StatusServiceUnavailable, model.ReasonNoConfig, "no configuration yet; try another entry VM")
@@ -101,8 +102,8 @@
 	q.header = make(http.Header, len(r.Header))
 	header.CopyEndToEnd(q.header, r.Header)
 	s.locateClient(q)
-	body := s.rateLimited(r.Context(), r.Body, q.region, s.options.Region, q.priority)
-	q.body = newReplayableBody(body, r.ContentLength, s.options.MaxReplayBytes)
+	body := s.rateLimited(r.Context(), upload, q.region, s.options.Region, q.priority)
+	q.body = newReplayableBody(body, r.ContentLength, s.options.MaxReplayBytes, upload.Forward)
 	return q, nil
 }
 
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -7,6 +7,7 @@
 
 	"fuchsiaspar/internal/backend"
 	"fuchsiaspar/internal/explain"
+	"fuchsiaspar/internal/fullduplex"
 	"fuchsiaspar/internal/header"
 	"fuchsiaspar/internal/model"
 	"fuchsiaspar/internal/once"
@@ -96,7 +97,8 @@
 	s.inFlight.enter()
 	defer s.inFlight.leave()
 	started := time.Now()
-	q, f := s.parseRequest(r)
+	w, upload := fullduplex.Wrap(w, r.Body)
+	q, f := s.parseRequest(r, upload)
 	if f != nil {
 		s.metrics.offered(model.PriorityNormal)
 		s.writeFailure(w, nil, f)
--- a/internal/fullduplex/fullduplex.go
+++ b/internal/fullduplex/fullduplex.go
@@ -63,13 +63,24 @@
 	w.ResponseWriter.WriteHeader(status)
 }
 
-// Write implements http.ResponseWriter.
-func (w *writer) Write(p []byte) (int, error) {
+// begin writes the header unless it has been written.
+func (w *writer) begin() {
 	if !w.begun {
 		w.WriteHeader(http.StatusOK)
 	}
+}
+
+// Write implements http.ResponseWriter.
+func (w *writer) Write(p []byte) (int, error) {
+	w.begin()
 	return w.ResponseWriter.Write(p)
 }
 
+// ReadFrom implements io.ReaderFrom, so that io.Copy can use that of net/http.
+func (w *writer) ReadFrom(source io.Reader) (int64, error) {
+	w.begin()
+	return io.Copy(w.ResponseWriter, source)
+}
+
 // Unwrap returns the underlying writer, for http.ResponseController.
 func (w *writer) Unwrap() http.ResponseWriter { return w.ResponseWriter }
