--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -21,18 +21,22 @@
 )
 
 const (
-	// watchTimeout is how long a watch call waits for a change. It bounds how
-	// long a silent connection to the store goes unnoticed.
+	// watchTimeout is how long after the replica last matched the store a watch
+	// call without a change returns. Each VM then knows again that its replica
+	// matches the store.
 	watchTimeout = 1200 * time.Millisecond
+	// overdueAfter is the age beyond which a VM no longer waits for its source, which
+	// may have lost the store without noticing. It leaves the watch a round trip to
+	// the store and to the follower, and the follower a third of the shortest time
+	// within which a change must take effect (2 s) to read the store itself.
+	overdueAfter = watchTimeout + 300*time.Millisecond
 	// batchDelay is the pause after a change, so that a burst of changes is read
 	// in few calls. It is a fifth of the shortest time within which a change must
 	// take effect.
 	batchDelay = 400 * time.Millisecond
-	// longPollWait is how long a reader holds a follower's poll open when nothing
-	// changes.
-	longPollWait = 800 * time.Millisecond
-	// longPollTimeout bounds a poll on the follower's side.
-	longPollTimeout = longPollWait + 700*time.Millisecond
+	// pollTimeout bounds a poll while the replica is overdue: twice the transfer time
+	// of a 512 KB configuration at 10 Mbit/s.
+	pollTimeout = 800 * time.Millisecond
 	// staleAfter is the age beyond which the replica counts as stale: about twice
 	// watchTimeout.
 	staleAfter = 2500 * time.Millisecond
@@ -94,10 +98,15 @@
 	group   background.Group
 	batches batchCache
 
+	// applying is held while the replica and syncedAt change together.
+	applying sync.Mutex
+
 	mu sync.Mutex
 	// syncedAt is the latest time at which the replica is known to have matched
 	// the store.
 	syncedAt time.Time
+	// synced is closed when syncedAt advances.
+	synced chan struct{}
 	// storeDown reports that this VM's last call to the store failed.
 	storeDown bool
 	// recoveredAt is when the store last became reachable again, for this VM or
@@ -130,6 +139,7 @@
 func New(opts Options) *Service {
 	s := &Service{
 		opts: opts, batches: batchCache{copy: opts.Replica}, avoidUntil: map[model.VMID]time.Time{}, cancelPoll: func() {},
+		synced: make(chan struct{}),
 	}
 	opts.Links.HandleSlow(peer.KindFeed, s.handlePoll)
 	return s
@@ -234,7 +244,7 @@
 }
 
 // shouldReadStore reports whether this VM calls the store now: as the reader of
-// its region, or because its replica is empty or stale.
+// its region, or because its replica is empty or overdue.
 func (s *Service) shouldReadStore(now time.Time) bool {
 	if now.Before(s.nextStoreCall) {
 		return false
@@ -243,7 +253,7 @@
 		return true
 	}
 	readers := SelectReaders(s.opts.Alive(), s.opts.Self)
-	return readers[0].Name == s.opts.Self.Name || s.Age(now) > staleAfter
+	return readers[0].Name == s.opts.Self.Name || s.Age(now) >= overdueAfter
 }
 
 func (s *Service) readStore(ctx context.Context) {
@@ -261,7 +271,7 @@
 	s.handleStoreSuccess(now)
 	s.noteRestore(batch, current, now)
 	s.relist = false
-	applied := s.opts.Replica.Apply(batch)
+	applied := s.apply(batch, now)
 	switch {
 	case len(applied) > 0:
 		background.Sleep(ctx, batchDelay)
@@ -299,7 +309,7 @@
 	if position.IsZero() || s.relist {
 		return s.opts.Store.List(ctx, allKeys)
 	}
-	return s.opts.Store.Watch(ctx, allKeys, position.Revision, watchTimeout)
+	return s.opts.Store.Watch(ctx, allKeys, position.Revision, max(watchTimeout-s.Age(time.Now()), 0))
 }
 
 func (s *Service) handleStoreError(err error, now time.Time) {
@@ -338,14 +348,43 @@
 
 func (s *Service) handleStoreSuccess(now time.Time) {
 	s.mu.Lock()
-	recovered := s.storeDown
+	regained := s.storeDown
 	s.storeDown = false
-	s.syncedAt = now
-	if recovered {
+	if regained {
 		s.recoveredAt = now
 	}
 	s.mu.Unlock()
-	if recovered {
+	if regained {
 		s.opts.Log.Event("store regained", "revision", s.opts.Replica.Position().Revision)
 	}
 }
+
+// apply applies a batch that the store, or a peer whose replica matched it, returned at a
+// time.
+func (s *Service) apply(batch replica.Batch, at time.Time) (applied []replica.Event) {
+	s.applying.Lock()
+	defer s.applying.Unlock()
+	applied = s.opts.Replica.Apply(batch)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at.After(s.syncedAt) {
+		s.syncedAt = at
+		close(s.synced)
+		s.synced = make(chan struct{})
+	}
+	return applied
+}
+
+// settledAge returns the age of the replica once no batch is being applied.
+func (s *Service) settledAge() time.Duration {
+	s.applying.Lock()
+	defer s.applying.Unlock()
+	return s.Age(time.Now())
+}
+
+// nextSync returns a channel that is closed when the replica next matches the store.
+func (s *Service) nextSync() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.synced
+}
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -305,6 +305,33 @@
 	})
 }
 
+// Guards against followers that stay behind while their reader is silently cut off from
+// the store and no other VM announces its position.
+func TestFollowersOfASilentReaderReadOnWithoutAnnouncements(t *testing.T) {
+	for _, regions := range []int{1, 3} {
+		for phase := time.Duration(0); phase < watchTimeout; phase += 100 * time.Millisecond {
+			t.Run(fmt.Sprint(regions, " regions, cut after ", phase), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := startFleet(t, regions, 3)
+					defer f.stop(t)
+					time.Sleep(3*time.Second + phase)
+					reader := SelectReaders(f.vms, f.vms[0])[0]
+					f.store.update(func() { f.store.silent[reader.Name] = true })
+					revision := f.store.put("op/config")
+					// A configuration must take effect within 2 s, a tenth of which is
+					// left for what follows its arrival.
+					time.Sleep(1800 * time.Millisecond)
+					for _, vm := range f.vms {
+						if got := f.copies[vm.Name].Position().Revision; vm.Name != reader.Name && got < revision {
+							t.Errorf("%s is at revision %d, want %d", vm.Name, got, revision)
+						}
+					}
+				})
+			})
+		}
+	}
+}
+
 func TestStoreUnreachableForAll(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := startFleet(t, 3, 5)
--- a/internal/feed/poll.go
+++ b/internal/feed/poll.go
@@ -28,8 +28,8 @@
 	// RecoveredAgo is the time since the store last became reachable again, or
 	// negative if it never was unreachable.
 	RecoveredAgo time.Duration `cbor:"3,keyasint"`
-	// StoreDown reports that the sender cannot reach the store itself and so is
-	// no source of changes.
+	// StoreDown reports that the sender does not reach the store itself, or has not
+	// heard from it in time, and so is no source of changes.
 	StoreDown bool `cbor:"4,keyasint,omitempty"`
 }
 
@@ -66,7 +66,11 @@
 		s.source = vm.Name
 	}
 	s.opts.Links.SetAddress(vm.Name, vm.Peer)
-	ctx, cancel := context.WithTimeout(ctx, longPollTimeout)
+	timeout := overdueAfter - s.Age(time.Now())
+	if timeout <= 0 {
+		timeout = pollTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	s.mu.Lock()
 	s.cancelPoll = cancel
@@ -84,56 +88,65 @@
 		s.opts.Log.Event("peer does not answer", "peer", vm.Name, "cause", err)
 		return
 	}
-	if resp.StoreDown || resp.Age > staleAfter {
+	if resp.StoreDown || resp.Age >= overdueAfter {
 		s.avoidUntil[vm.Name] = now.Add(peerBackoff)
 	}
-	s.updateFreshness(resp, now)
+	s.noteRecovery(resp, now)
 	s.noteRestore(batch, position, now)
-	s.opts.Replica.Apply(batch)
+	s.apply(batch, now.Add(-resp.Age))
 }
 
-func (s *Service) updateFreshness(resp pollResponse, now time.Time) {
+func (s *Service) noteRecovery(resp pollResponse, now time.Time) {
 	s.mu.Lock()
-	if syncedAt := now.Add(-resp.Age); syncedAt.After(s.syncedAt) {
-		s.syncedAt = syncedAt
-	}
+	defer s.mu.Unlock()
 	if resp.RecoveredAgo >= 0 && now.Add(-resp.RecoveredAgo).After(s.recoveredAt) {
 		s.recoveredAt = now.Add(-resp.RecoveredAgo)
 	}
-	s.mu.Unlock()
 }
 
-// handlePoll answers a follower's poll as soon as there is a change, and after
-// longPollWait at the latest. It answers at once if this VM cannot reach the
-// store.
+// handlePoll answers a follower's poll as soon as there is a change or the replica
+// matches the store again, and at the latest when it is overdue. It answers at once if
+// this VM is no source of changes.
 func (s *Service) handlePoll(ctx context.Context, _ model.VMID, body []byte) (any, error) {
 	var req pollRequest
 	if err := peer.Unmarshal(body, &req); err != nil {
 		return nil, err
 	}
-	timer := time.NewTimer(longPollWait)
-	defer timer.Stop()
-	for waiting := true; waiting; {
-		changed := s.opts.Replica.Changed()
-		if s.opts.Replica.Position().After(req.position()) || s.isStoreDown() {
-			break
-		}
-		select {
-		case <-changed:
-		case <-timer.C:
-			waiting = false
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		}
+	if err := s.awaitNews(ctx, req.position()); err != nil {
+		return nil, err
 	}
+	// The age is read before the batch, which may then be newer, but never older.
+	age := s.settledAge()
 	batch, err := s.batches.batchSince(req.position())
 	if err != nil {
 		return nil, err
 	}
 	now := time.Now()
-	resp := pollResponse{Batch: batch, Age: s.Age(now), RecoveredAgo: -1, StoreDown: s.isStoreDown()}
+	resp := pollResponse{Batch: batch, Age: age, RecoveredAgo: -1, StoreDown: s.isStoreDown() || age >= overdueAfter}
 	if recoveredAt := s.StoreStatus(now).RecoveredAt; !recoveredAt.IsZero() {
 		resp.RecoveredAgo = now.Sub(recoveredAt)
 	}
 	return resp, nil
 }
+
+// awaitNews waits until there is something to answer to a poll from position.
+func (s *Service) awaitNews(ctx context.Context, position replica.Position) error {
+	synced := s.nextSync()
+	timer := time.NewTimer(overdueAfter - s.Age(time.Now()))
+	defer timer.Stop()
+	for {
+		changed := s.opts.Replica.Changed()
+		if s.opts.Replica.Position().After(position) || s.isStoreDown() {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-synced:
+			return nil
+		case <-timer.C:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
