--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -30,6 +30,10 @@
 	// the store and to the follower, and the follower a third of the shortest time
 	// within which a change must take effect (2 s) to read the store itself.
 	overdueAfter = watchTimeout + 300*time.Millisecond
+	// outageGap is the shortest time without a replica that matches the store that
+	// counts as an outage. It is more than a VM needs to replace a source, and less
+	// than the two heartbeats (3 s) in which the entry of a live server can lapse.
+	outageGap = 2 * time.Second
 	// batchDelay is the pause after a change, so that a burst of changes is read
 	// in few calls. It is a fifth of the shortest time within which a change must
 	// take effect.
@@ -109,8 +113,7 @@
 	synced chan struct{}
 	// storeDown reports that this VM's last call to the store failed.
 	storeDown bool
-	// recoveredAt is when the store last became reachable again, for this VM or
-	// for a reader that it polls.
+	// recoveredAt is when the replica matched the store again after an outage.
 	recoveredAt time.Time
 	// restoredAt is when the replica last went over to a later era of the store.
 	restoredAt time.Time
@@ -166,8 +169,8 @@
 
 // StoreStatus describes the state of the store as seen by this VM.
 type StoreStatus struct {
-	// RecoveredAt is when the store last became reachable again after an outage, and
-	// RestoredAt when the replica last went over to a later era; zero means never.
+	// RecoveredAt is when the replica last matched the store again after an outage, and
+	// RestoredAt when it last went over to a later era; zero means never.
 	RecoveredAt, RestoredAt time.Time
 	// Disconnected reports whether the replica is stale.
 	Disconnected bool
@@ -350,9 +353,6 @@
 	s.mu.Lock()
 	regained := s.storeDown
 	s.storeDown = false
-	if regained {
-		s.recoveredAt = now
-	}
 	s.mu.Unlock()
 	if regained {
 		s.opts.Log.Event("store regained", "revision", s.opts.Replica.Position().Revision)
@@ -360,8 +360,9 @@
 }
 
 // apply applies a batch that the store, or a peer whose replica matched it, returned at a
-// time.
+// time. An outage is recorded first, since it decides what missing entries mean.
 func (s *Service) apply(batch replica.Batch, at time.Time) (applied []replica.Event) {
+	s.noteOutage(at)
 	s.applying.Lock()
 	defer s.applying.Unlock()
 	applied = s.opts.Replica.Apply(batch)
@@ -375,6 +376,20 @@
 	return applied
 }
 
+// noteOutage records the end of an outage if the replica, which matches the store at a
+// time, had not done so for outageGap. The store was then out of reach for this VM and for
+// its sources; a failed call alone doesn't show that, since the store may serve the others.
+func (s *Service) noteOutage(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	gap := at.Sub(s.syncedAt)
+	if gap <= outageGap || s.opts.Replica.Position().IsZero() {
+		return
+	}
+	s.recoveredAt = at
+	s.opts.Log.Event("store outage ended", "gap", gap, "revision", s.opts.Replica.Position().Revision)
+}
+
 // settledAge returns the age of the replica once no batch is being applied.
 func (s *Service) settledAge() time.Duration {
 	s.applying.Lock()
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -155,9 +156,11 @@
 }
 
 type fleet struct {
-	store  *fakeStore
-	net    *peertest.Net
-	vms    []catalog.VM
+	store *fakeStore
+	net   *peertest.Net
+	vms   []catalog.VM
+	// alive are the VMs that count as alive, all of vms at first.
+	alive  atomic.Pointer[[]catalog.VM]
 	copies map[model.VMID]*replica.Replica
 	feeds  map[model.VMID]*Service
 }
@@ -175,11 +178,12 @@
 			f.vms = append(f.vms, catalog.VM{Name: model.VMID(name), Region: model.Region(fmt.Sprint("r", r)), Peer: name})
 		}
 	}
+	f.alive.Store(&f.vms)
 	for i, vm := range f.vms {
 		f.copies[vm.Name] = replica.New(nil)
 		f.feeds[vm.Name] = New(Options{
 			Self: vm, Store: storeView{f.store, vm.Name}, Links: f.net.Join(vm.Name), Replica: f.copies[vm.Name],
-			Alive:       func() []catalog.VM { return f.vms },
+			Alive:       func() []catalog.VM { return *f.alive.Load() },
 			Random:      rand.New(rand.NewPCG(uint64(i), 7)),
 			Log:         decisions.Discard(),
 			IsCompacted: func(err error) bool { return errors.Is(err, errCompacted) },
@@ -332,6 +336,77 @@
 	}
 }
 
+// retire stops a VM, which the others notice at once.
+func (f *fleet) retire(t *testing.T, vm catalog.VM) {
+	t.Helper()
+	rest := slices.DeleteFunc(slices.Clone(f.vms), func(other catalog.VM) bool { return other.Name == vm.Name })
+	f.alive.Store(&rest)
+	if err := f.feeds[vm.Name].Stop(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	f.net.Leave(vm.Name)
+}
+
+// Guards against servers that have left and stay in use because the VM that takes over
+// the watch of the store counts an outage of long ago as having just ended.
+func TestOutageEndsOnce(t *testing.T) {
+	for outage := 3 * time.Second; outage <= 5*time.Second; outage += 100 * time.Millisecond {
+		t.Run(outage.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := startFleet(t, 3, 3)
+				defer f.stop(t)
+				time.Sleep(2 * time.Second)
+				f.store.update(func() {
+					for _, vm := range f.vms {
+						f.store.rejected[vm.Name] = true
+					}
+				})
+				time.Sleep(outage)
+				f.store.update(func() { clear(f.store.rejected) })
+				time.Sleep(6 * time.Second)
+				takeOver := time.Now()
+				for range 2 {
+					f.retire(t, SelectReaders(*f.alive.Load(), f.vms[0])[0])
+					time.Sleep(3 * time.Second)
+				}
+				for _, vm := range *f.alive.Load() {
+					if at := f.feeds[vm.Name].StoreStatus(time.Now()).RecoveredAt; at.IsZero() || at.After(takeOver) {
+						t.Errorf("%s counts an outage of 6 s ago as ended %v after the take-over", vm.Name, at.Sub(takeOver))
+					}
+				}
+			})
+		})
+	}
+}
+
+// Guards against servers that have left and stay in use at VMs that reached the store all
+// the time, because another VM has just regained it.
+func TestOutageOfOneVMIsNotOneOfTheStore(t *testing.T) {
+	faults := map[string]func(*fakeStore) map[model.VMID]bool{
+		"refused": func(s *fakeStore) map[model.VMID]bool { return s.rejected },
+		"silent":  func(s *fakeStore) map[model.VMID]bool { return s.silent },
+	}
+	for desc, fault := range faults {
+		t.Run(desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := startFleet(t, 3, 3)
+				defer f.stop(t)
+				time.Sleep(2 * time.Second)
+				reader := SelectReaders(f.vms, f.vms[0])[0]
+				f.store.update(func() { fault(f.store)[reader.Name] = true })
+				time.Sleep(4 * time.Second)
+				f.store.update(func() { delete(fault(f.store), reader.Name) })
+				time.Sleep(5 * time.Second)
+				for _, vm := range f.vms {
+					if at := f.feeds[vm.Name].StoreStatus(time.Now()).RecoveredAt; vm.Name != reader.Name && !at.IsZero() {
+						t.Errorf("%s counts an outage of the store", vm.Name)
+					}
+				}
+			})
+		})
+	}
+}
+
 func TestStoreUnreachableForAll(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := startFleet(t, 3, 5)
--- a/internal/feed/poll.go
+++ b/internal/feed/poll.go
@@ -25,9 +25,6 @@
 	Batch encodedBatch `cbor:"1,keyasint"`
 	// Age is the age of the sender's replica.
 	Age time.Duration `cbor:"2,keyasint"`
-	// RecoveredAgo is the time since the store last became reachable again, or
-	// negative if it never was unreachable.
-	RecoveredAgo time.Duration `cbor:"3,keyasint"`
 	// StoreDown reports that the sender does not reach the store itself, or has not
 	// heard from it in time, and so is no source of changes.
 	StoreDown bool `cbor:"4,keyasint,omitempty"`
@@ -91,19 +88,10 @@
 	if resp.StoreDown || resp.Age >= overdueAfter {
 		s.avoidUntil[vm.Name] = now.Add(peerBackoff)
 	}
-	s.noteRecovery(resp, now)
 	s.noteRestore(batch, position, now)
 	s.apply(batch, now.Add(-resp.Age))
 }
 
-func (s *Service) noteRecovery(resp pollResponse, now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if resp.RecoveredAgo >= 0 && now.Add(-resp.RecoveredAgo).After(s.recoveredAt) {
-		s.recoveredAt = now.Add(-resp.RecoveredAgo)
-	}
-}
-
 // handlePoll answers a follower's poll as soon as there is a change or the replica
 // matches the store again, and at the latest when it is overdue. It answers at once if
 // this VM is no source of changes.
@@ -121,12 +109,7 @@
 	if err != nil {
 		return nil, err
 	}
-	now := time.Now()
-	resp := pollResponse{Batch: batch, Age: age, RecoveredAgo: -1, StoreDown: s.isStoreDown() || age >= overdueAfter}
-	if recoveredAt := s.StoreStatus(now).RecoveredAt; !recoveredAt.IsZero() {
-		resp.RecoveredAgo = now.Sub(recoveredAt)
-	}
-	return resp, nil
+	return pollResponse{Batch: batch, Age: age, StoreDown: s.isStoreDown() || age >= overdueAfter}, nil
 }
 
 // awaitNews waits until there is something to answer to a poll from position.
