--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -108,7 +108,9 @@
 			continue
 		}
 		before := s.Current()
-		s.poll(ctx)
+		if !s.poll(ctx) {
+			continue
+		}
 		now := time.Now()
 		if s.Current() != before || now.Sub(announced) >= announceInterval {
 			s.announce(before)
@@ -141,7 +143,9 @@
 	return alive[len(alive)/2]
 }
 
-func (s *Service) poll(ctx context.Context) {
+// poll reads the list from the platform and reports whether it could. A list that was not
+// read must not be announced, or the other VMs of the zone would take it for current.
+func (s *Service) poll(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	s.reads.Inc(1)
@@ -149,9 +153,10 @@
 	if err != nil {
 		s.failures.Inc(1)
 		s.options.Logger.Debug("reading the VM list failed", "err", err)
-		return
+		return false
 	}
 	s.setVMs(vms)
+	return true
 }
 
 // setVMs replaces the list, unless it is unchanged.
--- a/internal/servers/servers_test.go
+++ b/internal/servers/servers_test.go
@@ -1,10 +1,13 @@
 package servers
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"fuchsiaspar/internal/membership"
 	"fuchsiaspar/internal/model"
@@ -78,6 +81,36 @@
 	}
 }
 
+// Guards against VMs that keep an old list because their zone's reader has lost the
+// platform and goes on announcing the list as current.
+func TestReaderWithoutThePlatformConfirmsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, network := standin.New(standin.Options{}), peertest.New(1)
+		run := func(d time.Duration) {
+			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+				network.Deliver()
+			}
+		}
+		services := newZone(network, store, "vm-1", "vm-2", "vm-3")
+		for _, s := range services {
+			if err := s.Start(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = s.Stop(context.Background()) }()
+		}
+		store.SetVM(testServer(1, 0))
+		run(3 * time.Second)
+		store.SetDown("vm-2", true)
+		store.RemoveVM(testServer(1, 0).ID)
+		run(fallbackAfter + 2*pollInterval)
+		for _, s := range services {
+			if got := len(s.Current().VMs); s.options.Self != "vm-2" && got != 0 {
+				t.Errorf("%s still lists a server that was removed", s.options.Self)
+			}
+		}
+	})
+}
+
 func TestOneChangeIsSentAlone(t *testing.T) {
 	var vms []platform.VM
 	for n := range 1000 {
