--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -4,7 +4,6 @@
 	"io"
 	"net/http"
 	"os"
-	"strconv"
 	"time"
 
 	"fuchsiaspar/internal/fullduplex"
@@ -99,12 +98,3 @@
 	q.logFailed("client broke off", "cause", err)
 	panic(http.ErrAbortHandler)
 }
-
-// parseMillis parses a header with a non-negative number of milliseconds.
-func parseMillis(h http.Header, name string) (time.Duration, bool) {
-	ms, err := strconv.ParseFloat(h.Get(name), 64)
-	if err != nil || ms < 0 {
-		return 0, false
-	}
-	return time.Duration(ms * float64(time.Millisecond)), true
-}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -173,7 +173,7 @@
 	if q.route.Timeout > 0 {
 		limit = q.route.Timeout
 	}
-	if remaining, ok := parseMillis(q.r.Header, platform.HeaderDeadline); ok && remaining < limit {
+	if remaining, ok := platform.ParseDeadline(q.r.Header); ok && remaining < limit {
 		limit = remaining
 	}
 	return limit
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -199,6 +199,47 @@
 	}
 }
 
+// TestOddEntriesOfOtherWriters guards against VMs that end, stop following the store, or
+// send requests nowhere because of an odd entry among those of the servers.
+func TestOddEntriesOfOtherWriters(t *testing.T) {
+	store := storetest.Start(t, 500)
+	const entry = `{"address":%s,"info":{"service":"one","version":"v1","zone":"z","slots":%s},"status":{"state":"ready","sequence":1,"cold_left_ms":%s},"born":%s}`
+	nested := strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)
+	odd := []string{
+		fmt.Sprintf(entry, `"127.0.0.1:70000"`, "3", "0", "1"),
+		fmt.Sprintf(entry, `"127.0.0.1:99999999999999999999"`, "3", "0", "1"),
+		fmt.Sprintf(entry, `"127.0.0.1:0"`, "1e300", "0", "1"),
+		fmt.Sprintf(entry, `"127.0.0.1:1"`, "1e300", "0", "1"),
+		fmt.Sprintf(entry, `"127.0.0.1:1"`, "3", "1e300", "1e300"),
+		fmt.Sprintf(entry, nested, nested, nested, nested),
+		nested, "\xff", "null", "",
+	}
+	put := func(at string) {
+		for i, value := range odd {
+			store.Put(platform.PrefixServers+fmt.Sprint("odd-", at, i), []byte(value))
+		}
+	}
+	put("before")
+	startBackend(t, store, "i-1", "one", 0)
+	configure(store, 1, "one")
+	n := startNode(t, "vm-a", store)
+	eventually(t, "served beside odd entries", n.serves("one"))
+	put("after")
+	startBackend(t, store, "i-2", "two", 0)
+	configure(store, 2, "two")
+	eventually(t, "the change after odd entries is followed", n.serves("two"))
+	configure(store, 3, "one")
+	eventually(t, "the first service is back", n.serves("one"))
+	for i := range 50 {
+		if !n.serves("one")() {
+			t.Fatalf("request %d was not served", i)
+		}
+	}
+	if servers := n.state.Current().Servers["one"]; len(servers) != 1 {
+		t.Errorf("%d servers of the first service are in use, want 1", len(servers))
+	}
+}
+
 func TestPlannedStopCutsNothing(t *testing.T) {
 	store := storetest.Start(t, 100)
 	startBackend(t, store, "i-1", "one", 600*time.Millisecond)
