--- /dev/null
+++ b/internal/backend/cut_test.go
@@ -0,0 +1,67 @@
+package backend_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"fuchsiaspar/internal/backend"
+)
+
+// cutHeadServer answers each request with the beginning of a response head, up to the byte
+// that the path names by its length, and closes the connection.
+func cutHeadServer(t *testing.T, head string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	serve := func(c net.Conn) {
+		defer c.Close()
+		if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			answer := strings.ReplaceAll(head, "{attempt}", r.Header.Get(backend.HeaderAttempt))
+			_, _ = io.WriteString(c, answer[:len(r.URL.Path)])
+		}
+	}
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// Guards against a response that is taken for whole although its server closed the
+// connection in the middle of its head.
+func TestHeadThatEndsEarlyIsNoResponse(t *testing.T) {
+	heads := map[string]string{
+		"with a length":  "HTTP/1.1 200 OK\r\n" + backend.HeaderAttempt + ": {attempt}\r\nContent-Length: 4000\r\n\r\n",
+		"chunked":        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"without a body": "HTTP/1.1 204 No Content\r\n" + backend.HeaderAttempt + ": {attempt}\r\n\r\n",
+	}
+	for desc, head := range heads {
+		t.Run(desc, func(t *testing.T) {
+			address := cutHeadServer(t, head)
+			client := backend.New(backend.Options{Silence: longSilence, PlainSilence: longSilence})
+			defer client.Close()
+			for cut := 1; cut < len(head); cut++ {
+				req := order("/" + strings.Repeat("x", cut-1))
+				req.Deadline = time.Now().Add(time.Second)
+				resp, err := client.Do(t.Context(), backend.Target{ID: "server-1", Address: address}, req)
+				if err == nil {
+					t.Errorf("a head cut to %q was taken for a response of %d", head[:cut], resp.Status)
+					resp.Body.Close()
+				}
+			}
+		})
+	}
+}
