--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -38,6 +38,9 @@
 	input  *boundedInput
 	reader *bufio.Reader
 	raw    syscall.RawConn
+	// used reports whether the connection has carried an earlier exchange. What arrives
+	// on it without naming a request may then belong to that one.
+	used bool
 	// reusableUntil is the time after which the idle connection is not reused.
 	reusableUntil time.Time
 }
@@ -125,5 +128,6 @@
 	// A deadline that passes while the connection is idle would make the check
 	// in noInputPending fail. If clearing it fails, so does the next use.
 	_ = c.SetDeadline(time.Time{})
+	c.used = true
 	c.reusableUntil = now.Add(idleTimeout - idleMargin)
 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -201,7 +201,7 @@
 // readResponse reads the header of the response to this request. It skips
 // informational (1xx) responses and late responses to earlier requests on the
 // connection. A response without a request id is accepted only if it states that
-// the request did not run.
+// the request did not run, and no earlier request can be meant.
 func (ex *exchange) readResponse() (*http.Response, error) {
 	ex.conn.input.allow(maxHeaderBytes)
 	for skipped := 0; ; {
@@ -216,10 +216,14 @@
 			continue
 		}
 		id := resp.Header.Get(platform.HeaderRequestID)
-		if id == ex.req.ID || (id == "" && platform.NotExecuted(resp.StatusCode, resp.Header)) {
+		unnamed := id == "" && platform.NotExecuted(resp.StatusCode, resp.Header)
+		if id == ex.req.ID || (unnamed && !ex.conn.used) {
 			ex.conn.input.allow(math.MaxInt)
 			return resp, nil
 		}
+		if unnamed {
+			ex.client.suspendReuse(ex.server, time.Now())
+		}
 		skipped++
 		if skipped > maxUnrelated {
 			return nil, ErrUnrelatedResponse
@@ -269,7 +273,7 @@
 		return
 	}
 	ex.conn.markIdle(now, platform.IdleTimeout(resp.Header))
-	ex.client.put(ex.server, ex.conn)
+	ex.client.put(ex.server, ex.conn, now)
 }
 
 // uploading reports whether a part of the request is still being sent.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -19,18 +19,24 @@
 	// idle connections of all VMs together may use. The rest is left for
 	// connections with a request in progress.
 	maxIdleFraction = 0.5
+	// reuseSuspension is how long no connection to a server is reused after it sent
+	// a refusal that names no request on a used connection. On a new one, such a
+	// refusal can only mean the request that was sent.
+	reuseSuspension = 10 * time.Second
 )
 
 // Client sends requests to backend servers and reuses idle connections. It is
 // safe for concurrent use.
 type Client struct {
-	opened, reused, stale tally.Counter
+	opened, reused, stale, unnamedRefusals tally.Counter
 
 	mu   sync.Mutex
 	idle map[model.ServerID]*idleList
 	// idleLimits holds the largest number of idle connections to one server of
 	// each service that limits its connections.
 	idleLimits map[model.ServiceName]int
+	// suspended holds the servers to which no connection is reused, and until when.
+	suspended map[model.ServerID]time.Time
 }
 
 // idleList holds the idle connections to one server, the one used last at the
@@ -47,6 +53,9 @@
 		reused: scope.Counter("server_connections_reused"),
 		stale:  scope.Counter("server_connections_stale"),
 		idle:   map[model.ServerID]*idleList{},
+
+		unnamedRefusals: scope.Counter("server_refusals_unnamed"),
+		suspended:       map[model.ServerID]time.Time{},
 	}
 }
 
@@ -141,11 +150,30 @@
 	return conn
 }
 
-// put adds an idle connection, or closes it if the server's address has changed or
-// its limit is reached.
-func (c *Client) put(server *catalog.Server, conn *conn) {
+// suspendReuse closes the idle connections to a server that sent a refusal without a
+// request id on a used one, and prevents further ones for reuseSuspension.
+func (c *Client) suspendReuse(server *catalog.Server, now time.Time) {
+	c.unnamedRefusals.Inc(1)
+	c.mu.Lock()
+	for id, until := range c.suspended {
+		if !now.Before(until) {
+			delete(c.suspended, id)
+		}
+	}
+	c.suspended[server.ID] = now.Add(reuseSuspension)
+	c.mu.Unlock()
+	c.CloseIdle([]*catalog.Server{server})
+}
+
+// put adds an idle connection, or closes it if the server's address has changed, its
+// limit is reached, or its connections are not reused.
+func (c *Client) put(server *catalog.Server, conn *conn, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if now.Before(c.suspended[server.ID]) {
+		conn.Close()
+		return
+	}
 	list := c.idle[server.ID]
 	if list == nil {
 		list = &idleList{address: server.Address}
