--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -141,16 +141,28 @@
 		q.logFailedAttempt("server refused", "status", resp.Status)
 		return resultFailed
 	}
-	if resp.Status < http.StatusMultipleChoices && !platform.Sealed(resp.Header) {
+	if defect := q.defect(resp); defect != "" {
 		resp.Body.Close()
 		q.mayHaveRun = true
 		q.recordOutcome(choice, pick.Failed, report)
-		q.logFailedAttempt("answer without a seal", "status", resp.Status)
+		q.logFailedAttempt(defect, "status", resp.Status)
 		return resultFailed
 	}
 	return q.forwardResponse(choice, resp, report)
 }
 
+// defect returns why the client must not get a response to a request that may have run,
+// or an empty string.
+func (q *request) defect(resp *upstream.Response) string {
+	switch {
+	case resp.Status < http.StatusMultipleChoices && !platform.Sealed(resp.Header):
+		return "answer without a seal"
+	case platform.PromisesNotRun(resp.Status) && !q.route.Kind.Repeatable():
+		return "refusal without proof"
+	}
+	return ""
+}
+
 // handleNoResponse records an attempt that ended with an error instead of a
 // response.
 func (q *request) handleNoResponse(choice pick.Choice, err error) attemptResult {
