--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -229,8 +229,10 @@
 			return state.Outage{Disconnected: status.Disconnected, RecoveredAt: status.RecoveredAt, RestoredAt: status.RestoredAt}
 		},
 		OnSnapshot: func(snapshot *catalog.Snapshot, now time.Time) {
-			b.client.CloseIdle(b.fleet.SetSnapshot(snapshot, now))
+			// The VMs come first, since they divide what the servers may get.
 			b.node.liveness.SetStoreRecords(snapshot.VMs)
+			b.divideLimits(snapshot.Config)
+			b.client.CloseIdle(b.fleet.SetSnapshot(snapshot, now))
 		},
 		OnTick: b.onTick,
 	})
@@ -256,19 +258,26 @@
 		"tokens", strconv.FormatFloat(c.Tokens, 'f', 1, 64))
 }
 
-// onTick passes the number of live VMs to the services that depend on it and
-// updates the gauges.
-func (b *assembly) onTick(now time.Time) {
+// divideLimits divides the limits that hold for all VMs together among the live ones.
+// config is nil until one is known.
+func (b *assembly) divideLimits(config *catalog.Config) {
 	alive := b.node.liveness.Alive()
 	b.fleet.SetVMs(alive)
 	b.repeats.SetVMs(len(alive))
+	if config != nil {
+		b.client.SetIdleLimits(config.Services, len(alive))
+	}
+}
+
+// onTick divides the limits anew, since VMs come and go, and updates the gauges.
+func (b *assembly) onTick(now time.Time) {
+	b.divideLimits(b.node.state.Current().Config)
 	scope := b.metrics.Scope
-	scope.Gauge("vms_alive").Update(float64(len(alive)))
+	scope.Gauge("vms_alive").Update(float64(len(b.node.liveness.Alive())))
 	scope.Gauge("store_copy_age_seconds").Update(b.feed.Age(now).Seconds())
 	snapshot := b.node.state.Current()
 	if snapshot.Config != nil {
 		scope.Gauge("configuration_version").Update(float64(snapshot.Config.Version))
-		b.client.SetIdleLimits(snapshot.Config.Services, len(alive))
 		scope.Gauge("configuration_age_seconds").Update(now.Sub(snapshot.ConfigUpdatedAt).Seconds())
 	}
 	if !snapshot.ServersUpdatedAt.IsZero() {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -5,13 +5,17 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"fuchsiaspar/internal/catalog"
 	"fuchsiaspar/internal/model"
 	"fuchsiaspar/platform"
 	"fuchsiaspar/platform/storetest"
@@ -240,6 +244,48 @@
 	}
 }
 
+// TestFirstSnapshotCountsItsVMs guards against VMs that start together and each send a cold
+// server what all of them may send it, before they count each other.
+func TestFirstSnapshotCountsItsVMs(t *testing.T) {
+	const vms, coldPerSecond = 7, 3.5
+	var arrivals atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		arrivals.Add(1)
+		w.Header().Set(platform.HeaderRequestID, r.Header.Get(platform.HeaderRequestID))
+		w.Header().Set(platform.HeaderSeal, "seal")
+	}))
+	t.Cleanup(server.Close)
+	store := storetest.Start(t, 500)
+	store.Put(platform.PrefixServers+"i-1", fmt.Appendf(nil,
+		`{"address":%q,"info":{"service":"one","version":"v1","zone":"z","slots":3},"status":{"state":"ready","sequence":1,"cold_left_ms":20000}}`,
+		server.Listener.Addr().String()))
+	store.Put(platform.KeyConfig, fmt.Appendf(nil,
+		`{"version":1,"routes":{"r":{"host":"h","path_prefix":"/a/","kind":"idempotent","timeout_ms":2000,"service":"one","max_attempts":2}},
+		"services":{"one":{"health_path":"/health","cold_start_s":20,"cold_per_s":%v}}}`, coldPerSecond))
+	for i := range vms - 1 {
+		name := fmt.Sprint("vm-", i)
+		record, err := platform.EncodeVM(catalog.VM{Name: model.VMID(name), Zone: "z", Region: "r", Front: "127.0.0.1:1", Peer: "127.0.0.1:1"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		store.Put(platform.PrefixVMs+name, record)
+	}
+	n := startNode(t, "vm-a", store)
+	var clients sync.WaitGroup
+	for range 2 * vms {
+		clients.Go(func() {
+			for end := time.Now().Add(time.Second); time.Now().Before(end); {
+				get(n.settings.Listen.Front, "/a/x", "h")
+			}
+		})
+	}
+	clients.Wait()
+	// The VM's share of 3.5 x 1.5 + 5 requests a second, summed over all VMs.
+	if got, share := arrivals.Load(), int64(math.Ceil((coldPerSecond*1.5+5)/vms)); got > share {
+		t.Errorf("a cold server got %d requests in the first second, want at most %d", got, share)
+	}
+}
+
 func TestPlannedStopCutsNothing(t *testing.T) {
 	store := storetest.Start(t, 100)
 	startBackend(t, store, "i-1", "one", 600*time.Millisecond)
