--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -180,6 +180,10 @@
 	switch {
 	case reason == string(pick.Yield):
 		r.Cause = overload.Yielded
+	case reason == string(pick.Paused) || q.deferred:
+		if left, paused := q.server.opts.Fleet.PauseLeft(q.query(), time.Now()); paused {
+			r.Cause, r.PauseLeft = overload.Paused, left
+		}
 	case q.shed && (reason == reasonRetryBudget || reason == reasonAttemptsUsed):
 		r.Cause = overload.Shed
 	}
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -63,9 +63,7 @@
 		if q.deadline.Sub(now) < minAttemptTime {
 			return pick.Choice{}, reasonTimeout
 		}
-		choice, reason := q.server.opts.Fleet.Pick(pick.Query{
-			Route: q.route, Service: q.service, Object: q.objectHash, Exclude: q.tried,
-		}, now)
+		choice, reason := q.server.opts.Fleet.Pick(q.query(), now)
 		if reason == "" || reason == pick.Yield {
 			q.lastChoice = choice
 		}
@@ -76,6 +74,10 @@
 	}
 }
 
+func (q *request) query() pick.Query {
+	return pick.Query{Route: q.route, Service: q.service, Object: q.objectHash, Exclude: q.tried}
+}
+
 // reserveRetry takes one retry from the budget of the service. It returns an
 // empty string on success, or else the reason why the request must not be
 // retried.
@@ -133,11 +135,15 @@
 	}
 	q.attempts++
 	report := parseLoadReport(resp.Header)
-	q.recordLimit(choice, resp)
+	q.deferred = q.recordStatements(choice, resp, time.Now())
 	if platform.NotExecuted(resp.Status, resp.Header) {
-		q.shed = report != nil && report.Running+report.Waiting < report.Slots
+		q.shed = !q.deferred && report != nil && report.Running+report.Waiting < report.Slots
 		resp.Body.Discard()
-		q.recordOutcome(choice, pick.Refused, report)
+		outcome := pick.Refused
+		if q.deferred {
+			outcome = pick.Deferred
+		}
+		q.recordOutcome(choice, outcome, report)
 		q.logFailedAttempt("server refused", "status", resp.Status)
 		return resultFailed
 	}
@@ -199,20 +205,6 @@
 	}
 }
 
-// recordLimit reports the request rate that a server states with its response. A
-// misdirected response comes from another server, and an unsealed one from none. A
-// refusal without a limit says nothing about it.
-func (q *request) recordLimit(choice pick.Choice, resp *upstream.Response) {
-	perSecond, stated, err := platform.ParseRequestLimit(resp.Header)
-	switch {
-	case resp.Status == http.StatusMisdirectedRequest:
-	case err != nil:
-		q.logFailed("invalid limit of a server", "cause", err)
-	case platform.Sealed(resp.Header), stated && platform.NotExecuted(resp.Status, resp.Header):
-		q.server.opts.Fleet.RecordLimit(choice, stated, perSecond, time.Now())
-	}
-}
-
 // parseLoadReport returns the load that a server sent with its response, or nil.
 func parseLoadReport(h http.Header) *pick.Report {
 	load, ok := platform.ParseLoad(h)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -56,6 +56,7 @@
 	metrics  *metrics
 	active   atomic.Int64
 	draining atomic.Bool
+	invalid  invalidLog
 }
 
 // NewServer returns a Server.
@@ -106,6 +107,9 @@
 	// shed reports whether the last attempt was refused by a server that reported a
 	// free slot.
 	shed bool
+	// deferred reports whether the last attempt was refused by a server that asked for
+	// a pause.
+	deferred bool
 	// lastChoice is the server chosen last, for log lines.
 	lastChoice pick.Choice
 }
--- a/internal/front/report.go
+++ b/internal/front/report.go
@@ -58,6 +58,11 @@
 	m.scope.Tagged(map[string]string{"service": string(service), "budget": result}).Counter("repeats").Inc(1)
 }
 
+// statement counts what a server said about itself.
+func (m *metrics) statement(kind string) {
+	m.scope.Tagged(map[string]string{"kind": kind}).Counter("server_statements").Inc(1)
+}
+
 func outcomeLabel(status int) string {
 	if status < http.StatusBadRequest {
 		return "success"
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -16,6 +16,8 @@
 	// Yielded means that the request tolerates latency and made way for more
 	// urgent ones.
 	Yielded
+	// Paused means that all servers for the request want none for a time.
+	Paused
 )
 
 const (
@@ -35,6 +37,8 @@
 	Cause Cause
 	// Objective is the latency objective of the request's route.
 	Objective time.Duration
+	// PauseLeft is the time until the first of the paused servers is back.
+	PauseLeft time.Duration
 }
 
 // RetryAfter returns when the client of a refused request may come back. draw is a
@@ -46,6 +50,9 @@
 		return r.Objective
 	case Shed:
 		return shedWait
+	case Paused:
+		// The servers are not sure to have room for all clients at once.
+		return r.PauseLeft + time.Duration(float64(fullWait)*fullSpread*2*draw)
 	default:
 		return time.Duration(float64(fullWait) * (1 + fullSpread*(2*draw-1)))
 	}
--- a/internal/overload/patterns_test.go
+++ b/internal/overload/patterns_test.go
@@ -31,7 +31,7 @@
 		took := time.Duration(0)
 		for try := range 2 {
 			if try > 0 {
-				took += wait(Refusal{Shed, objective}, random.Float64())
+				took += wait(Refusal{Cause: Shed, Objective: objective}, random.Float64())
 			}
 			took += roundTrip
 			if random.Float64() < share {
@@ -71,7 +71,7 @@
 	random := rand.New(rand.NewPCG(2, 1))
 	var arrivals []time.Duration
 	for range clients {
-		arrivals = append(arrivals, wait(Refusal{Full, objective}, random.Float64()))
+		arrivals = append(arrivals, wait(Refusal{Cause: Full, Objective: objective}, random.Float64()))
 	}
 	slices.Sort(arrivals)
 	longest := 0
@@ -100,9 +100,10 @@
 		refusal  Refusal
 		from, to time.Duration
 	}{
-		{"full", Refusal{Full, objective}, 200 * time.Millisecond, 400 * time.Millisecond},
-		{"shed", Refusal{Shed, objective}, 0, objective - workTime - 2*roundTrip},
-		{"yielded", Refusal{Yielded, objective}, objective, objective},
+		{"full", Refusal{Cause: Full, Objective: objective}, 200 * time.Millisecond, 400 * time.Millisecond},
+		{"shed", Refusal{Cause: Shed, Objective: objective}, 0, objective - workTime - 2*roundTrip},
+		{"yielded", Refusal{Cause: Yielded, Objective: objective}, objective, objective},
+		{"paused", Refusal{Cause: Paused, Objective: objective, PauseLeft: 3 * time.Second}, 3 * time.Second, 3200 * time.Millisecond},
 	}
 	for _, tt := range tests {
 		t.Run(tt.desc, func(t *testing.T) {
--- a/internal/pick/fleet.go
+++ b/internal/pick/fleet.go
@@ -44,6 +44,7 @@
 	coldSender       bool
 	senderGeneration uint64
 	health           health
+	withdrawal       withdrawal
 	// removed marks a server that is no longer in the snapshot.
 	removed bool
 }
@@ -68,6 +69,9 @@
 	// evacuated is the set of evacuated zones in the last snapshot.
 	evacuated map[model.Zone]bool
 	senders   senders
+	// departing holds the server processes that said that they leave, and when they
+	// last did. A process whose entry vanishes and returns is still leaving.
+	departing map[process]time.Time
 }
 
 // Options configures a Fleet.
@@ -110,7 +114,8 @@
 	return &Fleet{
 		options: options, servers: map[model.ServerID]*Server{}, byHash: map[uint64]*Server{}, byService: map[model.ServiceName][]candidate{},
 		uses: newUseLog(), remoteByVM: map[model.VMID]vmCounts{}, remoteTotals: share.Counts{},
-		senders: senders{self: hashString(string(options.Self)), generation: 1},
+		senders:   senders{self: hashString(string(options.Self)), generation: 1},
+		departing: map[process]time.Time{},
 	}
 }
 
@@ -168,6 +173,7 @@
 	}
 	if !known {
 		server = &Server{Server: entry, hash: hashString(string(entry.ID))}
+		server.withdrawal.leavingSince = f.departing[processOf(server)]
 		f.servers[entry.ID], f.byHash[server.hash] = server, server
 		f.setCold(server, entry.ColdRemaining, now)
 		return server
--- a/internal/pick/health.go
+++ b/internal/pick/health.go
@@ -57,6 +57,11 @@
 // the answer shows a failure of the server.
 func (h *health) recordAnswer(failed bool, now time.Time) {
 	h.recordOutcome(failed, now)
+	h.recordContact()
+}
+
+// recordContact records that the server answers, whatever it says.
+func (h *health) recordContact() {
 	h.unanswered = 0
 	h.ejectedUntil = time.Time{}
 }
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -46,6 +46,9 @@
 	// Limited means the same, but for servers that have received as many requests as
 	// they say they take.
 	Limited Reason = "server_limits"
+	// Paused means that every server of an allowed region leaves or has asked for a
+	// pause. PauseLeft returns the time until the first one is back.
+	Paused Reason = "servers_paused"
 	// Yield means that the request tolerates latency and its server is too loaded
 	// to take it without delaying more urgent requests.
 	Yield Reason = "yield"
@@ -94,10 +97,13 @@
 	}
 	if best.Server == nil {
 		allowed := func(c candidate) bool { return regionAllowed(c.server, q.Route.Regions) }
-		switch {
-		case !slices.ContainsFunc(list, allowed):
+		if !slices.ContainsFunc(list, allowed) {
 			return best, NoServers
-		case limited:
+		}
+		if _, paused := f.pauseLeft(q, now); paused {
+			return best, Paused
+		}
+		if limited {
 			return best, Limited
 		}
 		return best, AllFull
@@ -164,7 +170,7 @@
 
 // eligible reports whether a server may get a request now, apart from its limit.
 func (f *Fleet) eligible(s *Server, now time.Time) bool {
-	if s.health.ejected(now) {
+	if s.health.ejected(now) || s.withdrawal.leaving(now) || s.withdrawal.paused(now) {
 		return false
 	}
 	return !now.Before(s.coldUntil) || f.withinColdRate(s, now)
@@ -234,6 +240,8 @@
 	Failed
 	// Refused is an answer in which the server refuses to run the request.
 	Refused
+	// Deferred is a refusal with which the server asks for a pause. It is no failure.
+	Deferred
 	// Unanswered is a request without an answer.
 	Unanswered
 	// Abandoned is a request whose client disconnected. It does not count against
@@ -267,6 +275,8 @@
 			server.report = Report{Running: server.Slots, Waiting: queuePerSlot * server.Slots, Slots: server.Slots}
 			server.reportedAt = now
 		}
+	case Deferred:
+		server.health.recordContact()
 	case Unanswered:
 		server.health.recordNoAnswer(now)
 		f.options.OnEject(Ejection{
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -1,7 +1,7 @@
 // Package share exchanges load between entry VMs. Each VM periodically sends the
 // others its number of outstanding requests at each backend server, so that every
 // VM can estimate the queue of a server from the requests of all VMs, and reports its
-// requests to servers that limit them. The messages
+// requests to servers that limit them and the servers that leave. The messages
 // also carry the position of the sender's replica of the store, so that a VM with a
 // stale replica notices.
 package share
@@ -58,6 +58,10 @@
 // LimitReports maps the hash of a server to the report about it.
 type LimitReports map[uint64]LimitReport
 
+// LeavingReports maps the hash of a server that says that it leaves to the start of its
+// process.
+type LeavingReports map[uint64]int64
+
 // message is the message that VMs send each other.
 type message struct {
 	// Revision and Era are the position of the sender's replica of the store.
@@ -67,6 +71,8 @@
 	Counts Counts `cbor:"2,keyasint,omitempty"`
 	// Limits are the sender's reports about servers that limit their requests.
 	Limits LimitReports `cbor:"3,keyasint,omitempty"`
+	// Leaving are the servers that said to the sender that they leave.
+	Leaving LeavingReports `cbor:"5,keyasint,omitempty"`
 }
 
 // Feed maintains this VM's replica of the store.
@@ -87,6 +93,10 @@
 	LimitReports(now time.Time) LimitReports
 	// SetRemoteLimits applies the reports of another VM.
 	SetRemoteLimits(vm model.VMID, reports LimitReports, now time.Time)
+	// Leaving returns this VM's reports about servers that leave.
+	Leaving(now time.Time) LeavingReports
+	// SetRemoteLeaving applies the reports of another VM.
+	SetRemoteLeaving(reports LeavingReports, now time.Time)
 	// ExpireRemoteCounts removes the counts of VMs that stopped sending.
 	ExpireRemoteCounts(now time.Time)
 }
@@ -106,8 +116,8 @@
 
 	// The fields below are used only by the sending goroutine.
 	rounds int
-	// lastSentEmpty reports that the last message had neither counts nor limits. Further empty
-	// ones are not sent.
+	// lastSentEmpty reports that the last message had a position only. Further ones of
+	// that kind are not sent.
 	lastSentEmpty bool
 	rng           *rand.Rand
 }
@@ -135,6 +145,7 @@
 	s.mu.Unlock()
 	s.fleet.SetRemoteCounts(from, msg.Counts, now)
 	s.fleet.SetRemoteLimits(from, msg.Limits, now)
+	s.fleet.SetRemoteLeaving(msg.Leaving, now)
 	for _, vm := range s.liveVMs() {
 		if vm.Name == from {
 			s.feed.ObservePosition(vm, replica.Position{Era: msg.Era, Revision: msg.Revision}, now)
@@ -147,8 +158,11 @@
 	s.rounds++
 	s.fleet.ExpireRemoteCounts(now)
 	position := s.feed.Position()
-	msg := message{Revision: position.Revision, Era: position.Era, Counts: s.fleet.Outstanding(), Limits: s.fleet.LimitReports(now)}
-	empty := len(msg.Counts) == 0 && len(msg.Limits) == 0
+	msg := message{
+		Revision: position.Revision, Era: position.Era,
+		Counts: s.fleet.Outstanding(), Limits: s.fleet.LimitReports(now), Leaving: s.fleet.Leaving(now),
+	}
+	empty := len(msg.Counts) == 0 && len(msg.Limits) == 0 && len(msg.Leaving) == 0
 	if empty && s.lastSentEmpty {
 		return
 	}
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -23,6 +23,8 @@
 	// ownLimits are reported, and receivedLimits holds the reports received.
 	ownLimits      LimitReports
 	receivedLimits map[model.VMID]LimitReports
+	// ownLeaving are reported, and receivedLeaving are the last reports received.
+	ownLeaving, receivedLeaving LeavingReports
 	// messages is the number of messages received.
 	messages int
 }
@@ -52,6 +54,18 @@
 	f.receivedLimits[vm] = reports
 }
 
+func (f *fakeFleet) Leaving(time.Time) LeavingReports {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ownLeaving
+}
+
+func (f *fakeFleet) SetRemoteLeaving(reports LeavingReports, _ time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.receivedLeaving = reports
+}
+
 func (f *fakeFleet) ExpireRemoteCounts(time.Time) {}
 
 func (f *fakeFleet) stats() (from, messages int) {
@@ -139,6 +153,25 @@
 	})
 }
 
+// TestLeavingServersReachOtherVMs guards against servers that leave and lose the requests
+// of those VMs only to which they said so, also if those have no request outstanding.
+func TestLeavingServersReachOtherVMs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleets := startAll(t, 3, func(int) Counts { return nil })
+		fleets[0].mu.Lock()
+		fleets[0].ownLeaving = LeavingReports{7: 1700000000000}
+		fleets[0].mu.Unlock()
+		time.Sleep(2 * time.Second)
+		for i, fleet := range fleets[1:] {
+			fleet.mu.Lock()
+			if got := fleet.receivedLeaving[7]; got != 1700000000000 {
+				t.Errorf("vm-%02d received %v", i+1, fleet.receivedLeaving)
+			}
+			fleet.mu.Unlock()
+		}
+	})
+}
+
 // TestLimitReportsReachOtherVMs guards against limits that only the VMs know to which the
 // server stated them, also if those have no request outstanding.
 func TestLimitReportsReachOtherVMs(t *testing.T) {
