--- a/internal/soak/backend_test.go
+++ b/internal/soak/backend_test.go
@@ -1,9 +1,11 @@
 package soak
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -51,6 +53,10 @@
 	responseEndlessHeader
 	responseEndlessBody
 	responseFaultCount
+	// responseThenRefusal sends the response, and an extra refusal that names no request
+	// before it executes the next request on the connection. It is drawn apart from the
+	// others, so that each seed plays the same faults as before it was added.
+	responseThenRefusal
 )
 
 // backend is a backend server behind a fault-injecting proxy. It can spoil the
@@ -77,9 +83,13 @@
 	// spoilRate and refusalRate are fractions of requests, from 0 to 1.
 	spoilRate, refusalRate float64
 	responseFault          responseFault
+	// statements are headers that the server adds to all its responses.
+	statements http.Header
 	// lastRequestAt is when the last request arrived. Requests that expect another
 	// instance do not count.
 	lastRequestAt time.Time
+	// requestCount counts the same requests.
+	requestCount int
 }
 
 // startBackend starts a backend server and its proxy, and registers it as ready.
@@ -138,6 +148,13 @@
 	return b.lastRequestAt
 }
 
+// requests returns how many requests for this server arrived.
+func (b *backend) requests() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.requestCount
+}
+
 // setFaultRates sets which fractions of requests, from 0 to 1, get f in place of
 // their response or are refused.
 func (b *backend) setFaultRates(f responseFault, spoilRate, refusalRate float64) {
@@ -146,12 +163,27 @@
 	b.responseFault, b.spoilRate, b.refusalRate = f, spoilRate, refusalRate
 }
 
+// setStatements sets the headers that the server adds to all its responses.
+func (b *backend) setStatements(h http.Header) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.statements = h
+}
+
+// state adds the current statements to the header of a response.
+func (b *backend) state(h http.Header) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	maps.Copy(h, b.statements)
+}
+
 // drawOutcome records a request that arrived at now and randomly decides whether
 // its response is spoiled, whether it is refused, and how long it takes.
 func (b *backend) drawOutcome(now time.Time) (spoil, refuse bool, processingTime time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.lastRequestAt = now
+	b.requestCount++
 	return b.random.Float64() < b.spoilRate, b.random.Float64() < b.refusalRate, time.Duration(5+b.random.IntN(60)) * time.Millisecond
 }
 
@@ -162,6 +194,7 @@
 func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	requestID := r.Header.Get(platform.HeaderRequestID)
 	w.Header().Set(platform.HeaderRequestID, requestID)
+	b.state(w.Header())
 	if expect := r.Header.Get(platform.HeaderExpectedInstance); expect != "" && expect != b.currentInstance() {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -194,9 +227,8 @@
 	}
 	defer conn.Close()
 	body := responseBody(requestID)
-	header := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal of %s\r\n",
-		platform.HeaderRequestID, requestID, platform.HeaderSeal, requestID)
-	whole := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", header, len(body), body)
+	header := responseHeader(requestID)
+	whole := wholeResponse(requestID)
 	switch f {
 	case responseBrokenOff:
 		_, _ = io.WriteString(conn, whole[:len(whole)-len(body)/2])
@@ -205,6 +237,9 @@
 		time.Sleep(lateCopyDelay)
 		_, _ = io.WriteString(conn, whole)
 		time.Sleep(lateCopyDelay)
+	case responseThenRefusal:
+		_, _ = io.WriteString(conn, whole)
+		b.refuseBeforeNext(conn)
 	case responseEndlessHeader:
 		writeEndlessly(conn, header+"A: ")
 	case responseEndlessBody:
@@ -215,7 +250,38 @@
 	}
 }
 
+// responseHeader returns the header of a response without its length.
+func responseHeader(requestID string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal of %s\r\n",
+		platform.HeaderRequestID, requestID, platform.HeaderSeal, requestID)
+}
+
+func wholeResponse(requestID string) string {
+	body := responseBody(requestID)
+	return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", responseHeader(requestID), len(body), body)
+}
+
+// refuseBeforeNext waits for the next request on a connection, sends a refusal that names no
+// request, and then executes the request and responds to it.
+func (b *backend) refuseBeforeNext(conn net.Conn) {
+	if err := conn.SetDeadline(time.Now().Add(nextRequestWait)); err != nil {
+		return
+	}
+	r, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil || r.Header.Get(platform.HeaderExpectedInstance) != b.currentInstance() {
+		return
+	}
+	requestID := r.Header.Get(platform.HeaderRequestID)
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", platform.HeaderNotExecuted)
+	b.executions.increment(requestID)
+	time.Sleep(lateCopyDelay)
+	_, _ = io.WriteString(conn, wholeResponse(requestID))
+	time.Sleep(lateCopyDelay)
+}
+
 const (
+	// nextRequestWait is how long a server waits for another request on a connection.
+	nextRequestWait = 500 * time.Millisecond
 	// lateCopyDelay is about the time between two requests on a connection.
 	lateCopyDelay = 30 * time.Millisecond
 	// endlessPause keeps what a client collects of an endless body to some 40 MB.
--- a/internal/soak/promises_test.go
+++ b/internal/soak/promises_test.go
@@ -111,6 +111,30 @@
 	b.register("ready")
 	h.configure("desk")
 	h.awaitNewestVersion("CONFIG", applyBound)
+	h.checkStatements()
+}
+
+// checkStatements checks that a server that asks for a pause, and then one that says that it
+// leaves, get no more requests than each VM needs to hear of it, while their entries stay.
+func (h *harness) checkStatements() {
+	const pause = 6 * time.Second
+	b := h.backends[0]
+	check := func(rule string, headers http.Header, refusalRate float64) {
+		b.setStatements(headers)
+		b.setFaultRates(responseReset, 0, refusalRate)
+		time.Sleep(drainBound)
+		before := b.requests()
+		time.Sleep(drainObservation)
+		if got, most := b.requests()-before, 2*len(h.vms); got > most {
+			h.t.Errorf("%s: %s received %d requests in %s after its statements, want at most %d", rule, b.currentInstance(), got, drainObservation, most)
+		}
+	}
+	check("BUDGET", http.Header{platform.HeaderRetryAfter: {fmt.Sprint(pause.Seconds())}}, 1)
+	b.setFaultRates(responseReset, 0, 0)
+	b.setStatements(nil)
+	time.Sleep(pause)
+	check("DRAIN", http.Header{platform.HeaderLeaving: {"1"}}, 0)
+	b.setStatements(nil)
 }
 
 // TestRevertIsDetected checks that revertDetector reports a fake VM that goes back
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -63,6 +63,9 @@
 	configVersion  atomic.Int64
 	configDocument []byte
 	restorer       *restorer
+	// later draws the faults that were added later, so that each seed still plays the
+	// others as before.
+	later *rand.Rand
 	// restartCount counts restarts of backend servers, to name new instances.
 	restartCount int
 	// activeFaults tracks running faults that end after a limited time.
@@ -107,6 +110,7 @@
 	}
 	for end := time.Now().Add(*faultDuration); time.Now().Before(end); {
 		h.injectFault()
+		h.maybeWriteOddEntry()
 		h.restorer.maybeRestore()
 		time.Sleep(time.Duration(100+h.random.IntN(400)) * time.Millisecond)
 	}
@@ -131,6 +135,7 @@
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), store: storetest.Start(t, 100),
 		executions: &executionCounter{counts: map[string]int{}},
 	}
+	h.later = rand.New(rand.NewPCG(seed, 3))
 	h.restorer = newRestorer(h, seed)
 	dir := t.TempDir()
 	t.Cleanup(func() { saveLogs(t, dir, seed) })
@@ -180,6 +185,20 @@
 	h.configVersion.Store(version)
 }
 
+// oddEntries are entries of another writer that name no server to use.
+var oddEntries = []string{
+	"", "null", "\xff", strings.Repeat("[", 20_000),
+	`{"address":"127.0.0.1:70000","info":{"service":"desk","zone":"z1","slots":3},"status":{"state":"ready","sequence":1,"cold_left_ms":0}}`,
+	`{"address":"127.0.0.1:1","info":{"service":"desk","zone":"z1","slots":1e300},"status":{"state":"ready","sequence":1,"cold_left_ms":1e300},"born":1e300}`,
+}
+
+// maybeWriteOddEntry writes an odd entry among those of the servers now and then.
+func (h *harness) maybeWriteOddEntry() {
+	if n := h.later.IntN(5 * len(oddEntries)); n < len(oddEntries) {
+		h.store.Put(fmt.Sprint(platform.PrefixServers, "odd-", n), []byte(oddEntries[n]))
+	}
+}
+
 // injectFault starts one random fault or planned change. Earlier faults may still
 // be active.
 func (h *harness) injectFault() {
@@ -203,6 +222,9 @@
 		h.runInBackground(func() { b.proxy.setFault(f); time.Sleep(length); b.proxy.setFault(faultNone) })
 	case 6:
 		f := responseFault(h.random.IntN(int(responseFaultCount)))
+		if f == responseDoubled && h.later.IntN(2) == 0 {
+			f = responseThenRefusal
+		}
 		spoilRate, refusalRate := h.random.Float64()/2, h.random.Float64()/2
 		h.runInBackground(func() {
 			b.setFaultRates(f, spoilRate, refusalRate)
