--- a/internal/pick/fleet.go
+++ b/internal/pick/fleet.go
@@ -44,7 +44,8 @@
 	coldSender       bool
 	senderGeneration uint64
 	health           health
-	withdrawal       withdrawal
+	// withdrawal is nil for a server that has never said that it takes no requests.
+	withdrawal *withdrawal
 	// removed marks a server that is no longer in the snapshot.
 	removed bool
 }
@@ -173,7 +174,9 @@
 	}
 	if !known {
 		server = &Server{Server: entry, hash: hashString(string(entry.ID))}
-		server.withdrawal.leavingSince = f.departing[processOf(server)]
+		if since, leaving := f.departing[processOf(server)]; leaving {
+			server.withdraw().leavingSince = since
+		}
 		f.servers[entry.ID], f.byHash[server.hash] = server, server
 		f.setCold(server, entry.ColdRemaining, now)
 		return server
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -170,7 +170,7 @@
 
 // eligible reports whether a server may get a request now, apart from its limit.
 func (f *Fleet) eligible(s *Server, now time.Time) bool {
-	if s.health.ejected(now) || s.withdrawal.leaving(now) || s.withdrawal.paused(now) {
+	if s.health.ejected(now) || s.withdrawal != nil && s.withdrawal.takesNone(now) {
 		return false
 	}
 	return !now.Before(s.coldUntil) || f.withinColdRate(s, now)
--- a/internal/pick/withdrawal.go
+++ b/internal/pick/withdrawal.go
@@ -50,6 +50,17 @@
 
 func (w *withdrawal) paused(now time.Time) bool { return now.Before(w.pausedUntil) }
 
+// takesNone reports whether the server takes no requests now.
+func (w *withdrawal) takesNone(now time.Time) bool { return w.leaving(now) || w.paused(now) }
+
+// withdraw returns the withdrawal of the server, to be changed.
+func (s *Server) withdraw() *withdrawal {
+	if s.withdrawal == nil {
+		s.withdrawal = &withdrawal{}
+	}
+	return s.withdrawal
+}
+
 // RecordLeaving records that the chosen server said in an answer that it leaves. It
 // reports whether that is new to this VM.
 func (f *Fleet) RecordLeaving(choice Choice, now time.Time) bool {
@@ -63,7 +74,7 @@
 		}
 	}
 	f.departing[key] = now
-	choice.Server.withdrawal.leavingSince = now
+	choice.Server.withdraw().leavingSince = now
 	return !known
 }
 
@@ -72,7 +83,7 @@
 func (f *Fleet) RecordPause(choice Choice, pause time.Duration, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	w := &choice.Server.withdrawal
+	w := choice.Server.withdraw()
 	began := !w.paused(now)
 	if until := now.Add(min(pause, maxPause)); until.After(w.pausedUntil) {
 		w.pausedUntil = until
@@ -92,11 +103,12 @@
 func (f *Fleet) pauseLeft(q Query, now time.Time) (time.Duration, bool) {
 	var first time.Time
 	for _, c := range f.byService[q.Service] {
-		w := &c.server.withdrawal
+		w := c.server.withdrawal
 		switch {
-		case !regionAllowed(c.server, q.Route.Regions), w.leaving(now):
-		case !w.paused(now):
+		case !regionAllowed(c.server, q.Route.Regions):
+		case w == nil || !w.takesNone(now):
 			return 0, false
+		case w.leaving(now):
 		case first.IsZero() || w.pausedUntil.Before(first):
 			first = w.pausedUntil
 		}
@@ -123,7 +135,7 @@
 	defer f.mu.Unlock()
 	for hash, started := range reports {
 		if server, ok := f.byHash[hash]; ok && server.Started == started {
-			server.withdrawal.hearsayUntil = now.Add(hearsayExpiry)
+			server.withdraw().hearsayUntil = now.Add(hearsayExpiry)
 		}
 	}
 }
