--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -25,6 +25,8 @@
 	// call without a change returns. Each VM then knows again that its replica
 	// matches the store.
 	watchTimeout = 1200 * time.Millisecond
+	// minWatchWait is the shortest wait of a watch, when the replica is overdue.
+	minWatchWait = time.Millisecond
 	// overdueAfter is the age beyond which a VM no longer waits for its source, which
 	// may have lost the store without noticing. It leaves the watch a round trip to
 	// the store and to the follower, and the follower a third of the shortest time
@@ -312,7 +314,7 @@
 	if position.IsZero() || s.relist {
 		return s.opts.Store.List(ctx, allKeys)
 	}
-	return s.opts.Store.Watch(ctx, allKeys, position.Revision, max(watchTimeout-s.Age(time.Now()), 0))
+	return s.opts.Store.Watch(ctx, allKeys, position.Revision, max(watchTimeout-s.Age(time.Now()), minWatchWait))
 }
 
 func (s *Service) handleStoreError(err error, now time.Time) {
@@ -386,7 +388,9 @@
 	if gap <= outageGap || s.opts.Replica.Position().IsZero() {
 		return
 	}
-	s.recoveredAt = at
+	if at.After(s.recoveredAt) {
+		s.recoveredAt = at
+	}
 	s.opts.Log.Event("store outage ended", "gap", gap, "revision", s.opts.Replica.Position().Revision)
 }
 
--- a/internal/pick/withdrawal.go
+++ b/internal/pick/withdrawal.go
@@ -74,16 +74,25 @@
 		}
 	}
 	f.departing[key] = now
-	choice.Server.withdraw().leavingSince = now
+	f.current(choice).withdraw().leavingSince = now
 	return !known
 }
 
+// current returns the state of the chosen server process. It differs from that in choice
+// if the server's entry vanished and came back meanwhile.
+func (f *Fleet) current(choice Choice) *Server {
+	if server, ok := f.servers[choice.Server.ID]; ok && processOf(server) == processOf(choice.Server) {
+		return server
+	}
+	return choice.Server
+}
+
 // RecordPause records that the chosen server wants no requests of this VM for a time, at
 // most maxPause. It reports whether the server was not paused before.
 func (f *Fleet) RecordPause(choice Choice, pause time.Duration, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	w := choice.Server.withdraw()
+	w := f.current(choice).withdraw()
 	began := !w.paused(now)
 	if until := now.Add(min(pause, maxPause)); until.After(w.pausedUntil) {
 		w.pausedUntil = until
--- a/internal/pick/withdrawal_test.go
+++ b/internal/pick/withdrawal_test.go
@@ -40,6 +40,15 @@
 	f.SetSnapshot(snapshot(list, nil), start.Add(2*time.Second))
 	expectAway("after its entry lapsed and came back", start.Add(2*time.Second))
 
+	late := choose(t, f, lookup, object, start.Add(2*time.Second))
+	f.SetSnapshot(snapshot(nil, nil), start.Add(2*time.Second))
+	f.SetSnapshot(snapshot(list, nil), start.Add(2*time.Second))
+	f.RecordLeaving(late, start.Add(2*time.Second))
+	if c := pickTarget(t, f, object, start.Add(2*time.Second)); c.Target.ID == late.Target.ID {
+		t.Error("a server whose entry came back before its answer gets a request")
+	}
+	f.Done(late, Answered, nil, start.Add(2*time.Second))
+
 	again := *home.Target
 	again.Started++
 	for i := range list {
