--- a/internal/front/refusal_test.go
+++ b/internal/front/refusal_test.go
@@ -8,8 +8,8 @@
 	"fuchsiaspar/platform"
 )
 
-// Guards against clients that are told "not run" for an order that its server may have
-// run: the server answered with such a status, but didn't state it.
+// Guards against a status that promises "not run" for an order that its server may have
+// run: the server answered with that status without stating that it refuses the order.
 func TestServersFailureIsNoRefusal(t *testing.T) {
 	for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
 		t.Run(strconv.Itoa(status), func(t *testing.T) {
