--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -129,13 +129,18 @@
 		Stream:   q.body.rest,
 		Length:   q.body.length,
 		Deadline: q.deadline,
+
+		Repeatable: q.route.Kind.Repeatable() && q.body.rest == nil,
+		OnUnnamedRefusal: func(status int, h http.Header) {
+			q.recordStatements(choice, status, h, time.Now())
+		},
 	})
 	if err != nil {
 		return q.handleNoResponse(choice, err)
 	}
 	q.attempts++
 	report := parseLoadReport(resp.Header)
-	q.deferred = q.recordStatements(choice, resp, time.Now())
+	q.deferred = q.recordStatements(choice, resp.Status, resp.Header, time.Now())
 	if platform.NotExecuted(resp.Status, resp.Header) {
 		q.shed = !q.deferred && report != nil && report.Running+report.Waiting < report.Slots
 		resp.Body.Discard()
@@ -184,9 +189,12 @@
 	q.attempts++
 	q.mayHaveRun = true
 	outcome := pick.Unanswered
-	if q.r.Context().Err() != nil {
+	switch {
+	case q.r.Context().Err() != nil:
 		outcome = pick.Abandoned
-	} else if errors.Is(err, upstream.ErrTimeout) {
+	case errors.Is(err, upstream.ErrUnnamedRefusal):
+		outcome = pick.Refused
+	case errors.Is(err, upstream.ErrTimeout):
 		outcome = pick.Failed
 	}
 	q.recordOutcome(choice, outcome, nil)
--- a/internal/front/statements.go
+++ b/internal/front/statements.go
@@ -7,7 +7,6 @@
 
 	"fuchsiaspar/internal/model"
 	"fuchsiaspar/internal/pick"
-	"fuchsiaspar/internal/upstream"
 	"fuchsiaspar/platform"
 )
 
@@ -44,17 +43,17 @@
 // recordStatements reports what a server says about itself with its response: the request
 // rate that it takes, that it leaves, or that it wants a pause. It returns whether it
 // wants a pause. A misdirected response comes from another server.
-func (q *request) recordStatements(choice pick.Choice, resp *upstream.Response, now time.Time) (deferred bool) {
-	if resp.Status == http.StatusMisdirectedRequest {
+func (q *request) recordStatements(choice pick.Choice, status int, h http.Header, now time.Time) (deferred bool) {
+	if status == http.StatusMisdirectedRequest {
 		return false
 	}
-	q.recordLimit(choice, resp, now)
-	leaving, err := platform.ParseLeaving(resp.Header)
+	q.recordLimit(choice, status, h, now)
+	leaving, err := platform.ParseLeaving(h)
 	q.noteInvalid(choice, err, now)
 	if leaving && q.server.opts.Fleet.RecordLeaving(choice, now) {
 		q.noteStatement(choice, "server leaves")
 	}
-	pause, err := platform.ParsePause(resp.Status, resp.Header)
+	pause, err := platform.ParsePause(status, h)
 	q.noteInvalid(choice, err, now)
 	if pause > 0 && q.server.opts.Fleet.RecordPause(choice, pause, now) {
 		q.noteStatement(choice, "server pauses", "for", pause)
@@ -64,10 +63,10 @@
 
 // recordLimit reports the request rate that a server states. An unsealed response may come
 // from no server. A refusal without a limit says nothing about it.
-func (q *request) recordLimit(choice pick.Choice, resp *upstream.Response, now time.Time) {
-	perSecond, stated, err := platform.ParseRequestLimit(resp.Header)
+func (q *request) recordLimit(choice pick.Choice, status int, h http.Header, now time.Time) {
+	perSecond, stated, err := platform.ParseRequestLimit(h)
 	q.noteInvalid(choice, err, now)
-	if err == nil && (platform.Sealed(resp.Header) || stated && platform.NotExecuted(resp.Status, resp.Header)) {
+	if err == nil && (platform.Sealed(h) || stated && platform.NotExecuted(status, h)) {
 		q.server.opts.Fleet.RecordLimit(choice, stated, perSecond, now)
 	}
 }
--- a/internal/soak/backend_test.go
+++ b/internal/soak/backend_test.go
@@ -53,10 +53,14 @@
 	responseEndlessHeader
 	responseEndlessBody
 	responseFaultCount
+	// The faults below are drawn apart from the others, so that each seed plays the same
+	// ones as before they were added.
+
 	// responseThenRefusal sends the response, and an extra refusal that names no request
-	// before it executes the next request on the connection. It is drawn apart from the
-	// others, so that each seed plays the same faults as before it was added.
+	// before it executes the next request on the connection.
 	responseThenRefusal
+	// responseCutHead closes the connection in the middle of the header.
+	responseCutHead
 )
 
 // backend is a backend server behind a fault-injecting proxy. It can spoil the
@@ -232,6 +236,9 @@
 	switch f {
 	case responseBrokenOff:
 		_, _ = io.WriteString(conn, whole[:len(whole)-len(body)/2])
+	case responseCutHead:
+		_, _ = io.WriteString(conn, header[:len(header)-lateCut])
+		return
 	case responseDoubled:
 		_, _ = io.WriteString(conn, whole)
 		time.Sleep(lateCopyDelay)
@@ -280,6 +287,8 @@
 }
 
 const (
+	// lateCut is how many bytes of a header a server leaves out that stops in its middle.
+	lateCut = 10
 	// nextRequestWait is how long a server waits for another request on a connection.
 	nextRequestWait = 500 * time.Millisecond
 	// lateCopyDelay is about the time between two requests on a connection.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -31,6 +31,9 @@
 	// ErrUnrelatedResponse reports that responses to other requests arrived
 	// instead of the expected one. The request may have run.
 	ErrUnrelatedResponse = errors.New("upstream: response to another request")
+	// ErrUnnamedRefusal reports a refusal that names no request, on a connection that
+	// has carried another one. It may mean either, so this one may have run.
+	ErrUnnamedRefusal = errors.New("upstream: refusal of an unnamed request")
 	// ErrTimeout reports that the deadline passed before a response header was
 	// received. The request may have run.
 	ErrTimeout = errors.New("upstream: deadline exceeded")
@@ -74,6 +77,12 @@
 	Stream io.Reader
 	// Length is the length in bytes of the whole body, or negative if unknown.
 	Length int64
+	// Repeatable reports whether the request may run again, so that an unnamed refusal
+	// ends the attempt. Otherwise the attempt goes on, since an answer may follow.
+	Repeatable bool
+	// OnUnnamedRefusal, if not nil, is called with an unnamed refusal, which still shows
+	// what the server says of itself.
+	OnUnnamedRefusal func(status int, h http.Header)
 	// Deadline is the time by which the whole response must have been received.
 	Deadline time.Time
 }
@@ -91,7 +100,7 @@
 // Do sends a request to a server and returns once the response header has
 // arrived. Cancelling ctx closes the connection, also while the response body is
 // being read. Errors are ErrConnect, ErrNotSent, ErrNoResponse,
-// ErrUnrelatedResponse, ErrOversized and ErrTimeout.
+// ErrUnrelatedResponse, ErrUnnamedRefusal, ErrOversized and ErrTimeout.
 func (c *Client) Do(ctx context.Context, server *catalog.Server, req *Request) (*Response, error) {
 	dialCtx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
@@ -201,7 +210,7 @@
 // readResponse reads the header of the response to this request. It skips
 // informational (1xx) responses and late responses to earlier requests on the
 // connection. A response without a request id is accepted only if it states that
-// the request did not run, and no earlier request can be meant.
+// the request did not run, and no earlier request can be meant (see Request.Repeatable).
 func (ex *exchange) readResponse() (*http.Response, error) {
 	ex.conn.input.allow(maxHeaderBytes)
 	for skipped := 0; ; {
@@ -217,12 +226,20 @@
 		}
 		id := resp.Header.Get(platform.HeaderRequestID)
 		unnamed := id == "" && platform.NotExecuted(resp.StatusCode, resp.Header)
+		if unnamed {
+			ex.client.noteUnnamedRefusal(ex.server, time.Now())
+		}
 		if id == ex.req.ID || (unnamed && !ex.conn.used) {
 			ex.conn.input.allow(math.MaxInt)
 			return resp, nil
 		}
 		if unnamed {
-			ex.client.suspendReuse(ex.server, time.Now())
+			if ex.req.OnUnnamedRefusal != nil {
+				ex.req.OnUnnamedRefusal(resp.StatusCode, resp.Header)
+			}
+			if ex.req.Repeatable {
+				return nil, ErrUnnamedRefusal
+			}
 		}
 		skipped++
 		if skipped > maxUnrelated {
@@ -268,12 +285,12 @@
 // sent. The connection becomes idle if it can be reused, and is closed otherwise.
 func (ex *exchange) finish(resp *http.Response) {
 	now := time.Now()
-	if !ex.stop() || resp.Close || ex.uploadErr != nil || ex.conn.reader.Buffered() > 0 {
+	if !ex.stop() || resp.Close || ex.uploadErr != nil || ex.conn.reader.Buffered() > 0 || ex.client.refusesUnnamed(ex.server, now) {
 		ex.conn.Close()
 		return
 	}
 	ex.conn.markIdle(now, platform.IdleTimeout(resp.Header))
-	ex.client.put(ex.server, ex.conn, now)
+	ex.client.put(ex.server, ex.conn)
 }
 
 // uploading reports whether a part of the request is still being sent.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -19,10 +19,10 @@
 	// idle connections of all VMs together may use. The rest is left for
 	// connections with a request in progress.
 	maxIdleFraction = 0.5
-	// reuseSuspension is how long no connection to a server is reused after it sent
-	// a refusal that names no request on a used connection. On a new one, such a
-	// refusal can only mean the request that was sent.
-	reuseSuspension = 10 * time.Second
+	// unnamedMemory is how long no connection to a server is reused after it sent a
+	// refusal that names no request. On a new one, such a refusal can only mean the
+	// request that was sent.
+	unnamedMemory = time.Minute
 )
 
 // Client sends requests to backend servers and reuses idle connections. It is
@@ -35,8 +35,9 @@
 	// idleLimits holds the largest number of idle connections to one server of
 	// each service that limits its connections.
 	idleLimits map[model.ServiceName]int
-	// suspended holds the servers to which no connection is reused, and until when.
-	suspended map[model.ServerID]time.Time
+	// unnamedUntil holds the servers that sent refusals that name no request, and until
+	// when that is remembered.
+	unnamedUntil map[model.ServerID]time.Time
 }
 
 // idleList holds the idle connections to one server, the one used last at the
@@ -55,7 +56,7 @@
 		idle:   map[model.ServerID]*idleList{},
 
 		unnamedRefusals: scope.Counter("server_refusals_unnamed"),
-		suspended:       map[model.ServerID]time.Time{},
+		unnamedUntil:    map[model.ServerID]time.Time{},
 	}
 }
 
@@ -150,30 +151,31 @@
 	return conn
 }
 
-// suspendReuse closes the idle connections to a server that sent a refusal without a
-// request id on a used one, and prevents further ones for reuseSuspension.
-func (c *Client) suspendReuse(server *catalog.Server, now time.Time) {
+// noteUnnamedRefusal records that a server sent a refusal that names no request.
+func (c *Client) noteUnnamedRefusal(server *catalog.Server, now time.Time) {
 	c.unnamedRefusals.Inc(1)
 	c.mu.Lock()
-	for id, until := range c.suspended {
+	defer c.mu.Unlock()
+	for id, until := range c.unnamedUntil {
 		if !now.Before(until) {
-			delete(c.suspended, id)
+			delete(c.unnamedUntil, id)
 		}
 	}
-	c.suspended[server.ID] = now.Add(reuseSuspension)
-	c.mu.Unlock()
-	c.CloseIdle([]*catalog.Server{server})
+	c.unnamedUntil[server.ID] = now.Add(unnamedMemory)
 }
 
-// put adds an idle connection, or closes it if the server's address has changed, its
-// limit is reached, or its connections are not reused.
-func (c *Client) put(server *catalog.Server, conn *conn, now time.Time) {
+// refusesUnnamed reports whether a server lately sent a refusal that names no request.
+func (c *Client) refusesUnnamed(server *catalog.Server, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Before(c.unnamedUntil[server.ID])
+}
+
+// put adds an idle connection, or closes it if the server's address has changed or
+// its limit is reached.
+func (c *Client) put(server *catalog.Server, conn *conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if now.Before(c.suspended[server.ID]) {
-		conn.Close()
-		return
-	}
 	list := c.idle[server.ID]
 	if list == nil {
 		list = &idleList{address: server.Address}
@@ -188,8 +190,11 @@
 
 // connect returns an idle connection to the server, or dials a new one.
 func (c *Client) connect(ctx context.Context, server *catalog.Server) (*conn, error) {
-	if conn := c.take(server, time.Now()); conn != nil {
-		return conn, nil
+	now := time.Now()
+	if !c.refusesUnnamed(server, now) {
+		if conn := c.take(server, now); conn != nil {
+			return conn, nil
+		}
 	}
 	conn, err := dial(ctx, server.Address)
 	if err != nil {
