Require keys of client accounts, and keep requests to the regions of route and account

The configuration's accounts are decoded with their keys into a map. An unknown key is refused with 401 by a VM whose copy of the configuration is at most 2 s old, otherwise with 503, since the key may be new. Servers get the account's name, whatever the client sent, and never the key. A request runs only in regions that both its route and its account allow.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -73,6 +73,8 @@
 	Targets []WeightedService
 	// Regions lists the regions in which requests may run; empty means all.
 	Regions []model.Region
+	// Exempt reports that requests need no key of a client account.
+	Exempt bool
 	// Affinity reports that servers are faster on objects they handled recently,
 	// so that requests for one object should go to the same server.
 	Affinity bool
@@ -106,6 +108,8 @@
 	Routes   []Route
 	Services map[model.ServiceName]Service
 	Limits   Limits
+	// Accounts holds the client accounts. Without any, requests need no key.
+	Accounts Accounts
 }
 
 // Server is a backend server as registered in the store.
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -75,7 +75,7 @@
 }
 
 func (q *request) query() pick.Query {
-	return pick.Query{Route: q.route, Service: q.service, Object: q.objectHash, Exclude: q.tried}
+	return pick.Query{Route: q.route, Regions: q.regions, Service: q.service, Object: q.objectHash, Exclude: q.tried}
 }
 
 // reserveRetry takes one retry from the budget of the service. It returns an
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -90,8 +90,12 @@
 	start    time.Time
 	snapshot *catalog.Snapshot
 
-	id              string
-	route           *catalog.Route
+	id    string
+	route *catalog.Route
+	// account is nil where the configuration has no accounts, or the route needs none.
+	account *catalog.Account
+	// regions are those in which the request may run.
+	regions         catalog.Regions
 	service         model.ServiceName
 	objectHash      uint64
 	deadline        time.Time
@@ -131,12 +135,17 @@
 		return
 	}
 	q.setDeadline(q.timeLimit())
+	if refused := q.identify(); refused {
+		return
+	}
 	if refused := q.readBody(); refused {
 		return
 	}
 	q.service = q.chooseService()
 	q.objectHash = pick.ObjectHash(q.route.Host, q.route.Prefix, q.affinityKey())
+	q.regions = q.allowedRegions()
 	q.forwardedHeader = forwardHeader(q.r.Header)
+	q.setAccountHeaders(q.forwardedHeader)
 	q.server.opts.RetryBudget.Deposit(q.service)
 	q.tryServers()
 }
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -132,14 +132,24 @@
 }
 
 func startFront(t *testing.T, snapshot *catalog.Snapshot) *httptest.Server {
+	return startFrontWithAge(t, snapshot, 0)
+}
+
+// startFrontWithAge is startFront with a snapshot of an age.
+func startFrontWithAge(t *testing.T, snapshot *catalog.Snapshot, age time.Duration) *httptest.Server {
+	return startFrontWith(t, func() *catalog.Snapshot { return snapshot }, age)
+}
+
+// startFrontWith starts an entry VM with the servers of the first snapshot.
+func startFrontWith(t *testing.T, snapshot func() *catalog.Snapshot, age time.Duration) *httptest.Server {
 	fleet := pick.NewFleet(pick.Options{Self: "vm-0"})
-	fleet.SetSnapshot(snapshot, time.Now())
+	fleet.SetSnapshot(snapshot(), time.Now())
 	repeats := allow.NewRetryBudget(0.2, 60)
 	client := upstream.NewClient(tally.NoopScope)
 	t.Cleanup(client.Close)
 	front := httptest.NewServer(NewServer(Options{
-		Snapshot: func() *catalog.Snapshot { return snapshot },
-		Age:      func(time.Time) time.Duration { return 0 },
+		Snapshot: snapshot,
+		Age:      func(time.Time) time.Duration { return age },
 		Fleet:    fleet, Client: client, RetryBudget: repeats, Log: decisions.Discard(), Scope: tally.NoopScope,
 	}))
 	t.Cleanup(front.Close)
--- a/internal/front/report.go
+++ b/internal/front/report.go
@@ -26,6 +26,9 @@
 	reasonBodyStreamed = "body_streamed"
 	reasonAttemptsUsed = "attempts_used"
 	reasonRetryBudget  = "repeat_budget"
+	reasonUnknownKey   = "unknown_key"
+	// reasonUnconfirmedKey refuses an unknown key that a newer configuration may have.
+	reasonUnconfirmedKey = "unconfirmed_key"
 )
 
 // latencyBuckets range from 10 ms to 11.5 s, which covers the latency
@@ -79,6 +82,9 @@
 		fields = append(fields, "version", q.snapshot.Config.Version, "route", q.route.Name, "kind", q.route.Kind,
 			"object", q.r.Header.Get(platform.HeaderObject))
 	}
+	if q.account != nil {
+		fields = append(fields, "account", q.account.ID)
+	}
 	if q.lastChoice.Server != nil {
 		fields = append(fields, "server", q.lastChoice.Target.ID, "zone", q.lastChoice.Target.Zone, "rank", q.lastChoice.Rank,
 			"load", strconv.FormatFloat(q.lastChoice.Load, 'f', 2, 64), "cold", q.lastChoice.Cold, "attempts", q.attempts)
--- a/internal/pick/fleet.go
+++ b/internal/pick/fleet.go
@@ -7,7 +7,6 @@
 package pick
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -224,7 +223,3 @@
 	}
 	return sizes
 }
-
-func regionAllowed(server *Server, regions []model.Region) bool {
-	return len(regions) == 0 || slices.Contains(regions, server.Region)
-}
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -56,7 +56,9 @@
 
 // Query describes a request that needs a server.
 type Query struct {
-	Route   *catalog.Route
+	Route *catalog.Route
+	// Regions are those in which the request may run.
+	Regions catalog.Regions
 	Service model.ServiceName
 	// Object is the ObjectHash of the request.
 	Object uint64
@@ -96,7 +98,7 @@
 		}
 	}
 	if best.Server == nil {
-		allowed := func(c candidate) bool { return regionAllowed(c.server, q.Route.Regions) }
+		allowed := func(c candidate) bool { return q.Regions.Allows(c.server.Region) }
 		if !slices.ContainsFunc(list, allowed) {
 			return best, NoServers
 		}
@@ -120,7 +122,7 @@
 func (f *Fleet) topServers(list []candidate, q Query, now time.Time) (top ranking, limited bool) {
 	localFirst := preferLocal(q.Route)
 	eligible := func(s *Server) bool {
-		return regionAllowed(s, q.Route.Regions) && !excluded(q.Exclude, s.ID) && f.eligible(s, now)
+		return q.Regions.Allows(s.Region) && !excluded(q.Exclude, s.ID) && f.eligible(s, now)
 	}
 	top = topRanked(list, q.Object, localFirst, eligible)
 	if !top.anyLimited() {
--- a/internal/pick/pick_test.go
+++ b/internal/pick/pick_test.go
@@ -127,7 +127,7 @@
 		want Reason
 	}{
 		{"no server in the allowed regions", func(*Fleet, []*catalog.Server) Query {
-			return Query{Route: &catalog.Route{Regions: []model.Region{"kp"}}, Service: "desk"}
+			return Query{Route: &catalog.Route{}, Regions: catalog.NewRegions([]model.Region{"kp"}), Service: "desk"}
 		}, NoServers},
 		{"unknown service", func(*Fleet, []*catalog.Server) Query { return Query{Route: lookup, Service: "x"} }, NoServers},
 		{"all servers excluded", func(_ *Fleet, list []*catalog.Server) Query {
--- a/internal/pick/withdrawal.go
+++ b/internal/pick/withdrawal.go
@@ -114,7 +114,7 @@
 	for _, c := range f.byService[q.Service] {
 		w := c.server.withdrawal
 		switch {
-		case !regionAllowed(c.server, q.Route.Regions):
+		case !q.Regions.Allows(c.server.Region):
 		case w == nil || !w.takesNone(now):
 			return 0, false
 		case w.leaving(now):
