Refuse requests that would be late where client accounts compete

A server is now full for a route at the load behind which a request would miss its latency objective, by learnt work times. It takes effect where the configuration has client accounts. Ruled out: longer and spread Retry-After, and servers of any rank with a free slot (docs/design/admission.md).

--- a/internal/pick/fleet.go
+++ b/internal/pick/fleet.go
@@ -66,6 +66,9 @@
 	config       *catalog.Config
 	// tolerant is the set of names of latency-tolerant routes.
 	tolerant map[string]bool
+	// byObjective reports that requests which would be late are refused, by the work times.
+	byObjective bool
+	work        workTimes
 	// evacuated is the set of evacuated zones in the last snapshot.
 	evacuated map[model.Zone]bool
 	senders   senders
@@ -115,7 +118,7 @@
 		options: options, servers: map[model.ServerID]*Server{}, byHash: map[uint64]*Server{}, byService: map[model.ServiceName][]candidate{},
 		uses: newUseLog(), remoteByVM: map[model.VMID]vmCounts{}, remoteTotals: share.Counts{},
 		senders:   senders{self: hashString(string(options.Self)), generation: 1},
-		departing: map[process]time.Time{},
+		departing: map[process]time.Time{}, work: newWorkTimes(),
 	}
 }
 
@@ -133,6 +136,9 @@
 	defer f.mu.Unlock()
 	if f.config != snapshot.Config {
 		f.config, f.tolerant = snapshot.Config, tolerantRoutes(snapshot.Config)
+		if f.byObjective = admitsByObjective(snapshot.Config); f.byObjective {
+			f.work.retain(snapshot.Config)
+		}
 	}
 	ended := f.endedEvacuations(snapshot.EvacuatedZones)
 	present := make(map[model.ServerID]bool, len(f.servers))
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -20,6 +20,8 @@
 	// queuePerSlot is the number of requests per slot that a server queues before
 	// it refuses more.
 	queuePerSlot = 3
+	// queueFull is the load of a server whose slots and queue are in use.
+	queueFull = 1 + queuePerSlot
 	// reportMaxAge is how long a server's own load report overrides a lower count
 	// of outstanding requests: about the duration of one request.
 	reportMaxAge = 400 * time.Millisecond
@@ -39,6 +41,9 @@
 	// NoServers means that no server of the service is listed in an allowed region.
 	// Servers of evacuated zones are not listed.
 	NoServers Reason = "no_servers"
+	// TooLate means the same as AllFull, but servers would queue the request until after
+	// its latency objective.
+	TooLate Reason = "too_late"
 	// AllFull means that every server is excluded or ejected, has a full queue, is
 	// busy and has not handled the object lately, or is cold and has received its
 	// share of requests.
@@ -80,6 +85,11 @@
 	// Cold reports whether the server was starting cold.
 	Cold   bool
 	object uint64
+	// route, startedAt and known serve the average of work times: known reports that the
+	// server has handled the object lately.
+	route     string
+	startedAt time.Time
+	known     bool
 }
 
 // Pick chooses the server with the lowest cost and counts the request as
@@ -90,9 +100,10 @@
 	defer f.mu.Unlock()
 	list := f.byService[q.Service]
 	top, limited := f.topServers(list, q, now)
-	best := Choice{Cost: math.Inf(1)}
+	best, full, late := Choice{Cost: math.Inf(1)}, f.fullLoad(q), false
 	for rank, entry := range top.entries[:top.count] {
-		c := f.evaluate(entry.server, rank, q.Object, now)
+		c := f.evaluate(entry.server, rank, q.Object, full, now)
+		late = late || c.Load >= full && c.Load < queueFull
 		if c.Cost < best.Cost {
 			best = c
 		}
@@ -108,11 +119,16 @@
 		if limited {
 			return best, Limited
 		}
+		if late {
+			return best, TooLate
+		}
 		return best, AllFull
 	}
 	if f.tolerant[q.Route.Name] && f.mustYield(best.Server, now) {
 		return best, Yield
 	}
+	best.route, best.startedAt = q.Route.Name, now
+	best.known = f.uses.isWarm(q.Object, best.Server, now)
 	f.recordStart(best, now)
 	return best, ""
 }
@@ -134,19 +150,27 @@
 	}), true
 }
 
+// fullLoad returns the load at which servers are full for a request.
+func (f *Fleet) fullLoad(q Query) float64 {
+	if !f.byObjective {
+		return queueFull
+	}
+	return f.work.fullLoad(q.Route, q.Service)
+}
+
 // evaluate returns the server as a candidate for object, with its cost. The cost
-// is infinite for a server with a full queue, and for one that has not handled
+// is infinite for a server whose load is full or more, and for one that has not handled
 // the object lately and has no free slot: work on an object that is not cached
 // takes several times as long, so spreading objects under overload would make the
 // overload worse.
-func (f *Fleet) evaluate(server *Server, rank int, object uint64, now time.Time) Choice {
+func (f *Fleet) evaluate(server *Server, rank int, object uint64, full float64, now time.Time) Choice {
 	c := Choice{
 		Server: server, Target: server.Server, Rank: rank, Load: f.load(server, now),
 		Cold: now.Before(server.coldUntil), object: object,
 	}
 	warm := rank == 0 || f.uses.isWarm(object, server, now)
 	switch {
-	case c.Load >= 1+queuePerSlot, !warm && c.Load >= 1:
+	case c.Load >= full, !warm && c.Load >= 1:
 		c.Cost = math.Inf(1)
 		return c
 	case rank > 0 && warm:
@@ -269,6 +293,9 @@
 	case Answered:
 		server.health.recordAnswer(false, now)
 		f.uses.record(choice.object, server, now)
+		if f.byObjective && choice.known && !choice.Cold && choice.Load < 1 {
+			f.work.record(choice.route, server.Service, now.Sub(choice.startedAt))
+		}
 	case Failed:
 		server.health.recordAnswer(true, now)
 	case Refused:
