--- a/internal/backend/errors.go
+++ b/internal/backend/errors.go
@@ -54,6 +54,7 @@
 	errSilent         = errors.New("connection is silent")
 	errServerLost     = errors.New("server does not answer on new connections")
 	errNoLength       = errors.New("answer has neither length nor chunked encoding")
+	errInvalidStatus  = errors.New("server responded with an invalid status")
 	errProtocolSwitch = errors.New("server switched protocols")
 	errRequestBody    = errors.New("request body ended early")
 	errInvalidPath    = errors.New("path must start with a slash")
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -14,6 +14,8 @@
 
 	"fuchsiaspar/internal/header"
 	"fuchsiaspar/internal/model"
+
+	"github.com/pkg/errors"
 )
 
 // maxDrainBytes bounds how much of a refusal's body is read to make its connection
@@ -259,12 +261,15 @@
 	}
 }
 
-// checkFraming rejects a protocol switch and responses that are delimited only by
+// checkFraming rejects a protocol switch, statuses that are none of HTTP, and responses that are delimited only by
 // the end of the connection, because truncation could not be detected.
 func checkFraming(resp *http.Response, method string) error {
 	if resp.StatusCode == http.StatusSwitchingProtocols {
 		return errProtocolSwitch
 	}
+	if !header.IsFinalStatus(resp.StatusCode) {
+		return errors.Wrapf(errInvalidStatus, "%03d", resp.StatusCode)
+	}
 	empty := method == http.MethodHead ||
 		resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
 	if empty || resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 {
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -188,7 +188,7 @@
 	}
 	q.attempts++
 	q.mayHaveRun = true
-	outcome := pick.Unanswered
+	outcome, message := pick.Unanswered, "no answer"
 	switch {
 	case q.r.Context().Err() != nil:
 		outcome = pick.Abandoned
@@ -196,9 +196,11 @@
 		outcome = pick.Refused
 	case errors.Is(err, upstream.ErrTimeout):
 		outcome = pick.Failed
+	case errors.Is(err, upstream.ErrInvalidStatus):
+		outcome, message = pick.Failed, "invalid status"
 	}
 	q.recordOutcome(choice, outcome, nil)
-	q.logFailedAttempt("no answer", "cause", err)
+	q.logFailedAttempt(message, "cause", err)
 	return resultFailed
 }
 
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"fuchsiaspar/internal/catalog"
+	"fuchsiaspar/internal/header"
 	"fuchsiaspar/platform"
 
 	"github.com/pkg/errors"
@@ -37,6 +38,9 @@
 	// ErrTimeout reports that the deadline passed before a response header was
 	// received. The request may have run.
 	ErrTimeout = errors.New("upstream: deadline exceeded")
+	// ErrInvalidStatus reports a response that is none of HTTP/1.x, by its version or its
+	// status, or a change of protocols. The request may have run.
+	ErrInvalidStatus = errors.New("upstream: response with an invalid status")
 	// ErrOversized reports that a response header, or what arrived in its place,
 	// exceeds its bounds. The request may have run.
 	ErrOversized = errors.New("upstream: response header too large")
@@ -100,7 +104,7 @@
 // Do sends a request to a server and returns once the response header has
 // arrived. Cancelling ctx closes the connection, also while the response body is
 // being read. Errors are ErrConnect, ErrNotSent, ErrNoResponse,
-// ErrUnrelatedResponse, ErrUnnamedRefusal, ErrOversized and ErrTimeout.
+// ErrUnrelatedResponse, ErrUnnamedRefusal, ErrInvalidStatus, ErrOversized and ErrTimeout.
 func (c *Client) Do(ctx context.Context, server *catalog.Server, req *Request) (*Response, error) {
 	dialCtx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
@@ -221,9 +225,12 @@
 		if countFields(resp.Header) > maxHeaderFields {
 			return nil, ErrOversized
 		}
-		if resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
+		if header.IsInformational(resp.StatusCode) {
 			continue
 		}
+		if resp.ProtoMajor != 1 || !header.IsFinalStatus(resp.StatusCode) {
+			return nil, errors.WithMessagef(ErrInvalidStatus, "%s %03d", resp.Proto, resp.StatusCode)
+		}
 		id := resp.Header.Get(platform.HeaderRequestID)
 		unnamed := id == "" && platform.NotExecuted(resp.StatusCode, resp.Header)
 		if unnamed {
