End the wait of a request that yields when its client has left; check the status of seeds

A request of a latency-tolerant route whose client had left kept asking for a server without a pause for an eighth of its objective, since it ignored that its wait had been cut short. The wait now ends the request. A state is taken from a seed only with status 200; any status was taken before. TestYieldingEndsWhenTheClientLeaves runs into its time limit without the change.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -70,7 +70,9 @@
 		if reason != pick.Yield || now.Sub(q.start) >= q.route.TargetLatency/yieldObjectiveDivisor {
 			return choice, string(reason)
 		}
-		background.Sleep(q.r.Context(), yieldPollInterval)
+		if !background.Sleep(q.r.Context(), yieldPollInterval) {
+			return pick.Choice{}, reasonClientLeft
+		}
 	}
 }
 
--- a/internal/node/seeds.go
+++ b/internal/node/seeds.go
@@ -102,6 +102,10 @@
 		return
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		s.log.Event("seed request refused", "address", address, "status", resp.StatusCode)
+		return
+	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxSeedBytes))
 	var seedResp seedResponse
 	if err == nil {
