Exchange loads over a tree in each region instead of with random VMs

Cause: each VM sent all its outstanding requests to up to 24 random VMs in all regions every 100 ms, with the hash of each server. Bytes and wake-ups grew with the fleet.

Change: the VMs of a region form a binary tree by rank (capacity, then hash). Each link carries in both directions the sum of what lies beyond it; the roots exchange the sums of their regions every 0.2 s. Messages hold changes only, servers are named once in a stream, and a gap in the sequence asks for the whole state. Cumulative counters keep a total at each hop; the first message of a stream is the baseline. A VM that does not answer is passed over until it answers a probe. VMs without traffic get a message a second, without loads. pick takes changes of the sum instead of a map for each VM.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -207,7 +207,7 @@
 		Self: s.Name, Region: s.Region, ColdFactor: s.Bounds.ColdFactor, ColdSlack: s.Bounds.ColdSlack,
 		OnEject: b.logEjection, OnLimit: b.logLimit,
 	})
-	shares := share.New(s.Name, b.fleet, b.feed, b.mesh, b.node.liveness.Alive, b.newRandom())
+	shares := share.New(b.self, b.fleet, b.feed, b.mesh, b.node.liveness.Alive, b.newRandom())
 	if err := b.register(NameShare, shares); err != nil {
 		return err
 	}
--- a/internal/pick/fleet.go
+++ b/internal/pick/fleet.go
@@ -59,9 +59,7 @@
 	byHash    map[uint64]*Server
 	byService map[model.ServiceName][]candidate
 	uses      useLog
-	// remoteByVM holds the outstanding requests that each other VM reported,
-	// and remoteTotals their sum by server.
-	remoteByVM   map[model.VMID]vmCounts
+	// remoteTotals holds the outstanding requests of all other VMs together.
 	remoteTotals share.Counts
 	config       *catalog.Config
 	// tolerant is the set of names of latency-tolerant routes.
@@ -113,7 +111,7 @@
 	}
 	return &Fleet{
 		options: options, servers: map[model.ServerID]*Server{}, byHash: map[uint64]*Server{}, byService: map[model.ServiceName][]candidate{},
-		uses: newUseLog(), remoteByVM: map[model.VMID]vmCounts{}, remoteTotals: share.Counts{},
+		uses: newUseLog(), remoteTotals: share.Counts{},
 		senders:   senders{self: hashString(string(options.Self)), generation: 1},
 		departing: map[process]time.Time{},
 	}
--- a/internal/pick/limit.go
+++ b/internal/pick/limit.go
@@ -25,8 +25,7 @@
 	// changed.
 	limitProbeRate = 0.25
 	// limitReportAge is how long after the last request to a limited server this VM
-	// reports its requests there. Reports go to a random selection of VMs, and within
-	// this time nearly all have received one.
+	// reports its requests there, so that a lost report is repeated.
 	limitReportAge = 2 * time.Second
 )
 
@@ -38,7 +37,8 @@
 	// PerSecond is the number of requests per second that the server takes from all
 	// VMs together, and Previous the one before; zero if there is none.
 	PerSecond, Previous float64
-	// Source is the VM to which the server stated the limit.
+	// Source is the VM from which this VM learned of the limit: itself, or the one that
+	// passed the statement on.
 	Source model.VMID
 	// Sent is the number of requests that this VM has sent to the server. The
 	// difference between two changes is the number sent between them.
@@ -76,7 +76,8 @@
 	// last one.
 	sent     uint64
 	lastSent time.Time
-	// sentByVM holds the last reported count of each other VM.
+	// sentByVM holds the last reported count of each source of reports: all other VMs
+	// together, or a single one.
 	sentByVM map[model.VMID]uint64
 }
 
@@ -91,9 +92,9 @@
 	l.current = s
 	switch {
 	case !s.limited:
-		l.tokens, l.sent, l.sentByVM = 0, 0, nil
+		l.tokens, l.sent = 0, 0
 	case !previous.limited:
-		l.tokens, l.refilledAt, l.sentByVM = 0, now, map[model.VMID]uint64{}
+		l.tokens, l.refilledAt = 0, now
 	}
 	return previous.limited != s.limited || previous.perSecond != s.perSecond
 }
@@ -141,16 +142,21 @@
 // recordReport debits the requests of another VM since its last report. A count below
 // the last one is that of a new process.
 func (l *requestLimit) recordReport(vm model.VMID, sent uint64, now time.Time) {
-	if !l.current.limited {
-		return
-	}
-	l.refill(now)
 	last := l.sentByVM[vm]
 	if sent < last {
 		last = 0
 	}
-	l.debit(sent - last)
+	if l.sentByVM == nil {
+		l.sentByVM = map[model.VMID]uint64{}
+	}
 	l.sentByVM[vm] = sent
+	if !l.current.limited {
+		// The requests were sent under a limit that this VM does not know or that has
+		// ended. A later limit must not be debited for them.
+		return
+	}
+	l.refill(now)
+	l.debit(sent - last)
 }
 
 // report returns what the other VMs need to know, and false if that is nothing new.
--- a/internal/pick/remote.go
+++ b/internal/pick/remote.go
@@ -1,21 +1,6 @@
 package pick
 
-import (
-	"time"
-
-	"fuchsiaspar/internal/model"
-	"fuchsiaspar/internal/share"
-)
-
-// remoteMaxAge is how long the counts from another VM are used: four of its
-// sending intervals.
-const remoteMaxAge = 400 * time.Millisecond
-
-// vmCounts holds the outstanding requests that another VM last reported.
-type vmCounts struct {
-	counts     share.Counts
-	receivedAt time.Time
-}
+import "fuchsiaspar/internal/share"
 
 // Outstanding returns the number of this VM's outstanding requests at each server
 // that has any.
@@ -31,32 +16,12 @@
 	return counts
 }
 
-// SetRemoteCounts replaces the outstanding requests of another VM.
-func (f *Fleet) SetRemoteCounts(vm model.VMID, counts share.Counts, now time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.addRemoteCounts(f.remoteByVM[vm].counts, -1)
-	f.addRemoteCounts(counts, 1)
-	f.remoteByVM[vm] = vmCounts{counts, now}
-}
-
-// ExpireRemoteCounts removes the counts that are at least remoteMaxAge old.
-func (f *Fleet) ExpireRemoteCounts(now time.Time) {
+// AddRemoteCounts changes the outstanding requests of all other VMs together.
+func (f *Fleet) AddRemoteCounts(changes share.Counts) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for vm, received := range f.remoteByVM {
-		if now.Sub(received.receivedAt) >= remoteMaxAge {
-			f.addRemoteCounts(received.counts, -1)
-			delete(f.remoteByVM, vm)
-		}
-	}
-}
-
-// addRemoteCounts adds counts, multiplied by sign, to the totals. The caller must
-// hold f.mu.
-func (f *Fleet) addRemoteCounts(counts share.Counts, sign int) {
-	for hash, count := range counts {
-		f.remoteTotals[hash] += sign * count
+	for hash, change := range changes {
+		f.remoteTotals[hash] += change
 		if f.remoteTotals[hash] <= 0 {
 			delete(f.remoteTotals, hash)
 		}
--- a/internal/pick/withdrawal.go
+++ b/internal/pick/withdrawal.go
@@ -15,9 +15,8 @@
 	// leaves. It is longer than a process goes on serving, and than its entry can be
 	// absent and return.
 	leavingMemory = time.Hour
-	// leavingReportAge is how long this VM repeats to the others that a server leaves.
-	// Reports go to a random selection of VMs, and within this time nearly all have
-	// received one.
+	// leavingReportAge is how long this VM repeats to the others that a server leaves, so
+	// that a lost report is repeated.
 	leavingReportAge = 2 * time.Second
 	// hearsayExpiry is how long another VM's word that a server leaves is believed. If
 	// the server is still in use by then, its next answer shows whether it is true.
