Keep heartbeats in the region, which two VMs represent to the others

Cause: each VM sent the heartbeats of all VMs, 13 bytes each, and three whole records to three random VMs of any region every 0.4 s. Random receivers also kept a link to nearly every VM open, each with its own timer.

Change: heartbeats go to the successors in three fixed orders of the region's VMs, a byte for each VM while the VMs stay the same, with process IDs if the receiver asks for them. The two VMs of the highest rank tell the other regions in turn that the region is alive, and which of its VMs are new, leave or are gone. Only their own beats vouch for a region.

--- a/internal/liveness/service.go
+++ b/internal/liveness/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,13 +18,12 @@
 const (
 	// gossipInterval is the time between two rounds of gossip.
 	gossipInterval = 400 * time.Millisecond
-	// fanout is the number of live VMs that a VM sends to in a round. With three,
-	// a state reaches 1,400 VMs in seven rounds.
+	// fanout is the number of live VMs of its region that a VM sends to in a round. With
+	// three, a state reaches 300 VMs in about seven rounds.
 	fanout = 3
 	// maxStates bounds the full states of a message to about 6 KB.
 	maxStates = 48
-	// maxHeartbeats bounds the heartbeats of a message to about 5 KB. With 1,400
-	// VMs, each then hears of every other one about twice a second.
+	// maxHeartbeats bounds the heartbeats with process IDs of a message to about 5 KB.
 	maxHeartbeats = 400
 )
 
@@ -39,6 +39,9 @@
 	random *rand.Rand
 	// lastAlive holds the VMs that were alive at the last update.
 	lastAlive map[model.VMID]bool
+	// wantHeartbeats holds the VMs that could not tell apart the heartbeats of the last
+	// message.
+	wantHeartbeats map[model.VMID]bool
 
 	alive atomic.Pointer[[]catalog.VM]
 }
@@ -46,7 +49,7 @@
 // NewService returns a service that receives messages at once and sends them
 // once started.
 func NewService(self catalog.VM, links peer.Links, random *rand.Rand, log *decisions.Log) *Service {
-	s := &Service{links: links, log: log, table: NewTable(self), random: random, lastAlive: map[model.VMID]bool{}}
+	s := &Service{links: links, log: log, table: NewTable(self), random: random, lastAlive: map[model.VMID]bool{}, wantHeartbeats: map[model.VMID]bool{}}
 	s.Periodic = background.NewPeriodic(gossipInterval, s.gossipRound)
 	s.updateAlive(time.Now())
 	links.Handle(peer.KindGossip, s.handleGossip)
@@ -98,7 +101,7 @@
 	s.gossipRound(time.Now())
 }
 
-func (s *Service) handleGossip(_ context.Context, _ model.VMID, body []byte) (any, error) {
+func (s *Service) handleGossip(_ context.Context, from model.VMID, body []byte) (any, error) {
 	var msg Message
 	if err := peer.Unmarshal(body, &msg); err != nil {
 		return nil, err
@@ -106,28 +109,57 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	s.table.MergeMessage(msg, now)
-	s.updateAlive(now)
+	if msg.WantHeartbeats {
+		s.wantHeartbeats[from] = true
+	}
+	if !s.table.MergeMessage(msg, now) {
+		// A lost answer is repeated after the next message.
+		_ = s.links.Send(from, peer.KindGossip, Message{WantHeartbeats: true})
+	}
+	if msg.hasNews() {
+		s.updateAlive(now)
+	}
 	return nil, nil
 }
 
 func (s *Service) gossipRound(now time.Time) {
 	s.mu.Lock()
-	msg := s.table.NextMessage(maxStates, maxHeartbeats, now, s.random)
+	msg := s.table.NextMessage(maxStates, maxHeartbeats, false, now, s.random)
 	targets := s.table.Targets(fanout, now, s.random)
+	explicit := msg
+	if len(s.wantHeartbeats) > 0 {
+		explicit = s.table.message(maxStates, maxHeartbeats, true, now, s.random)
+	}
+	wanted := s.wantHeartbeats
+	s.wantHeartbeats = map[model.VMID]bool{}
+	regionMsg, regionTargets := s.table.RegionMessage(maxStates, maxHeartbeats, now, s.random)
 	s.updateAlive(now)
 	s.mu.Unlock()
 	for _, vm := range targets {
-		s.links.SetAddress(vm.Name, vm.Peer)
-		// The next round makes up for a lost message.
-		_ = s.links.Send(vm.Name, peer.KindGossip, msg)
+		if wanted[vm.Name] {
+			s.send(vm, explicit)
+		} else {
+			s.send(vm, msg)
+		}
+	}
+	for _, vm := range regionTargets {
+		s.send(vm, regionMsg)
 	}
 }
 
+func (s *Service) send(vm catalog.VM, msg Message) {
+	s.links.SetAddress(vm.Name, vm.Peer)
+	// The next round makes up for a lost message.
+	_ = s.links.Send(vm.Name, peer.KindGossip, msg)
+}
+
 // updateAlive publishes the live VMs and logs the differences to the last
 // update. The caller holds mu, except in NewService.
 func (s *Service) updateAlive(now time.Time) {
 	alive := s.table.Alive(now)
+	if last := s.alive.Load(); last != nil && slices.Equal(*last, alive) {
+		return
+	}
 	s.alive.Store(&alive)
 	current := make(map[model.VMID]bool, len(alive))
 	for _, vm := range alive {
