Count messages between VMs by kind and distance

Cause: the bytes of messages were counted by kind only, while their cost depends on whether they cross zones and regions.

Change: messages and bytes, sent and received, are counted by kind and scope (zone, zones, regions), as the record of the other VM tells. The counters are looked up once instead of once for each message.

--- a/internal/liveness/service.go
+++ b/internal/liveness/service.go
@@ -67,6 +67,13 @@
 	return s.table.Self()
 }
 
+// Record returns the record of another VM, alive or not, and false if there is none.
+func (s *Service) Record(vm model.VMID) (catalog.VM, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Record(vm)
+}
+
 // States returns the states to hand to a VM that starts.
 func (s *Service) States() []MemberState {
 	s.mu.Lock()
--- a/internal/liveness/table.go
+++ b/internal/liveness/table.go
@@ -161,6 +161,15 @@
 // Self returns this VM's record.
 func (t *Table) Self() catalog.VM { return t.self.VM }
 
+// Record returns the record of another VM, and false if there is none.
+func (t *Table) Record(vm model.VMID) (catalog.VM, bool) {
+	m, ok := t.members[vm]
+	if !ok {
+		return catalog.VM{}, false
+	}
+	return m.state.VM, true
+}
+
 // isNewer reports whether a is newer than b: a later process of the same VM, or
 // a higher heartbeat counter of the same process.
 func isNewer(a, b MemberState) bool {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -165,6 +165,7 @@
 		Rand:        rand.New(rand.NewSource(b.random.Int64())),
 		// Each follower keeps a poll waiting at its reader.
 		SlowHandlers: maxFollowers,
+		Distance:     b.distance,
 	})
 	b.node.liveness = liveness.NewService(b.self, b.mesh, b.random, b.node.log)
 	if err := b.register(NameLinks, b.mesh); err != nil {
@@ -173,6 +174,23 @@
 	return b.register(NameLiveness, b.node.liveness)
 }
 
+// distance returns how far a VM is according to its record.
+func (b *assembly) distance(vm model.VMID) peer.Distance {
+	if b.node.liveness == nil {
+		return peer.DistanceUnknown
+	}
+	record, ok := b.node.liveness.Record(vm)
+	switch {
+	case !ok:
+		return peer.DistanceUnknown
+	case record.Region != b.self.Region:
+		return peer.BetweenRegions
+	case record.Zone != b.self.Zone:
+		return peer.BetweenZones
+	}
+	return peer.WithinZone
+}
+
 func (b *assembly) registerStore() error {
 	b.copy = replica.New(platform.ItemVersion)
 	calls := b.metrics.Scope
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -80,6 +80,10 @@
 	return true
 }
 
+// distance returns how far the other VM is. Its record may become known or change while
+// the link is open.
+func (l *link) distance() Distance { return l.mesh.opts.Distance(l.vm) }
+
 // masked reports whether frames sent on the link are masked.
 func (l *link) masked() bool { return l.dialler == l.mesh.opts.Self }
 
@@ -104,7 +108,7 @@
 			l.mesh.opts.Logger.Warn("link closed", "peer", l.vm, "cause", err)
 			return
 		}
-		l.mesh.metrics.countReceived(env.Kind, FrameBytes(len(data), !l.masked()))
+		l.mesh.metrics.countReceived(env.Kind, l.distance(), FrameBytes(len(data), !l.masked()))
 		l.lastUsed.Store(time.Now().UnixNano())
 		l.handle(ctx, env)
 	}
@@ -126,7 +130,7 @@
 	if err := l.conn.WriteControl(websocket.PongMessage, []byte(data), deadline); err != nil {
 		return nil
 	}
-	l.mesh.metrics.countSent(0, FrameBytes(len(data), l.masked()))
+	l.mesh.metrics.countSent(0, l.distance(), FrameBytes(len(data), l.masked()))
 	return nil
 }
 
--- a/internal/peer/metrics.go
+++ b/internal/peer/metrics.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"sync"
 	"sync/atomic"
 
 	"github.com/uber-go/tally/v4"
@@ -56,6 +57,8 @@
 	queueFull        tally.Counter
 	slowHandlersBusy tally.Counter
 	links            tally.Gauge
+	// byKind holds *kindCounters by counterKey.
+	byKind sync.Map
 }
 
 func newMetrics(scope tally.Scope) *metrics {
@@ -73,16 +76,48 @@
 	}
 }
 
-func (m *metrics) countSent(kind Kind, bytes int) {
+// countSent counts a message of a kind and its bytes by how far the other VM is.
+func (m *metrics) countSent(kind Kind, distance Distance, bytes int) {
 	m.sent.Add(uint64(bytes))
-	m.taggedScope(kind).Counter("sent_bytes").Inc(int64(bytes))
+	m.counters(kind, distance).sent(bytes)
 }
 
-func (m *metrics) countReceived(kind Kind, bytes int) {
+func (m *metrics) countReceived(kind Kind, distance Distance, bytes int) {
 	m.received.Add(uint64(bytes))
-	m.taggedScope(kind).Counter("received_bytes").Inc(int64(bytes))
+	m.counters(kind, distance).received(bytes)
 }
 
-func (m *metrics) taggedScope(kind Kind) tally.Scope {
-	return m.scope.Tagged(map[string]string{"kind": kind.String()})
+// kindCounters count the messages of one kind from and to VMs at one distance.
+type kindCounters struct {
+	sentBytes, sentMessages, receivedBytes, receivedMessages tally.Counter
+}
+
+func (c *kindCounters) sent(bytes int) {
+	c.sentBytes.Inc(int64(bytes))
+	c.sentMessages.Inc(1)
+}
+
+func (c *kindCounters) received(bytes int) {
+	c.receivedBytes.Inc(int64(bytes))
+	c.receivedMessages.Inc(1)
+}
+
+// counters returns the counters of a kind and distance, which are looked up by their tags
+// only once.
+func (m *metrics) counters(kind Kind, distance Distance) *kindCounters {
+	key := counterKey{kind, distance}
+	if c, ok := m.byKind.Load(key); ok {
+		return c.(*kindCounters)
+	}
+	scope := m.scope.Tagged(map[string]string{"kind": kind.String(), "scope": string(distance)})
+	c, _ := m.byKind.LoadOrStore(key, &kindCounters{
+		sentBytes: scope.Counter("sent_bytes"), sentMessages: scope.Counter("sent_messages"),
+		receivedBytes: scope.Counter("received_bytes"), receivedMessages: scope.Counter("received_messages"),
+	})
+	return c.(*kindCounters)
+}
+
+type counterKey struct {
+	kind     Kind
+	distance Distance
 }
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -31,6 +31,17 @@
 	maxDialDelay = 500 * time.Millisecond
 )
 
+// Distance is how far another VM is. The cost of a byte depends on it.
+type Distance string
+
+// Distances.
+const (
+	DistanceUnknown Distance = "unknown"
+	WithinZone      Distance = "zone"
+	BetweenZones    Distance = "zones"
+	BetweenRegions  Distance = "regions"
+)
+
 // Options configures a Mesh. Zero fields take defaults, except Self and
 // Incarnation, which are required.
 type Options struct {
@@ -55,6 +66,8 @@
 	SlowHandlers int64
 	// Dial opens a connection; the default dials TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Distance returns how far a VM is, for the metrics; the default is DistanceUnknown.
+	Distance func(vm model.VMID) Distance
 	// Blocked simulates a network partition: while it returns true, all traffic
 	// from and to the VM is dropped. The default blocks nothing.
 	Blocked func(vm model.VMID) bool
@@ -70,6 +83,9 @@
 	if o.Rand == nil {
 		o.Rand = rand.New(rand.NewSource(int64(o.Incarnation)))
 	}
+	if o.Distance == nil {
+		o.Distance = func(model.VMID) Distance { return DistanceUnknown }
+	}
 	if o.Blocked == nil {
 		o.Blocked = func(model.VMID) bool { return false }
 	}
--- a/internal/peer/write.go
+++ b/internal/peer/write.go
@@ -50,7 +50,7 @@
 		return false
 	}
 	l.lastUsed.Store(time.Now().UnixNano())
-	l.mesh.metrics.countSent(msg.env.Kind, FrameBytes(len(data), l.masked()))
+	l.mesh.metrics.countSent(msg.env.Kind, l.distance(), FrameBytes(len(data), l.masked()))
 	return true
 }
 
@@ -86,7 +86,7 @@
 	if err := l.conn.WriteControl(websocket.PingMessage, nil, now.Add(l.mesh.opts.SilenceAfter)); err != nil {
 		return false
 	}
-	l.mesh.metrics.countSent(0, FrameBytes(0, l.masked()))
+	l.mesh.metrics.countSent(0, l.distance(), FrameBytes(0, l.masked()))
 	return true
 }
 
