--- a/internal/share/exchange.go
+++ b/internal/share/exchange.go
@@ -90,7 +90,8 @@
 	// not changed lately may be missing.
 	Uses(now time.Time) map[uint64]uint64
 	// SetRemoteUses reports the counts of all other VMs together, as far as heard since
-	// the start of this process. They only grow. source is always the same.
+	// the start of this process. They only grow. source is always the same, and the first
+	// report is empty.
 	SetRemoteUses(source string, uses map[uint64]uint64, now time.Time)
 }
 
@@ -190,6 +191,12 @@
 // run does what is due and returns the messages to send and the time of the next call.
 func (e *exchange) run(now time.Time, vms []catalog.VM) ([]outgoing, time.Time) {
 	e.tree.set(vms)
+	if e.nextRun.IsZero() {
+		// The first report of a source is the baseline.
+		for _, counter := range e.counters {
+			counter.SetRemoteUses(string(others), map[uint64]uint64{}, now)
+		}
+	}
 	e.excusePause(now)
 	messages := e.chooseParent(now)
 	if !now.Before(e.nextSample) {
