Test takeovers below the root, with the stated 0.5 s, and name the terms of the messages

The takeover of a VM that is not the root was not tested, and the tolerance of counters after a failed root was 0.8 s instead of the 0.5 s that the design states.

--- a/internal/share/exchange_test.go
+++ b/internal/share/exchange_test.go
@@ -97,10 +97,13 @@
 	}
 }
 
-func (s *sim) root(region model.Region) *simVM {
+func (s *sim) root(region model.Region) *simVM { return s.ranked(region, 0) }
+
+// ranked returns the VM at a place in the tree of a region.
+func (s *sim) ranked(region model.Region, place int) *simVM {
 	tree := newTree(s.vms[0].record)
 	tree.set(s.alive)
-	return s.byName[tree.regions[region][0].Name]
+	return s.byName[tree.regions[region][place].Name]
 }
 
 // withoutChildren reports whether a VM has no place in the tree where it must relay.
@@ -154,14 +157,14 @@
 }
 
 // TestTakeoverWithinHalfASecond guards against VMs of a region that no longer hear of each
-// other half a second after their collector fell silent.
+// other half a second after the root or a VM below it fell silent.
 func TestTakeoverWithinHalfASecond(t *testing.T) {
 	for _, vms := range []int{9, 90} {
-		for i := range 5 {
+		for i := range 6 {
 			s := fixedSim(t, vms)
 			s.advance(2*time.Second + time.Duration(i)*23*time.Millisecond)
-			root := s.root("r0")
-			root.dead = true
+			failed := s.ranked("r0", i%2)
+			failed.dead = true
 			s.advance(100 * time.Millisecond)
 			for _, v := range s.vms {
 				v.outstanding[4] += 7
@@ -169,10 +172,10 @@
 			s.advance(400 * time.Millisecond)
 			known, want := 0, 0
 			for _, v := range s.vms {
-				if v != root && v.record.Region == "r0" {
+				if v != failed && v.record.Region == "r0" {
 					want++
 					for _, other := range s.vms {
-						if other.record.Region == "r0" && other != v && other != root && v.remote[4] >= 14 {
+						if other.record.Region == "r0" && other != v && other != failed && v.remote[4] >= 14 {
 							known++
 							break
 						}
@@ -180,7 +183,7 @@
 				}
 			}
 			if known < want {
-				t.Errorf("%d VMs: %d of %d VMs hear of each other 0.5 s after the root failed", vms, known, want)
+				t.Errorf("%d VMs: %d of %d VMs hear of each other 0.5 s after %s failed", vms, known, want, failed.record.Name)
 			}
 		}
 	}
@@ -270,7 +273,7 @@
 			// much may be counted twice.
 			want, tolerance := (vms-1)*rounds, 0
 			if what != "calm" {
-				tolerance = (vms - 1) * 8
+				tolerance = (vms - 1) * 5
 			}
 			if what == "root killed" {
 				want -= rounds - 20
