--- a/internal/liveness/table.go
+++ b/internal/liveness/table.go
@@ -140,7 +140,9 @@
 	namesByProcess map[uint64]model.VMID
 	// beats holds the beats of each other region by process ID.
 	beats map[model.Region]map[uint64]regionBeat
-	// set identifies the VMs heard in the region, which have been the same since setSince.
+	// heard holds the VMs heard in the region at the begin of the round. set identifies
+	// them, and they have been the same since setSince.
+	heard    []*member
 	set      uint64
 	setSince time.Time
 	// rounds counts the rounds of gossip.
@@ -400,7 +402,8 @@
 	t.rounds++
 	t.self.Heartbeat++
 	t.pruneDead(now)
-	if set := hashProcesses(t.heardInRegion(now)); set != t.set {
+	t.heard = t.heardInRegion(now)
+	if set := hashProcesses(t.heard); set != t.set {
 		t.set, t.setSince = set, now
 	}
 }
@@ -424,7 +427,7 @@
 		return msg
 	}
 	msg.Set = t.set
-	for _, m := range t.heardInRegion(now) {
+	for _, m := range t.heard {
 		beat := byte(m.state.Heartbeat & counterBits)
 		if m.state.Leaving {
 			beat |= leavingBit
--- a/internal/liveness/table_test.go
+++ b/internal/liveness/table_test.go
@@ -181,8 +181,9 @@
 	now    time.Time
 	// wanted holds the VMs that asked each VM for heartbeats with process IDs.
 	wanted []map[int]bool
-	// bytes and messages count what each VM sends and receives, and regionBytes what goes
-	// to other regions.
+	// Once measured is set, bytes and messages count what each VM sends and receives, and
+	// regionBytes what goes to other regions.
+	measured        bool
 	bytes, messages []int
 	regionBytes     int
 	// cut reports whether messages between two VMs are lost.
@@ -259,6 +260,18 @@
 }
 
 func (g *gossipSim) deliver(from, to int, msg Message, dead func(i int) bool) {
+	if g.measured {
+		g.measure(from, to, msg)
+	}
+	if dead(to) || g.cut(from, to) || g.random.Float64() < g.loss {
+		return
+	}
+	if !g.tables[to].MergeMessage(msg, g.now) && g.random.Float64() >= g.loss {
+		g.wanted[from][to] = true
+	}
+}
+
+func (g *gossipSim) measure(from, to int, msg Message) {
 	data, err := peer.Marshal(msg)
 	if err != nil {
 		g.t.Fatal(err)
@@ -270,12 +283,6 @@
 	if g.tables[from].Self().Region != g.tables[to].Self().Region {
 		g.regionBytes += len(data)
 	}
-	if dead(to) || g.cut(from, to) || g.random.Float64() < g.loss {
-		return
-	}
-	if !g.tables[to].MergeMessage(msg, g.now) && g.random.Float64() >= g.loss {
-		g.wanted[from][to] = true
-	}
 }
 
 func (g *gossipSim) expectAlive(want, dead int) {
