Start repeatable pipelined requests of clients early

The front address accepts connections of internal/pipeline. Requests of routes that may run more than once start when they arrive; their deadline runs from then. They count as active, and a planned stop waits until they are about to be answered before it shuts the server down, which would close each connection after one response. The responses of started requests are buffered up to 32 KiB instead of 512 KiB, since they may wait for their turn.

Counters pipelined_started and pipelined_stopped by reason; a line about each bound at most every 10 s.

The existing tests of front now run over such connections. go test -race of front, node and pipeline passes.

--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -10,6 +10,7 @@
 	"fuchsiaspar/internal/header"
 	"fuchsiaspar/internal/overload"
 	"fuchsiaspar/internal/pick"
+	"fuchsiaspar/internal/pipeline"
 	"fuchsiaspar/internal/upstream"
 	"fuchsiaspar/platform"
 )
@@ -23,7 +24,7 @@
 // answered with a 5xx status and the request may be retried, it reserves the
 // retry and sends nothing.
 func (q *request) forwardResponse(choice pick.Choice, resp *upstream.Response, report *pick.Report) attemptResult {
-	buffered, complete, err := readBuffered(resp)
+	buffered, complete, err := readBuffered(resp, q.bufferLimit())
 	if err != nil {
 		return q.handleTruncated(choice, err, report)
 	}
@@ -75,10 +76,19 @@
 	return resultFailed
 }
 
-// readBuffered reads up to maxBufferedResponse bytes of the body. complete
-// reports whether the end of the body was reached.
-func readBuffered(resp *upstream.Response) (buffered []byte, complete bool, err error) {
-	if resp.Length > maxBufferedResponse {
+// bufferLimit returns the size in bytes up to which the response is buffered completely.
+// Responses of requests that run ahead of their turn wait in memory, so it is lower there.
+func (q *request) bufferLimit() int {
+	if pipeline.IsStarted(q.w) {
+		return pipeline.HoldLimit
+	}
+	return maxBufferedResponse
+}
+
+// readBuffered reads up to limit bytes of the body. complete reports whether the end
+// of the body was reached.
+func readBuffered(resp *upstream.Response, limit int) (buffered []byte, complete bool, err error) {
+	if resp.Length > int64(limit) {
 		return nil, false, nil
 	}
 	capacity := resp.Length
@@ -86,7 +96,7 @@
 		capacity = 4 << 10
 	}
 	buffered = make([]byte, 0, capacity+1)
-	for len(buffered) <= maxBufferedResponse {
+	for len(buffered) <= limit {
 		if len(buffered) == cap(buffered) {
 			buffered = append(buffered, 0)[:len(buffered)]
 		}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -18,6 +18,7 @@
 	"fuchsiaspar/internal/header"
 	"fuchsiaspar/internal/model"
 	"fuchsiaspar/internal/pick"
+	"fuchsiaspar/internal/pipeline"
 	"fuchsiaspar/internal/upstream"
 	"fuchsiaspar/platform"
 
@@ -57,25 +58,40 @@
 	active   atomic.Int64
 	draining atomic.Bool
 	invalid  invalidLog
+	pipeline *pipeline.Handler
+	bounds   boundLog
 }
 
 // NewServer returns a Server.
 func NewServer(opts Options) *Server {
-	return &Server{opts: opts, metrics: newMetrics(opts.Scope)}
+	s := &Server{opts: opts, metrics: newMetrics(opts.Scope)}
+	s.pipeline = s.newPipeline()
+	return s
 }
 
-// ActiveRequests returns the number of requests in progress.
-func (s *Server) ActiveRequests() int64 { return s.active.Load() }
+// ActiveRequests returns the number of requests in progress, including those that were
+// started before the response to the previous one of their connection.
+func (s *Server) ActiveRequests() int64 { return s.active.Load() + s.pipeline.Pending() }
 
 // DrainConnections adds "Connection: close" to every response from now on, so that
 // clients reconnect, possibly to another VM. Requests are still served.
-func (s *Server) DrainConnections() { s.draining.Store(true) }
+func (s *Server) DrainConnections() {
+	s.draining.Store(true)
+	s.pipeline.StopStarting()
+}
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.active.Add(1)
 	defer s.active.Add(-1)
-	if s.draining.Load() {
+	s.pipeline.ServeHTTP(w, r)
+}
+
+// serveRequest serves one request. It may run before the previous response of the
+// connection has been sent.
+func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
+	// A request that was started early may have others behind it, which will be answered.
+	if s.draining.Load() && !pipeline.IsStarted(w) {
 		w.Header().Set("Connection", "close")
 	}
 	req := &request{server: s, w: w, r: r, start: time.Now(), snapshot: s.opts.Snapshot()}
@@ -130,7 +146,7 @@
 		q.refuse(http.StatusBadRequest, reasonNoRequestID)
 		return
 	}
-	if q.route = q.matchRoute(); q.route == nil {
+	if q.route = matchRoute(q.snapshot, q.r); q.route == nil {
 		q.refuse(http.StatusNotFound, reasonNoRoute)
 		return
 	}
@@ -166,15 +182,15 @@
 	}
 }
 
-// matchRoute returns the route for the request's host and path, or nil. A Host
-// header that does not match as sent is tried without its port.
-func (q *request) matchRoute() *catalog.Route {
-	path := q.r.URL.EscapedPath()
-	if route := q.snapshot.MatchRoute(q.r.Host, path); route != nil {
+// matchRoute returns the route for the host and path of r, or nil. A Host header
+// that does not match as sent is tried without its port.
+func matchRoute(snapshot *catalog.Snapshot, r *http.Request) *catalog.Route {
+	path := r.URL.EscapedPath()
+	if route := snapshot.MatchRoute(r.Host, path); route != nil {
 		return route
 	}
-	if host, _, err := net.SplitHostPort(q.r.Host); err == nil {
-		return q.snapshot.MatchRoute(host, path)
+	if host, _, err := net.SplitHostPort(r.Host); err == nil {
+		return snapshot.MatchRoute(host, path)
 	}
 	return nil
 }
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -147,11 +147,15 @@
 	repeats := allow.NewRetryBudget(0.2, 60)
 	client := upstream.NewClient(tally.NoopScope)
 	t.Cleanup(client.Close)
-	front := httptest.NewServer(NewServer(Options{
+	server := NewServer(Options{
 		Snapshot: snapshot,
 		Age:      func(time.Time) time.Duration { return age },
 		Fleet:    fleet, Client: client, RetryBudget: repeats, Log: decisions.Discard(), Scope: tally.NoopScope,
-	}))
+	})
+	front := httptest.NewUnstartedServer(server)
+	server.Configure(front.Config)
+	front.Listener = server.Listener(front.Listener)
+	front.Start()
 	t.Cleanup(front.Close)
 	return front
 }
--- a/internal/front/report.go
+++ b/internal/front/report.go
@@ -66,6 +66,14 @@
 	m.scope.Tagged(map[string]string{"kind": kind}).Counter("server_statements").Inc(1)
 }
 
+// startedEarly counts a request that was started before the previous response.
+func (m *metrics) startedEarly() { m.scope.Counter("pipelined_started").Inc(1) }
+
+// stoppedEarly counts why no further request of a connection was started early.
+func (m *metrics) stoppedEarly(reason string) {
+	m.scope.Tagged(map[string]string{"reason": reason}).Counter("pipelined_stopped").Inc(1)
+}
+
 func outcomeLabel(status int) string {
 	if status < http.StatusBadRequest {
 		return "success"
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"fuchsiaspar/internal/directory"
+	"fuchsiaspar/internal/front"
 	"fuchsiaspar/internal/peer"
 	"fuchsiaspar/platform"
 
@@ -31,12 +32,14 @@
 type listeners struct {
 	byAddress map[string]*http.Server
 	front     *http.Server
+	traffic   *front.Server
 }
 
 func newListeners(b *assembly) (*listeners, error) {
-	s := &listeners{byAddress: map[string]*http.Server{}}
+	s := &listeners{byAddress: map[string]*http.Server{}, traffic: b.node.front}
 	addresses := b.settings.Listen
-	s.front = newHTTPServer(b.node.front)
+	s.front = newHTTPServer(s.traffic)
+	s.traffic.Configure(s.front)
 	s.byAddress[addresses.Front] = s.front
 	lookups := directory.New(directory.Options{
 		Alive: b.node.liveness.Alive, Ready: b.node.Ready, MaxTTL: b.settings.Bounds.MaxTTL,
@@ -92,6 +95,9 @@
 		if err != nil {
 			return errors.Wrap(err, "listen")
 		}
+		if server == s.front {
+			listener = s.traffic.Listener(listener)
+		}
 		go func() {
 			// Serve ends when the server is shut down.
 			_ = server.Serve(listener)
@@ -104,7 +110,12 @@
 func (s *listeners) Stop(ctx context.Context) error {
 	var group errgroup.Group
 	for _, server := range s.byAddress {
-		group.Go(func() error { return server.Shutdown(ctx) })
+		group.Go(func() error {
+			if server == s.front {
+				s.traffic.FinishStarted(ctx)
+			}
+			return server.Shutdown(ctx)
+		})
 	}
 	return group.Wait()
 }
