--- a/internal/pipeline/ahead.go
+++ b/internal/pipeline/ahead.go
@@ -186,10 +186,11 @@
 	return true
 }
 
-// unreserve returns what s holds.
+// unreserve returns what s holds, and starts requests that waited for it.
 func (c *Conn) unreserve(s *started) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.ahead.held -= s.held
 	s.held = 0
+	c.startAhead()
 }
--- a/internal/pipeline/compare_test.go
+++ b/internal/pipeline/compare_test.go
@@ -130,6 +130,8 @@
 	get("/a") + "GET /b HTTP/1.0\r\n\r\n" + get("/c"),
 	get("/a") + "GET /b HTTP/1.0\r\nConnection: keep-alive\r\n\r\n" + get("/c"),
 	get("/a") + "GET /b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n" + get("/c"),
+	get("/a") + "GET /b HTTP/1.1\r\nHost: h\r\nConnection: keep-alive\r\nConnection: close\r\n\r\n" + get("/c"),
+	get("/a") + "GET /b HTTP/1.1\r\nHost: h\r\nConnection: Keep-Alive\r\n\r\n" + get("/c"),
 	get("/a") + "GET /b HTTP/1.1\r\nHost: h\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n" + get("/c"),
 	get("/a") + "GET http://other/b HTTP/1.1\r\nHost: h\r\n\r\n" + get("/c"),
 	get("/a") + "CONNECT h:1 HTTP/1.1\r\nHost: h:1\r\n\r\n" + get("/c"),
--- a/internal/pipeline/head.go
+++ b/internal/pipeline/head.go
@@ -47,7 +47,7 @@
 // notStarted lists the header fields of requests that are not started early, because they
 // announce a body, change the connection, or make the response depend on the connection.
 var notStarted = map[string]bool{
-	"Connection": true, "Content-Length": true, "Expect": true, "Keep-Alive": true, "Proxy-Connection": true,
+	"Content-Length": true, "Expect": true, "Keep-Alive": true, "Proxy-Connection": true,
 	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
 }
 
@@ -96,9 +96,16 @@
 		if notStarted[key] {
 			return false
 		}
-		if key == "Host" {
+		value = strings.TrimPrefix(value, " ")
+		switch key {
+		case "Connection":
+			// This is what HTTP/1.1 does anyway.
+			if !strings.EqualFold(value, "keep-alive") {
+				return false
+			}
+		case "Host":
 			hosts++
-			if !validHost(strings.TrimPrefix(value, " ")) {
+			if !validHost(value) {
 				return false
 			}
 		}
