--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -49,7 +49,7 @@
 // Guards against a request that may run only once and starts while others run, and against
 // requests that start while it runs.
 func TestRequestThatMayRunOnlyOnceRunsAlone(t *testing.T) {
-	for _, once := range []string{get("/once/hold"), post("/once/hold", "body"), post("/hold", "0123456789")} {
+	for _, once := range []string{get("/once/hold"), post("/once/hold", "body"), post("/hold", "0123456789"), post("/hold", "")} {
 		g := newGate()
 		s := startServer(t, true, g.serve)
 		conn, reader := s.dial(t)
