--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -34,6 +34,8 @@
 	received   map[string]int
 	lastHeader http.Header
 	lastBody   string
+	// longestBody is the length in bytes of the longest request body.
+	longestBody int
 }
 
 func (b *backends) count(id string) int {
@@ -103,6 +105,7 @@
 			b.mu.Lock()
 			b.received[r.Header.Get(platform.HeaderRequestID)]++
 			b.lastHeader, b.lastBody = r.Header.Clone(), string(body)
+			b.longestBody = max(b.longestBody, len(body))
 			b.mu.Unlock()
 			behave(w, r)
 		}))
@@ -147,11 +150,15 @@
 	repeats := allow.NewRetryBudget(0.2, 60)
 	client := upstream.NewClient(tally.NoopScope)
 	t.Cleanup(client.Close)
-	front := httptest.NewServer(NewServer(Options{
+	server := NewServer(Options{
 		Snapshot: snapshot,
 		Age:      func(time.Time) time.Duration { return age },
 		Fleet:    fleet, Client: client, RetryBudget: repeats, Log: decisions.Discard(), Scope: tally.NoopScope,
-	}))
+	})
+	front := httptest.NewUnstartedServer(server)
+	server.Configure(front.Config)
+	front.Listener = server.Listener(front.Listener)
+	front.Start()
 	t.Cleanup(front.Close)
 	return front
 }
