--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -92,12 +92,18 @@
 }
 
 func startAll(t *testing.T, count int, own func(i int) Counts) []*fakeFleet {
+	t.Helper()
+	return startRegions(t, count, 1, own)
+}
+
+// startRegions starts VMs that are in so many regions by turns.
+func startRegions(t *testing.T, count, regions int, own func(i int) Counts) []*fakeFleet {
 	t.Helper()
 	net := peertest.New(1)
 	var vms []catalog.VM
 	for i := range count {
 		name := fmt.Sprintf("vm-%02d", i)
-		vms = append(vms, catalog.VM{Name: model.VMID(name), Peer: name})
+		vms = append(vms, catalog.VM{Name: model.VMID(name), Region: model.Region(fmt.Sprint("r", i%regions)), Peer: name})
 	}
 	var fleets []*fakeFleet
 	for i, vm := range vms {
@@ -128,22 +134,24 @@
 // TestVMsWithTrafficExchangeCounts guards against VMs with traffic that do not learn of
 // the requests of others over their links.
 func TestVMsWithTrafficExchangeCounts(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		fleets := startAll(t, 6, func(i int) Counts {
-			if i < 3 {
-				return Counts{7: i + 1}
+	for _, regions := range []int{1, 3} {
+		synctest.Test(t, func(t *testing.T) {
+			fleets := startRegions(t, 6, regions, func(i int) Counts {
+				if i < 3 {
+					return Counts{7: i + 1}
+				}
+				return nil
+			})
+			time.Sleep(2 * time.Second)
+			for i, fleet := range fleets[:3] {
+				fleet.mu.Lock()
+				if got, want := fleet.remote[7], 6-(i+1); got != want {
+					t.Errorf("%d regions: vm-%02d knows of %d requests of other VMs, want %d", regions, i, got, want)
+				}
+				fleet.mu.Unlock()
 			}
-			return nil
 		})
-		time.Sleep(2 * time.Second)
-		for i, fleet := range fleets[:3] {
-			fleet.mu.Lock()
-			if got, want := fleet.remote[7], 6-(i+1); got != want {
-				t.Errorf("vm-%02d knows of %d requests of other VMs, want %d", i, got, want)
-			}
-			fleet.mu.Unlock()
-		}
-	})
+	}
 }
 
 // TestLeavingServersReachOtherVMs guards against servers that leave and lose the requests
