Give small fleets larger load messages, and those to parents in large fleets

Cause: with 184 servers the loads of a message were bounded at 96 bytes, though bytes were left; and at 300 VMs a queue to which many VMs add one request each was known in time or not by chance, as single requests waited on the way to the root.

Change: up to 160 bytes up to 160 servers, and a byte for eight servers to the parent.

--- a/internal/share/link.go
+++ b/internal/share/link.go
@@ -19,21 +19,22 @@
 
 const (
 	// maxLoadBudget is the size in bytes of the loads of an ordinary message. A region of
-	// ten VMs with some ten requests per VM in 100 ms and seven servers per VM rarely
-	// needs more.
-	maxLoadBudget = 96
+	// ten VMs with three requests per VM in 100 ms and four servers per VM rarely needs
+	// more.
+	maxLoadBudget = 160
 	// budgetServers is the number of servers up to which messages have that size.
-	budgetServers = 256
-	// minLoadBudget is the size with many servers. It keeps the
-	// bytes of a VM in a fleet of 300 VMs and 2,100 servers within a tenth of those with
-	// 30 VMs and 210 servers.
-	minLoadBudget = 28
+	budgetServers = 160
+	// minLoadBudget is the size with many servers. It keeps the bytes of a VM in a fleet
+	// of 300 VMs and 1,200 servers within a tenth of those with 30 VMs and 120 servers.
+	minLoadBudget = 38
 	// regionLoadBudget is the least size of messages to other regions.
-	regionLoadBudget = 40
-	// parentLoadBudget is the least size of messages to the parent. They are small but near the
-	// root, and must tell of every request: a queue that many VMs add one request to is
-	// visible only where these are summed up.
-	parentLoadBudget = 60
+	regionLoadBudget = 48
+	// parentLoadBudget is the least size of messages to the parent, and parentServers the
+	// number of servers for each byte of it. They are small but near the root, and must
+	// tell of single requests: a queue that many VMs add one request to is visible only
+	// where these are summed up.
+	parentLoadBudget = 64
+	parentServers    = 8
 )
 
 // loadBudget returns the size in bytes of the loads of an ordinary message. With many
@@ -43,7 +44,7 @@
 	least := minLoadBudget
 	switch l.direction {
 	case toParent:
-		least = parentLoadBudget
+		least = max(parentLoadBudget, min(servers/parentServers, maxLoadBudget))
 	case toRegion:
 		least = regionLoadBudget
 	}
