Carry the requests of client accounts in load messages

Cause: each VM debits the limits of client accounts for the requests of all VMs, and takes a VM that sends nothing for one that is cut off.

Change: one field with an encoded report, opaque to internal/share, and one method each way. While accounts have limits, a message is sent in each round also if it says nothing else.

Result: go test ./internal/share passes.

--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -73,6 +73,9 @@
 	Limits LimitReports `cbor:"3,keyasint,omitempty"`
 	// Leaving are the servers that said to the sender that they leave.
 	Leaving LeavingReports `cbor:"5,keyasint,omitempty"`
+	// AccountUses is the sender's encoded report of the requests of client accounts. It
+	// is cumulative within a process of the sender.
+	AccountUses []byte `cbor:"6,keyasint,omitempty"`
 }
 
 // Feed maintains this VM's replica of the store.
@@ -101,11 +104,21 @@
 	ExpireRemoteCounts(now time.Time)
 }
 
+// AccountLimits holds the requests of client accounts at this VM and at other VMs.
+type AccountLimits interface {
+	// AccountUses returns this VM's report, which is sent in each round also if it names
+	// no account, or nil if no account has a limit.
+	AccountUses(now time.Time) []byte
+	// SetRemoteAccountUses applies the report of another VM.
+	SetRemoteAccountUses(vm model.VMID, uses []byte, now time.Time)
+}
+
 // Service sends this VM's counts to other VMs and receives theirs.
 type Service struct {
 	*background.Periodic
 	self    model.VMID
 	fleet   Fleet
+	limits  AccountLimits
 	feed    Feed
 	links   peer.Links
 	liveVMs func() []catalog.VM
@@ -125,9 +138,9 @@
 // New returns a Service that starts sending when it is started, and registers it
 // as the receiver of load messages on links. liveVMs returns the VMs that are
 // believed to be alive.
-func New(self model.VMID, fleet Fleet, feed Feed, links peer.Links, liveVMs func() []catalog.VM, rng *rand.Rand) *Service {
+func New(self model.VMID, fleet Fleet, limits AccountLimits, feed Feed, links peer.Links, liveVMs func() []catalog.VM, rng *rand.Rand) *Service {
 	s := &Service{
-		self: self, fleet: fleet, feed: feed, links: links, liveVMs: liveVMs, rng: rng, lastReceived: map[model.VMID]time.Time{},
+		self: self, fleet: fleet, limits: limits, feed: feed, links: links, liveVMs: liveVMs, rng: rng, lastReceived: map[model.VMID]time.Time{},
 	}
 	s.Periodic = background.NewPeriodic(sendInterval, s.sendRound)
 	links.Handle(peer.KindLoads, s.receive)
@@ -146,6 +159,9 @@
 	s.fleet.SetRemoteCounts(from, msg.Counts, now)
 	s.fleet.SetRemoteLimits(from, msg.Limits, now)
 	s.fleet.SetRemoteLeaving(msg.Leaving, now)
+	if len(msg.AccountUses) > 0 {
+		s.limits.SetRemoteAccountUses(from, msg.AccountUses, now)
+	}
 	for _, vm := range s.liveVMs() {
 		if vm.Name == from {
 			s.feed.ObservePosition(vm, replica.Position{Era: msg.Era, Revision: msg.Revision}, now)
@@ -161,8 +177,9 @@
 	msg := message{
 		Revision: position.Revision, Era: position.Era,
 		Counts: s.fleet.Outstanding(), Limits: s.fleet.LimitReports(now), Leaving: s.fleet.Leaving(now),
+		AccountUses: s.limits.AccountUses(now),
 	}
-	empty := len(msg.Counts) == 0 && len(msg.Limits) == 0 && len(msg.Leaving) == 0
+	empty := len(msg.Counts) == 0 && len(msg.Limits) == 0 && len(msg.Leaving) == 0 && len(msg.AccountUses) == 0
 	if empty && s.lastSentEmpty {
 		return
 	}
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -25,6 +25,9 @@
 	receivedLimits map[model.VMID]LimitReports
 	// ownLeaving are reported, and receivedLeaving are the last reports received.
 	ownLeaving, receivedLeaving LeavingReports
+	// ownUses is the report about accounts, and receivedUses holds the last ones received.
+	ownUses      []byte
+	receivedUses map[model.VMID]string
 	// messages is the number of messages received.
 	messages int
 }
@@ -66,6 +69,18 @@
 	f.receivedLeaving = reports
 }
 
+func (f *fakeFleet) AccountUses(time.Time) []byte {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ownUses
+}
+
+func (f *fakeFleet) SetRemoteAccountUses(vm model.VMID, uses []byte, _ time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.receivedUses[vm] = string(uses)
+}
+
 func (f *fakeFleet) ExpireRemoteCounts(time.Time) {}
 
 func (f *fakeFleet) stats() (from, messages int) {
@@ -101,10 +116,10 @@
 	}
 	var fleets []*fakeFleet
 	for i, vm := range vms {
-		fleet := &fakeFleet{own: own(i), received: map[model.VMID]Counts{}, receivedLimits: map[model.VMID]LimitReports{}}
+		fleet := &fakeFleet{own: own(i), received: map[model.VMID]Counts{}, receivedLimits: map[model.VMID]LimitReports{}, receivedUses: map[model.VMID]string{}}
 		fleets = append(fleets, fleet)
 		endpoint := net.Join(vm.Name)
-		s := New(vm.Name, fleet, &fakeFeed{position: replica.Position{Era: 1, Revision: 1}}, endpoint, func() []catalog.VM { return vms }, rand.New(rand.NewPCG(uint64(i), 1)))
+		s := New(vm.Name, fleet, fleet, &fakeFeed{position: replica.Position{Era: 1, Revision: 1}}, endpoint, func() []catalog.VM { return vms }, rand.New(rand.NewPCG(uint64(i), 1)))
 		if err := s.Start(context.Background()); err != nil {
 			t.Fatal(err)
 		}
@@ -191,3 +206,28 @@
 		}
 	})
 }
+
+// Guards against VMs that count as silent, and then use a part of the limits of client
+// accounts only, because they have nothing else to send.
+func TestAccountUsesReachOtherVMs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleets := startAll(t, 3, func(int) Counts { return nil })
+		for i, fleet := range fleets {
+			fleet.mu.Lock()
+			fleet.ownUses = []byte{byte(i), 0, 0, 0}
+			fleet.mu.Unlock()
+		}
+		time.Sleep(1500 * time.Millisecond)
+		for i, fleet := range fleets {
+			fleet.mu.Lock()
+			clear(fleet.receivedUses)
+			fleet.mu.Unlock()
+			time.Sleep(250 * time.Millisecond)
+			fleet.mu.Lock()
+			if len(fleet.receivedUses) != 2 {
+				t.Errorf("vm-%02d received %v within 250 ms, want reports of the other two", i, fleet.receivedUses)
+			}
+			fleet.mu.Unlock()
+		}
+	})
+}
