Enforce the limits of client accounts before a request is sent

Cause: client accounts had limits in the configuration that no VM enforced.

Change: a request takes a token right before the choice of its server, after the wait for one, so that a refused request uses up nothing of limited or cold servers. It keeps the token over attempts that were not sent and returns it if none was. A request over the limit gets 429 with Retry-After; log lines have the account, tokens, age of reports and VMs heard. Limits are in effect only where settings state a bound and accounts have limits.

--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -155,7 +155,7 @@
 
 // fail ends a request for which no server gave a response that can be
 // forwarded. Status 503 means that the request has not run; 504 and 502 mean that
-// it may have run.
+// it may have run. 429 means that its account is at its limit, and that it has not run.
 func (q *request) fail(reason string) {
 	if q.r.Context().Err() != nil {
 		q.logFailed("client left")
@@ -166,6 +166,8 @@
 		q.refuse(http.StatusGatewayTimeout, reason)
 	case q.mayHaveRun:
 		q.refuse(http.StatusBadGateway, reason)
+	case reason == reasonAccountLimit:
+		q.refuse(http.StatusTooManyRequests, reason)
 	default:
 		q.refuse(http.StatusServiceUnavailable, reason)
 	}
@@ -198,9 +200,13 @@
 		h.Set(platform.HeaderRequestID, q.id)
 	}
 	var wait time.Duration
-	if status == http.StatusServiceUnavailable {
+	switch status {
+	case http.StatusTooManyRequests:
+		wait = q.limitedFor.Round(time.Millisecond)
+		setRetryAfter(h, wait)
+	case http.StatusServiceUnavailable:
 		wait = overload.RetryAfter(q.refusal(reason), rand.Float64()).Round(time.Millisecond)
-		h.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', -1, 64))
+		setRetryAfter(h, wait)
 	}
 	message := `{"error":"` + reason + `"}` + "\n"
 	h.Set("Content-Length", strconv.Itoa(len(message)))
@@ -210,3 +216,7 @@
 	_, _ = io.WriteString(q.w, message)
 	q.logRefused(status, reason, wait)
 }
+
+func setRetryAfter(h http.Header, wait time.Duration) {
+	h.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', -1, 64))
+}
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -32,16 +32,19 @@
 // tryServers sends the request to one server after another until the client has
 // a response or no further attempt is allowed.
 func (q *request) tryServers() {
+	defer q.returnToken()
 	for connectFailures := 0; connectFailures < maxConnectFailures; {
 		choice, reason := q.chooseServer()
 		if reason != "" {
 			q.fail(reason)
 			return
 		}
+		hasToken := q.spendToken()
 		switch q.attempt(choice) {
 		case resultDelivered:
 			return
 		case resultNotSent:
+			q.hasToken = hasToken
 			connectFailures++
 		case resultFailed:
 			if reason := q.reserveRetry(); reason != "" {
@@ -63,6 +66,9 @@
 		if q.deadline.Sub(now) < minAttemptTime {
 			return pick.Choice{}, reasonTimeout
 		}
+		if !q.takeToken(now) {
+			return pick.Choice{}, reasonAccountLimit
+		}
 		choice, reason := q.server.opts.Fleet.Pick(q.query(), now)
 		if reason == "" || reason == pick.Yield {
 			q.lastChoice = choice
@@ -70,6 +76,7 @@
 		if reason != pick.Yield || now.Sub(q.start) >= q.route.TargetLatency/yieldObjectiveDivisor {
 			return choice, string(reason)
 		}
+		q.returnToken()
 		background.Sleep(q.r.Context(), yieldPollInterval)
 	}
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"fuchsiaspar/internal/accountlimit"
 	"fuchsiaspar/internal/allow"
 	"fuchsiaspar/internal/catalog"
 	"fuchsiaspar/internal/decisions"
@@ -46,8 +47,10 @@
 	Client *upstream.Client
 	// RetryBudget limits the retries of each service.
 	RetryBudget *allow.RetryBudget
-	Log         *decisions.Log
-	Scope       tally.Scope
+	// Limits limits the requests of client accounts, nil if there are no limits.
+	Limits *accountlimit.Limiter
+	Log    *decisions.Log
+	Scope  tally.Scope
 }
 
 // Server is the http.Handler for client requests. It is safe for concurrent use.
@@ -114,6 +117,10 @@
 	// deferred reports whether the last attempt was refused by a server that asked for
 	// a pause.
 	deferred bool
+	// hasToken reports whether the request holds a token of its account's limit, and
+	// limitedFor is when the client may come back if it got none.
+	hasToken   bool
+	limitedFor time.Duration
 	// lastChoice is the server chosen last, for log lines.
 	lastChoice pick.Choice
 }
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"fuchsiaspar/internal/accountlimit"
 	"fuchsiaspar/internal/allow"
 	"fuchsiaspar/internal/catalog"
 	"fuchsiaspar/internal/decisions"
@@ -142,6 +143,11 @@
 
 // startFrontWith starts an entry VM with the servers of the first snapshot.
 func startFrontWith(t *testing.T, snapshot func() *catalog.Snapshot, age time.Duration) *httptest.Server {
+	return startFrontWithLimits(t, snapshot, age, nil)
+}
+
+// startFrontWithLimits is startFrontWith with limits of client accounts.
+func startFrontWithLimits(t *testing.T, snapshot func() *catalog.Snapshot, age time.Duration, limits *accountlimit.Limiter) *httptest.Server {
 	fleet := pick.NewFleet(pick.Options{Self: "vm-0"})
 	fleet.SetSnapshot(snapshot(), time.Now())
 	repeats := allow.NewRetryBudget(0.2, 60)
@@ -150,7 +156,7 @@
 	front := httptest.NewServer(NewServer(Options{
 		Snapshot: snapshot,
 		Age:      func(time.Time) time.Duration { return age },
-		Fleet:    fleet, Client: client, RetryBudget: repeats, Log: decisions.Discard(), Scope: tally.NoopScope,
+		Fleet:    fleet, Client: client, RetryBudget: repeats, Limits: limits, Log: decisions.Discard(), Scope: tally.NoopScope,
 	}))
 	t.Cleanup(front.Close)
 	return front
--- a/internal/front/report.go
+++ b/internal/front/report.go
@@ -29,6 +29,8 @@
 	reasonUnknownKey   = "unknown_key"
 	// reasonUnconfirmedKey refuses an unknown key that a newer configuration may have.
 	reasonUnconfirmedKey = "unconfirmed_key"
+	// reasonAccountLimit refuses a request of an account that has used up its limit.
+	reasonAccountLimit = "account_limit"
 )
 
 // latencyBuckets range from 10 ms to 11.5 s, which covers the latency
@@ -61,6 +63,15 @@
 	m.scope.Tagged(map[string]string{"service": string(service), "budget": result}).Counter("repeats").Inc(1)
 }
 
+// accountTokenReturned counts a token of an account's limit whose request was not sent.
+func (m *metrics) accountTokenReturned() { m.scope.Counter("account_tokens_returned").Inc(1) }
+
+// accountRefused counts a request that an account's limit refused. Accounts are counted
+// by the ids of the configuration, whose number the operator bounds.
+func (m *metrics) accountRefused(account model.AccountID) {
+	m.scope.Tagged(map[string]string{"account": string(account)}).Counter("account_refusals").Inc(1)
+}
+
 // statement counts what a server said about itself.
 func (m *metrics) statement(kind string) {
 	m.scope.Tagged(map[string]string{"kind": kind}).Counter("server_statements").Inc(1)
@@ -109,6 +120,10 @@
 func (q *request) logRefused(status int, reason string, retryAfter time.Duration) {
 	q.server.metrics.refused(reason, status)
 	fields := q.fields(time.Now(), "status", status, "reason", reason)
+	if reason == reasonAccountLimit {
+		q.server.metrics.accountRefused(q.account.ID)
+		fields = append(fields, q.limitFields()...)
+	}
 	if retryAfter > 0 {
 		fields = append(fields, "retry_after", retryAfter)
 	}
--- a/internal/logread/logread.go
+++ b/internal/logread/logread.go
@@ -86,6 +86,7 @@
 	"may_have_run":     "unknown outcome: the server got the request and its response was lost; it was not retried because it must not run twice",
 	"body_streamed":    "unknown or refused: a large body was streamed to one server and could not be resent",
 	"attempts_used":    "failed: all attempts of the route were used; each has a line above",
+	"account_limit":    "refused, not run: the client account is at its limit over all VMs; tokens is its balance, and heard of vms says which part of the limit this VM and those in contact share",
 	"repeat_budget":    "failed: the shared retry budget was used up; many requests failed at once",
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -109,6 +109,7 @@
 	fleet   *pick.Fleet
 	client  *upstream.Client
 	repeats *allow.RetryBudget
+	limits  *accountLimits
 }
 
 func newAssembly(n *Node, out io.Writer) (*assembly, error) {
@@ -207,7 +208,8 @@
 		Self: s.Name, Region: s.Region, ColdFactor: s.Bounds.ColdFactor, ColdSlack: s.Bounds.ColdSlack,
 		OnEject: b.logEjection, OnLimit: b.logLimit,
 	})
-	shares := share.New(s.Name, b.fleet, b.feed, b.mesh, b.node.liveness.Alive, b.newRandom())
+	b.limits = newAccountLimits(b)
+	shares := share.New(s.Name, b.fleet, b.limits, b.feed, b.mesh, b.node.liveness.Alive, b.newRandom())
 	if err := b.register(NameShare, shares); err != nil {
 		return err
 	}
@@ -232,6 +234,7 @@
 			// The VMs come first, since they divide what the servers may get.
 			b.node.liveness.SetStoreRecords(snapshot.VMs)
 			b.divideLimits(snapshot.Config)
+			b.limits.setConfig(snapshot.Config, now)
 			b.client.CloseIdle(b.fleet.SetSnapshot(snapshot, now))
 		},
 		OnTick: b.onTick,
@@ -291,7 +294,7 @@
 func (b *assembly) registerTraffic() error {
 	b.node.front = front.NewServer(front.Options{
 		Snapshot: b.node.state.Current, Age: b.feed.Age, Fleet: b.fleet, Client: b.client,
-		RetryBudget: b.repeats, Log: b.node.log, Scope: b.metrics.Scope,
+		RetryBudget: b.repeats, Limits: b.limits.requestLimiter(), Log: b.node.log, Scope: b.metrics.Scope,
 	})
 	var err error
 	if b.node.listeners, err = newListeners(b); err != nil {
