Merge the limits of client accounts; send their reports directly between VMs

Reports have a message of their own, since the exchange of loads sums over VMs and the limits need to know which VMs are in contact.

--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"fuchsiaspar/internal/accountlimit"
 	"fuchsiaspar/internal/allow"
 	"fuchsiaspar/internal/catalog"
 	"fuchsiaspar/internal/decisions"
@@ -145,6 +146,11 @@
 
 // startFrontWith starts an entry VM with the servers of the first snapshot.
 func startFrontWith(t *testing.T, snapshot func() *catalog.Snapshot, age time.Duration) *httptest.Server {
+	return startFrontWithLimits(t, snapshot, age, nil)
+}
+
+// startFrontWithLimits is startFrontWith with limits of client accounts.
+func startFrontWithLimits(t *testing.T, snapshot func() *catalog.Snapshot, age time.Duration, limits *accountlimit.Limiter) *httptest.Server {
 	fleet := pick.NewFleet(pick.Options{Self: "vm-0"})
 	fleet.SetSnapshot(snapshot(), time.Now())
 	repeats := allow.NewRetryBudget(0.2, 60)
@@ -153,7 +159,7 @@
 	server := NewServer(Options{
 		Snapshot: snapshot,
 		Age:      func(time.Time) time.Duration { return age },
-		Fleet:    fleet, Client: client, RetryBudget: repeats, Log: decisions.Discard(), Scope: tally.NoopScope,
+		Fleet:    fleet, Client: client, RetryBudget: repeats, Limits: limits, Log: decisions.Discard(), Scope: tally.NoopScope,
 	})
 	front := httptest.NewUnstartedServer(server)
 	server.Configure(front.Config)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -46,6 +46,7 @@
 	NameRecord   = "store.record"
 	NameSeeds    = "peer.seeds"
 	NameShare    = "peer.share"
+	NameLimits   = "peer.accounts"
 	NameHTTP     = "front.http"
 )
 
@@ -109,6 +110,7 @@
 	fleet   *pick.Fleet
 	client  *upstream.Client
 	repeats *allow.RetryBudget
+	limits  *accountLimits
 }
 
 func newAssembly(n *Node, out io.Writer) (*assembly, error) {
@@ -225,10 +227,16 @@
 		Self: s.Name, Region: s.Region, ColdFactor: s.Bounds.ColdFactor, ColdSlack: s.Bounds.ColdSlack,
 		OnEject: b.logEjection, OnLimit: b.logLimit,
 	})
+	b.limits = newAccountLimits(b)
 	shares := share.New(b.self, b.fleet, b.feed, b.mesh, b.node.liveness.Alive, b.newRandom())
 	if err := b.register(NameShare, shares); err != nil {
 		return err
 	}
+	if b.limits != nil {
+		if err := b.register(NameLimits, b.limits); err != nil {
+			return err
+		}
+	}
 	b.client = upstream.NewClient(b.metrics.Scope)
 	b.repeats = allow.NewRetryBudget(s.Bounds.RetryRatio, s.Bounds.RetrySlack)
 	b.node.state = state.New(state.Options{
@@ -250,6 +258,7 @@
 			// The VMs come first, since they divide what the servers may get.
 			b.node.liveness.SetStoreRecords(snapshot.VMs)
 			b.divideLimits(snapshot.Config)
+			b.limits.setConfig(snapshot.Config, now)
 			b.client.CloseIdle(b.fleet.SetSnapshot(snapshot, now))
 		},
 		OnTick: b.onTick,
@@ -309,7 +318,7 @@
 func (b *assembly) registerTraffic() error {
 	b.node.front = front.NewServer(front.Options{
 		Snapshot: b.node.state.Current, Age: b.feed.Age, Fleet: b.fleet, Client: b.client,
-		RetryBudget: b.repeats, Log: b.node.log, Scope: b.metrics.Scope,
+		RetryBudget: b.repeats, Limits: b.limits.requestLimiter(), Log: b.node.log, Scope: b.metrics.Scope,
 	})
 	var err error
 	if b.node.listeners, err = newListeners(b); err != nil {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -35,6 +35,7 @@
 	KindSeal           Kind = 21 // entry: seal a ticket
 	KindGossip         Kind = 60 // liveness: gossip about heartbeats of entry VMs
 	KindFeed           Kind = 61 // feed: changes of the store since a revision
+	KindAccountUses    Kind = 63 // accountlimit: requests of client accounts at a VM
 	KindLoads          Kind = 62 // share: requests of a VM in flight at each backend server
 )
 
@@ -90,6 +91,7 @@
 	KindGossip:         "gossip",
 	KindFeed:           "feed",
 	KindLoads:          "loads",
+	KindAccountUses:    "account_uses",
 }
 
 // String returns the name of k in metrics. Replies and pings have kind zero, named
