Rely on the store's list of VMs 0.7 s after a start, whether all are heard or not

A process that started while others restarted never heard all VMs at once, assumed 64 of them for 4 s and refused requests inside their limits. The store names the VMs that may be alive; those that are not heard lower the part of the limits that is used.

--- a/internal/accountlimit/reach.go
+++ b/internal/accountlimit/reach.go
@@ -23,8 +23,9 @@
 	// maxUnheard is the part of the VMs up to which those that are alive and not heard count
 	// as cut off by single links. Gossip takes seconds to notice a partition.
 	maxUnheard = 0.15
-	// settleTime is how long the VMs that a new process knows must remain the same, all
-	// of them heard, before it relies on them. maxSettleTime ends the wait in any case.
+	// settleTime is how long a new process must have known the VMs that the store lists
+	// before it relies on them: VMs that start together write their records meanwhile.
+	// maxSettleTime ends the wait without the store.
 	settleTime    = 700 * time.Millisecond
 	maxSettleTime = 4 * time.Second
 	// unsettledTotal is the least number of VMs that a new process assumes before that.
@@ -56,16 +57,15 @@
 	evidence map[model.VMID]evidence
 	// confirmedAt is when the store last confirmed this VM, or a majority was heard.
 	confirmedAt time.Time
-	// settled reports that the VMs known are taken to be all. Until then, total is the
-	// number of VMs known, which has been the same and all heard since stableSince.
+	// settled reports that the VMs known are taken to be all. listedSince is when a
+	// current copy of the store first listed VMs; zero until then.
 	settled     bool
-	total       int
-	stableSince time.Time
+	listedSince time.Time
 }
 
 // NewReach returns a Reach for a process that starts now.
 func NewReach(self model.VMID, now time.Time) *Reach {
-	return &Reach{self: self, startedAt: now, evidence: map[model.VMID]evidence{}, confirmedAt: now, stableSince: now}
+	return &Reach{self: self, startedAt: now, evidence: map[model.VMID]evidence{}, confirmedAt: now}
 }
 
 // evidence is what shows that a VM may be alive.
@@ -134,7 +134,7 @@
 	}
 	// VMs that don't hear each other although others hear both divide the limits.
 	c.Total = max(c.Total, c.Heard*(1+deaf))
-	r.settle(&c, now)
+	r.settle(&c, v, now)
 	return c
 }
 
@@ -164,14 +164,15 @@
 }
 
 // settle raises the total until the process knows the other VMs.
-func (r *Reach) settle(c *Contact, now time.Time) {
+func (r *Reach) settle(c *Contact, v View, now time.Time) {
 	if r.settled {
 		return
 	}
-	if c.Total != r.total || c.Heard < c.Total || c.Total == 1 {
-		r.total, r.stableSince = c.Total, now
+	if r.listedSince.IsZero() && len(v.Records) > 0 && v.CopyAge < maxCopyAge {
+		r.listedSince = now
 	}
-	if now.Sub(r.stableSince) >= settleTime || now.Sub(r.startedAt) >= maxSettleTime {
+	listed := !r.listedSince.IsZero() && now.Sub(r.listedSince) >= settleTime
+	if listed || now.Sub(r.startedAt) >= maxSettleTime {
 		r.settled = true
 		return
 	}
