Send fewer unexpected requests for accounts without tokens

Cause: with ten times the limit at all VMs, a window came to 1,447 of the bound of 1,450: each VM stored a part of its rate for random arrivals although all VMs send as soon as there is a token.

Change: what is stored shrinks with the balance.

--- a/internal/accountlimit/account.go
+++ b/internal/accountlimit/account.go
@@ -251,11 +251,12 @@
 	part := sharePart*a.share + (1-sharePart)*l.reach.part
 	headroom := max(a.headroom(l), 0)
 	// With few tokens left, all VMs are likely to send.
-	spare := min(headroom, reservePart*a.limit.tolerance*l.reach.fraction+headroom*max(a.tokens, 0)/(a.limit.capacity/2))
+	filled := min(1, max(a.tokens, 0)/(a.limit.capacity/2))
+	spare := min(headroom, reservePart*a.limit.tolerance*l.reach.fraction+headroom*filled)
 	unexpected := allowancePart * part * spare
 	expected := a.limit.refill * l.reach.fraction * a.share
 	a.allowanceRate = expected + fresh*unexpected*(1-storedPart)/hearingTime.Seconds()
-	a.allowanceCap = expected*hearingTime.Seconds() + 0.7*math.Sqrt(expected) + unexpected*storedPart
+	a.allowanceCap = expected*hearingTime.Seconds() + 0.7*math.Sqrt(expected)*filled + unexpected*storedPart
 	a.allowanceCap = max(a.allowanceCap, a.leastStored(spare*l.reach.part, l.opts.Process))
 	if a.ownRate > 0 {
 		a.allowanceCap = max(a.allowanceCap, 1)
