Bound the connections to all backend servers

Change: Client.SetMaxConnections. At the bound an idle connection to another server is closed for a new one; without an idle one, Do fails with ErrTooManyConnections, which is also an ErrConnect. Body.Interrupt ends a concurrent Read.

--- a/internal/upstream/body.go
+++ b/internal/upstream/body.go
@@ -70,6 +70,9 @@
 	b.Close()
 }
 
+// Interrupt makes a concurrent Read fail. Close must still be called.
+func (b *Body) Interrupt() { b.ex.conn.Close() }
+
 // Close closes the connection unless the body was read to its end and the request was
 // sent.
 func (b *Body) Close() {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -41,6 +41,8 @@
 	// used reports whether the connection has carried an earlier exchange. What arrives
 	// on it without naming a request may then belong to that one.
 	used bool
+	// onClose is called when the connection is closed, once or more often.
+	onClose func()
 	// reusableUntil is the time after which the idle connection is not reused.
 	reusableUntil time.Time
 }
@@ -62,6 +64,14 @@
 	return out, nil
 }
 
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	if c.onClose != nil {
+		c.onClose()
+	}
+	return c.Conn.Close()
+}
+
 // boundedInput fails once more bytes are read than allowed. A server in trouble may
 // send bytes without end where a response header is due, and the HTTP parser
 // would keep all of them.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -22,6 +22,9 @@
 var (
 	// ErrConnect reports that no connection could be opened; nothing was sent.
 	ErrConnect = errors.New("upstream: no connection")
+	// ErrTooManyConnections reports, besides ErrConnect, that the VM has as many
+	// connections to servers as it may have.
+	ErrTooManyConnections = errors.New("upstream: too many connections")
 	// ErrNotSent reports that the connection failed before the kernel accepted
 	// any byte of the request.
 	ErrNotSent = errors.New("upstream: request not sent")
@@ -106,13 +109,22 @@
 	defer cancel()
 	conn, err := c.connect(dialCtx, server)
 	if err != nil {
-		return nil, errors.WithMessage(ErrConnect, err.Error())
+		return nil, &connectError{err}
 	}
 	ex := &exchange{client: c, server: server, conn: conn, req: req, ctx: ctx}
 	ex.stop = context.AfterFunc(ctx, func() { conn.Close() })
 	return ex.run()
 }
 
+// connectError is an ErrConnect with its cause.
+type connectError struct{ cause error }
+
+// Error implements error.
+func (e *connectError) Error() string { return e.cause.Error() + ": " + ErrConnect.Error() }
+
+// Unwrap returns ErrConnect and the cause.
+func (e *connectError) Unwrap() []error { return []error{ErrConnect, e.cause} }
+
 // exchange is one request and its response on a connection.
 type exchange struct {
 	client *Client
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fuchsiaspar/internal/catalog"
@@ -30,6 +31,9 @@
 type Client struct {
 	opened, reused, stale, unnamedRefusals tally.Counter
 
+	// open counts the open connections, maxOpen bounds them; zero means no bound.
+	open, maxOpen atomic.Int64
+
 	mu   sync.Mutex
 	idle map[model.ServerID]*idleList
 	// idleLimits holds the largest number of idle connections to one server of
@@ -196,10 +200,49 @@
 			return conn, nil
 		}
 	}
+	if !c.makeRoom() {
+		return nil, ErrTooManyConnections
+	}
 	conn, err := dial(ctx, server.Address)
 	if err != nil {
+		c.open.Add(-1)
 		return nil, err
 	}
+	conn.onClose = sync.OnceFunc(func() { c.open.Add(-1) })
 	c.opened.Inc(1)
 	return conn, nil
 }
+
+// SetMaxConnections bounds the open connections to all servers, idle ones included.
+func (c *Client) SetMaxConnections(count int) { c.maxOpen.Store(int64(count)) }
+
+// makeRoom counts a connection that is to be opened. At the bound, it closes an idle one
+// for it, or reports false if there is none.
+func (c *Client) makeRoom() bool {
+	for {
+		open, limit := c.open.Load(), c.maxOpen.Load()
+		if limit <= 0 || open < limit {
+			if c.open.CompareAndSwap(open, open+1) {
+				return true
+			}
+			continue
+		}
+		if !c.closeAnyIdle() {
+			return false
+		}
+	}
+}
+
+// closeAnyIdle closes the idle connection that was used longest ago at some server.
+func (c *Client) closeAnyIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, list := range c.idle {
+		if len(list.conns) > 0 {
+			list.conns[0].Close()
+			list.conns = list.conns[1:]
+			return true
+		}
+	}
+	return false
+}
