Account bodies and responses of clients, and free servers of unread responses

Cause: up to 256 KiB of each body and 512 KiB of each response were buffered without a bound on their sum. A response over 512 KiB was forwarded at the pace of its client, which occupied a slot of the server. Nothing bounded the bodies sent to one server. A refusal before the body was read waited for up to 256 KiB of the body.

Change: buffers are accounted as they grow and refused with 503 "memory". Longer responses are read from the server as fast as it sends while there is memory. Bodies over the bound at a server go to another one, or get 503 "server_bytes". Refusals with an unread body close the connection, or wait 1 s for a short one.

Measured: with the reservation in spool.add disabled, TestUnreadResponseFreesItsServer fails ("the server can't send its response"); with it, the tests of the package pass with the race detector.

--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fuchsiaspar/internal/header"
+	"fuchsiaspar/internal/intake"
 	"fuchsiaspar/internal/overload"
 	"fuchsiaspar/internal/pick"
 	"fuchsiaspar/internal/upstream"
@@ -23,7 +24,7 @@
 // answered with a 5xx status and the request may be retried, it reserves the
 // retry and sends nothing.
 func (q *request) forwardResponse(choice pick.Choice, resp *upstream.Response, report *pick.Report) attemptResult {
-	buffered, complete, err := readBuffered(resp)
+	buffered, complete, err := q.readBuffered(resp)
 	if err != nil {
 		return q.handleTruncated(choice, err, report)
 	}
@@ -33,7 +34,7 @@
 	}
 	if resp.Status < http.StatusInternalServerError {
 		q.recordOutcome(choice, pick.Answered, report)
-		q.writeResponse(resp, buffered, true)
+		q.writeResponse(resp, buffered, nil)
 		return resultDelivered
 	}
 	q.recordOutcome(choice, pick.Failed, report)
@@ -43,7 +44,7 @@
 		resp.Body.Close()
 		return resultRetry
 	}
-	q.writeResponse(resp, buffered, true)
+	q.writeResponse(resp, buffered, nil)
 	return resultDelivered
 }
 
@@ -51,12 +52,15 @@
 // response is truncated, the connection to the client is aborted, so that the
 // client does not take it for complete.
 func (q *request) streamResponse(choice pick.Choice, resp *upstream.Response, buffered []byte, report *pick.Report) {
-	complete := q.writeResponse(resp, buffered, false)
-	outcome := pick.Answered
-	if !complete {
-		outcome = pick.Failed
+	received := false
+	complete := q.writeResponse(resp, buffered, func() {
+		// The server is free, although the client may still be reading.
+		received = true
+		q.recordOutcome(choice, pick.Answered, report)
+	})
+	if !received {
+		q.recordOutcome(choice, pick.Failed, report)
 	}
-	q.recordOutcome(choice, outcome, report)
 	if !complete {
 		panic(http.ErrAbortHandler)
 	}
@@ -75,36 +79,11 @@
 	return resultFailed
 }
 
-// readBuffered reads up to maxBufferedResponse bytes of the body. complete
-// reports whether the end of the body was reached.
-func readBuffered(resp *upstream.Response) (buffered []byte, complete bool, err error) {
-	if resp.Length > maxBufferedResponse {
-		return nil, false, nil
-	}
-	capacity := resp.Length
-	if capacity < 0 {
-		capacity = 4 << 10
-	}
-	buffered = make([]byte, 0, capacity+1)
-	for len(buffered) <= maxBufferedResponse {
-		if len(buffered) == cap(buffered) {
-			buffered = append(buffered, 0)[:len(buffered)]
-		}
-		n, err := resp.Body.Read(buffered[len(buffered):cap(buffered)])
-		buffered = buffered[:len(buffered)+n]
-		if err == io.EOF {
-			return buffered, true, nil
-		}
-		if err != nil {
-			return nil, false, err
-		}
-	}
-	return buffered, false, nil
-}
-
-// writeResponse writes the buffered part of the body and, unless complete is
-// set, the rest of it. It reports whether the whole response was written.
-func (q *request) writeResponse(resp *upstream.Response, buffered []byte, complete bool) bool {
+// writeResponse writes the buffered part of the body and, unless onEnd is nil, the rest
+// of it. It calls onEnd when the server has sent the rest, and reports whether the whole
+// response was written.
+func (q *request) writeResponse(resp *upstream.Response, buffered []byte, onEnd func()) bool {
+	complete := onEnd == nil
 	h := q.w.Header()
 	for name, values := range header.EndToEnd(resp.Header) {
 		h[name] = values
@@ -124,7 +103,7 @@
 	q.w.WriteHeader(resp.Status)
 	_, err := q.w.Write(buffered)
 	if err == nil && !complete {
-		_, err = io.Copy(q.w, resp.Body)
+		err = q.spool(resp.Body, onEnd)
 	}
 	q.logServed(resp.Status, err)
 	if err != nil {
@@ -202,6 +181,9 @@
 		wait = overload.RetryAfter(q.refusal(reason), rand.Float64()).Round(time.Millisecond)
 		h.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', -1, 64))
 	}
+	if !q.body.complete && q.body.rest == nil {
+		intake.DiscardBody(q.w, q.r)
+	}
 	message := `{"error":"` + reason + `"}` + "\n"
 	h.Set("Content-Length", strconv.Itoa(len(message)))
 	q.w.WriteHeader(status)
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -35,6 +35,9 @@
 	for connectFailures := 0; connectFailures < maxConnectFailures; {
 		choice, reason := q.chooseServer()
 		if reason != "" {
+			if q.bytesRefused && reason != reasonTimeout {
+				reason = reasonServerBytes
+			}
 			q.fail(reason)
 			return
 		}
@@ -51,6 +54,10 @@
 		}
 		q.tried = append(q.tried, choice.Target.ID)
 	}
+	if q.bytesRefused {
+		q.fail(reasonServerBytes)
+		return
+	}
 	q.fail(reasonNoConnection)
 }
 
@@ -119,6 +126,10 @@
 
 // attempt sends the request to the chosen server and forwards its response.
 func (q *request) attempt(choice pick.Choice) attemptResult {
+	if result, ok := q.admitAttempt(choice); !ok {
+		return result
+	}
+	defer q.endAttempt(choice)
 	resp, err := q.server.opts.Client.Do(q.r.Context(), choice.Target, &upstream.Request{
 		ID:       q.id,
 		Method:   q.r.Method,
@@ -179,7 +190,7 @@
 func (q *request) handleNoResponse(choice pick.Choice, err error) attemptResult {
 	if errors.Is(err, upstream.ErrConnect) || errors.Is(err, upstream.ErrNotSent) {
 		outcome := pick.Unanswered
-		if q.r.Context().Err() != nil {
+		if q.r.Context().Err() != nil || errors.Is(err, upstream.ErrTooManyConnections) {
 			outcome = pick.Abandoned
 		}
 		q.recordOutcome(choice, outcome, nil)
--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"fuchsiaspar/internal/fullduplex"
+	"fuchsiaspar/internal/intake"
 
 	"github.com/pkg/errors"
 )
@@ -28,6 +29,8 @@
 	rest     io.Reader
 	// length is the length in bytes of the whole body, or negative if unknown.
 	length int64
+	// complete reports whether the whole body is buffered.
+	complete bool
 }
 
 // readBody buffers the request body, or its first maxBufferedBody bytes. It
@@ -47,7 +50,7 @@
 		// The reader must not touch the response, which may be written meanwhile.
 		source = http.MaxBytesReader(nil, q.r.Body, limit)
 	}
-	buffered, err := io.ReadAll(io.LimitReader(source, maxBufferedBody))
+	buffered, err := q.bufferBody(source)
 	if err != nil {
 		q.rejectBody(err)
 		return true
@@ -56,7 +59,7 @@
 	if len(buffered) == maxBufferedBody && int64(len(buffered)) != q.body.length {
 		return q.streamRest(source)
 	}
-	q.body.length = int64(len(buffered))
+	q.body.length, q.body.complete = int64(len(buffered)), true
 	// net/http goes on reading to notice when the client disconnects.
 	q.setReadDeadline(time.Time{})
 	return false
@@ -90,7 +93,11 @@
 		q.refuse(http.StatusRequestEntityTooLarge, reasonBodyTooLarge)
 		return
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	if errors.Is(err, errNoMemory) || errors.Is(err, intake.ErrEvicted) {
+		q.refuse(http.StatusServiceUnavailable, reasonMemory)
+		return
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) || intake.IsTooSlow(err) {
 		q.refuse(http.StatusRequestTimeout, reasonBodyTimeout)
 		return
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -16,6 +16,7 @@
 	"fuchsiaspar/internal/catalog"
 	"fuchsiaspar/internal/decisions"
 	"fuchsiaspar/internal/header"
+	"fuchsiaspar/internal/intake"
 	"fuchsiaspar/internal/model"
 	"fuchsiaspar/internal/pick"
 	"fuchsiaspar/internal/upstream"
@@ -46,6 +47,9 @@
 	Client *upstream.Client
 	// RetryBudget limits the retries of each service.
 	RetryBudget *allow.RetryBudget
+	// ServerBytes bounds the bodies that are sent to one server concurrently. If it is
+	// nil, there is no bound.
+	ServerBytes *intake.ServerBytes
 	Log         *decisions.Log
 	Scope       tally.Scope
 }
@@ -114,6 +118,10 @@
 	// deferred reports whether the last attempt was refused by a server that asked for
 	// a pause.
 	deferred bool
+	// serverBytes is the number of bytes accounted at the server of the current attempt.
+	serverBytes int64
+	// bytesRefused reports whether the last attempt was refused by that bound.
+	bytesRefused bool
 	// lastChoice is the server chosen last, for log lines.
 	lastChoice pick.Choice
 }
--- a/internal/front/report.go
+++ b/internal/front/report.go
@@ -26,7 +26,12 @@
 	reasonBodyStreamed = "body_streamed"
 	reasonAttemptsUsed = "attempts_used"
 	reasonRetryBudget  = "repeat_budget"
-	reasonUnknownKey   = "unknown_key"
+	// reasonMemory refuses a request for which the VM has no memory.
+	reasonMemory = "memory"
+	// reasonServerBytes refuses a request whose body the servers tried can't take beside
+	// those that they are receiving.
+	reasonServerBytes = "server_bytes"
+	reasonUnknownKey  = "unknown_key"
 	// reasonUnconfirmedKey refuses an unknown key that a newer configuration may have.
 	reasonUnconfirmedKey = "unconfirmed_key"
 )
