Guard the listeners of an entry VM with its memory and descriptor budgets

Change: one guard accounts the front, readiness, look-up, peer and metrics listeners, each with its own number of connections. Responses to starting VMs, which hold a copy of the store, are limited to two at once.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"fuchsiaspar/internal/decisions"
 	"fuchsiaspar/internal/feed"
 	"fuchsiaspar/internal/front"
+	"fuchsiaspar/internal/intake"
 	"fuchsiaspar/internal/kernel"
 	"fuchsiaspar/internal/liveness"
 	"fuchsiaspar/internal/metrics"
@@ -78,7 +79,7 @@
 	if err != nil {
 		return nil, err
 	}
-	for _, step := range []func() error{b.registerCore, b.registerPeers, b.registerStore, b.registerControl, b.registerTraffic} {
+	for _, step := range []func() error{b.registerCore, b.registerPeers, b.registerStore, b.registerControl, b.registerIntake, b.registerTraffic} {
 		if err := step(); err != nil {
 			return nil, errors.Wrap(err, "assemble entry VM")
 		}
@@ -109,6 +110,9 @@
 	fleet   *pick.Fleet
 	client  *upstream.Client
 	repeats *allow.RetryBudget
+
+	guard       *intake.Guard
+	serverBytes *intake.ServerBytes
 }
 
 func newAssembly(n *Node, out io.Writer) (*assembly, error) {
@@ -232,6 +236,7 @@
 			// The VMs come first, since they divide what the servers may get.
 			b.node.liveness.SetStoreRecords(snapshot.VMs)
 			b.divideLimits(snapshot.Config)
+			b.setOperatorLimits(snapshot.Config)
 			b.client.CloseIdle(b.fleet.SetSnapshot(snapshot, now))
 		},
 		OnTick: b.onTick,
@@ -291,7 +296,7 @@
 func (b *assembly) registerTraffic() error {
 	b.node.front = front.NewServer(front.Options{
 		Snapshot: b.node.state.Current, Age: b.feed.Age, Fleet: b.fleet, Client: b.client,
-		RetryBudget: b.repeats, Log: b.node.log, Scope: b.metrics.Scope,
+		RetryBudget: b.repeats, ServerBytes: b.serverBytes, Log: b.node.log, Scope: b.metrics.Scope,
 	})
 	var err error
 	if b.node.listeners, err = newListeners(b); err != nil {
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"fuchsiaspar/internal/directory"
+	"fuchsiaspar/internal/intake"
 	"fuchsiaspar/internal/peer"
 	"fuchsiaspar/platform"
 
@@ -31,28 +32,34 @@
 type listeners struct {
 	byAddress map[string]*http.Server
 	front     *http.Server
+	guard     *intake.Guard
+	// muxes holds the handlers of the addresses other than the front's.
+	muxes map[string]*http.ServeMux
+	// kinds holds what the connections to an address are accounted as.
+	kinds map[string]intake.Listener
 }
 
 func newListeners(b *assembly) (*listeners, error) {
-	s := &listeners{byAddress: map[string]*http.Server{}}
+	s := &listeners{byAddress: map[string]*http.Server{}, guard: b.guard, kinds: map[string]intake.Listener{}, muxes: map[string]*http.ServeMux{}}
 	addresses := b.settings.Listen
-	s.front = newHTTPServer(b.node.front)
-	s.byAddress[addresses.Front] = s.front
+	s.front = newHTTPServer(b.guard.Handler(b.node.front))
+	s.add(addresses.Front, s.front, intake.Front)
 	lookups := directory.New(directory.Options{
 		Alive: b.node.liveness.Alive, Ready: b.node.Ready, MaxTTL: b.settings.Bounds.MaxTTL,
 		Log: b.node.log, Scope: b.metrics.Scope,
 	})
 	for _, role := range []struct {
+		kind          intake.Listener
 		address, path string
 		handler       http.Handler
 	}{
-		{addresses.Ready, platform.PathReady, http.HandlerFunc(b.node.serveReady)},
-		{addresses.Metrics, metricsPath, b.metrics},
-		{addresses.Directory, platform.PathResolve, lookups},
-		{addresses.Peer, peer.Path, b.mesh},
-		{addresses.Peer, seedPath, &seedHandler{copy: b.copy, liveness: b.node.liveness}},
+		{intake.Ready, addresses.Ready, platform.PathReady, http.HandlerFunc(b.node.serveReady)},
+		{intake.Metrics, addresses.Metrics, metricsPath, b.metrics},
+		{intake.Directory, addresses.Directory, platform.PathResolve, lookups},
+		{intake.Peer, addresses.Peer, peer.Path, b.mesh},
+		{intake.Peer, addresses.Peer, seedPath, limitConcurrency(&seedHandler{copy: b.copy, liveness: b.node.liveness})},
 	} {
-		if err := s.handle(role.address, role.path, role.handler); err != nil {
+		if err := s.handle(role.kind, role.address, role.path, role.handler); err != nil {
 			return nil, err
 		}
 	}
@@ -67,16 +74,16 @@
 
 // handle registers handler for path on the server of address, unless that is empty.
 // The front has its address for itself, since it serves every path.
-func (s *listeners) handle(address, path string, handler http.Handler) error {
+func (s *listeners) handle(kind intake.Listener, address, path string, handler http.Handler) error {
 	if address == "" {
 		return nil
 	}
-	server, ok := s.byAddress[address]
-	if !ok {
-		server = newHTTPServer(http.NewServeMux())
-		s.byAddress[address] = server
+	if s.byAddress[address] == nil {
+		mux := http.NewServeMux()
+		s.add(address, newHTTPServer(s.guard.Handler(intake.WithoutBody(mux))), kind)
+		s.muxes[address] = mux
 	}
-	mux, ok := server.Handler.(*http.ServeMux)
+	mux, ok := s.muxes[address]
 	if !ok {
 		return errors.Errorf("%s is the address of the front and cannot serve %s as well", address, path)
 	}
@@ -94,7 +101,7 @@
 		}
 		go func() {
 			// Serve ends when the server is shut down.
-			_ = server.Serve(listener)
+			_ = server.Serve(s.guard.Listen(listener, s.kinds[address]))
 		}()
 	}
 	return nil
