Test a process with the own interface against uncontrolled clients

TestUncontrolledClientsOfTheOwnInterface connects eight crowds at the path of requests, at a path without a handler and at the health path. Crowds and bounds are those of TestUncontrolledClients, with bodies of 60 KiB where they must stay below max_replay_bytes.

--- a/cmd/fuchsiaspard/crowd_test.go
+++ b/cmd/fuchsiaspard/crowd_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"fuchsiaspar/internal/header"
 	kv "fuchsiaspar/platform"
 )
 
@@ -81,6 +82,9 @@
 }
 
 func requestHead(method, path, more string) string {
+	if strings.HasPrefix(path, ownPathPrefix) {
+		more += header.Account + ": carrier\r\n"
+	}
 	return method + " " + path + " HTTP/1.1\r\nHost: " + crowdHost + "\r\n" + kv.HeaderRequestID + ": crowd\r\n" + more + "\r\n"
 }
 
--- a/cmd/fuchsiaspard/crowd_vm_test.go
+++ b/cmd/fuchsiaspard/crowd_vm_test.go
@@ -114,9 +114,15 @@
 	if err := os.WriteFile(settings, []byte(document), 0o600); err != nil {
 		vm.t.Fatal(err)
 	}
-	vm.process = exec.Command(binary, "platform")
-	vm.process.Env = append(os.Environ(), kv.SettingsFileEnv+"="+settings)
-	if err := vm.process.Start(); err != nil {
+	process := exec.Command(binary, "platform")
+	process.Env = append(os.Environ(), kv.SettingsFileEnv+"="+settings)
+	vm.start(process)
+}
+
+// start starts the process, which is killed when the test ends.
+func (vm *crowdVM) start(process *exec.Cmd) {
+	vm.process = process
+	if err := process.Start(); err != nil {
 		vm.t.Fatal(err)
 	}
 	go func() {
--- a/cmd/fuchsiaspard/process_test.go
+++ b/cmd/fuchsiaspard/process_test.go
@@ -123,6 +123,8 @@
 	addresses []string
 	processes []*exec.Cmd
 	servers   []*standin.Server
+	// limits are lines of the limits in the settings files, besides those of all tests.
+	limits string
 }
 
 func start(t *testing.T) *deployment {
@@ -182,7 +184,7 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "[vm]\nname = \"vm-%d\"\nzone = %q\nregion = %q\nlisten = %q\n", i, zone, region, d.addresses[i])
 	fmt.Fprintf(&b, "[platform]\naddress = %q\n", d.store.Address())
-	fmt.Fprintf(&b, "[limits]\nticket_validity = \"1s\"\n")
+	fmt.Fprintf(&b, "[limits]\nticket_validity = \"1s\"\n%s", d.limits)
 	for j, address := range d.addresses {
 		if j != i {
 			fmt.Fprintf(&b, "[[seeds]]\nvm = \"vm-%d\"\naddress = %q\n", j, address)
@@ -191,14 +193,20 @@
 	return b.String()
 }
 
-// run writes the settings of entry VM i and starts its daemon.
-func (d *deployment) run(i int) *exec.Cmd {
+// command writes the settings of entry VM i and returns the command of its daemon.
+func (d *deployment) command(i int) *exec.Cmd {
 	path := filepath.Join(d.dir, fmt.Sprintf("vm-%d.toml", i))
 	if err := os.WriteFile(path, []byte(d.settings(i)), 0o600); err != nil {
 		d.t.Fatal(err)
 	}
 	c := exec.Command(d.daemon, "--settings", path)
 	c.Stderr = io.Discard
+	return c
+}
+
+// run starts the daemon of entry VM i.
+func (d *deployment) run(i int) *exec.Cmd {
+	c := d.command(i)
 	if err := c.Start(); err != nil {
 		d.t.Fatal(err)
 	}
