Answer probes with a full budget, and account requests of one connection together

Cause: the header of a probe was refused with 503 when requests that can't be evicted held the whole budget. With several requests of a connection at once, the end of one ended the accounting of all. A response that arrives in short parts was accounted with 16 KiB for each.

Change: an ordinary header at another listener than the front always fits. Requests of a connection are counted. Parts of a response are filled. ReadBody, UsableDescriptors and Of are exported for the own interface and for wrappers of connections.

Measured: TestProbesFitAFullBudget, TestRequestsAtOnceOnAConnection and the packages' tests pass with the race detector.

--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -50,7 +50,7 @@
 		// The reader must not touch the response, which may be written meanwhile.
 		source = http.MaxBytesReader(nil, q.r.Body, limit)
 	}
-	buffered, err := q.bufferBody(source)
+	buffered, err := q.client().ReadBody(source, q.body.length, maxBufferedBody)
 	if err != nil {
 		q.rejectBody(err)
 		return true
@@ -93,7 +93,7 @@
 		q.refuse(http.StatusRequestEntityTooLarge, reasonBodyTooLarge)
 		return
 	}
-	if errors.Is(err, errNoMemory) || errors.Is(err, intake.ErrEvicted) {
+	if errors.Is(err, intake.ErrNoMemory) || errors.Is(err, intake.ErrEvicted) {
 		q.refuse(http.StatusServiceUnavailable, reasonMemory)
 		return
 	}
--- a/internal/front/spool.go
+++ b/internal/front/spool.go
@@ -58,10 +58,10 @@
 
 // fill reads the response to its end and returns the error that ended it.
 func (s *spool) fill(body io.Reader) error {
+	buffer := make([]byte, spoolPart)
 	for {
-		part := make([]byte, spoolPart)
-		n, err := body.Read(part)
-		if n > 0 && !s.add(part[:n]) {
+		n, err := body.Read(buffer)
+		if !s.add(buffer[:n]) {
 			return io.ErrClosedPipe
 		}
 		if err != nil {
@@ -70,25 +70,40 @@
 	}
 }
 
-// add appends a part. One part may always be held. For more, add waits until the VM has
+// add appends data. One part may always be held. For more, add waits until the VM has
 // memory when the client has taken a part. It reports false if the client takes no more.
 func (s *spool) add(data []byte) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for !s.stopped {
-		if s.client.TryReserve(cap(data)) {
-			s.parts = append(s.parts, spooledPart{data, cap(data)})
-			s.changed.Broadcast()
-			return true
+	for len(data) > 0 && !s.stopped {
+		if !s.makeRoom() {
+			s.changed.Wait()
+			continue
 		}
-		if len(s.parts) == 0 {
-			s.parts = append(s.parts, spooledPart{data: data})
-			s.changed.Broadcast()
-			return true
+		last := &s.parts[len(s.parts)-1]
+		n := min(len(data), cap(last.data)-len(last.data))
+		last.data = append(last.data, data[:n]...)
+		data = data[n:]
+		s.changed.Broadcast()
+	}
+	return !s.stopped
+}
+
+// makeRoom lets the last part have room, and reports false if there is no memory for a
+// new one.
+func (s *spool) makeRoom() bool {
+	if count := len(s.parts); count > 0 && len(s.parts[count-1].data) < spoolPart {
+		return true
+	}
+	reserved := spoolPart
+	if !s.client.TryReserve(spoolPart) {
+		if len(s.parts) > 0 {
+			return false
 		}
-		s.changed.Wait()
+		reserved = 0
 	}
-	return false
+	s.parts = append(s.parts, spooledPart{data: make([]byte, 0, spoolPart), reserved: reserved})
+	return true
 }
 
 // end records the result of reading the response.
@@ -120,6 +135,7 @@
 	part := s.parts[0]
 	s.parts[0] = spooledPart{}
 	s.parts = s.parts[1:]
+	s.changed.Broadcast()
 	return part, nil
 }
 
@@ -134,12 +150,17 @@
 			return err
 		}
 		_, err = w.Write(part.data)
-		s.client.Release(part.reserved)
-		s.mu.Lock()
-		s.changed.Broadcast()
-		s.mu.Unlock()
+		s.release(part)
 		if err != nil {
 			return err
 		}
 	}
 }
+
+// release ends the accounting of a part that was written.
+func (s *spool) release(part spooledPart) {
+	s.client.Release(part.reserved)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.changed.Broadcast()
+}
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -242,7 +242,12 @@
 }
 
 // finish ends the serving of a request. What is left of its body is still read.
-func (c *Conn) finish() { c.enter(Finishing) }
+func (c *Conn) finish() {
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	c.guard.table.Finish(c.client, time.Now())
+	c.guard.signalReleased()
+}
 
 // begin starts the body of a request. It reports false if the client has been evicted:
 // the request must not be served then, since it may have been refused.
@@ -253,6 +258,6 @@
 	if c.client.evicted {
 		return false
 	}
-	c.guard.table.Enter(c.client, Body, time.Now())
+	c.guard.table.Begin(c.client, time.Now())
 	return true
 }
--- a/internal/intake/guard.go
+++ b/internal/intake/guard.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"fuchsiaspar/internal/background"
-	"fuchsiaspar/internal/decisions"
 
 	"github.com/uber-go/tally/v4"
 )
@@ -42,10 +41,16 @@
 	action, reason string
 }
 
+// Log takes the log lines of a Guard.
+type Log interface {
+	// Event logs a message with alternating keys and values.
+	Event(message string, fields ...any)
+}
+
 // Guard applies the decisions of a Table to the listeners of a VM. It is safe for
 // concurrent use.
 type Guard struct {
-	log   *decisions.Log
+	log   Log
 	scope tally.Scope
 	group background.Group
 
@@ -61,7 +66,7 @@
 }
 
 // NewGuard returns a guard without connections.
-func NewGuard(limits Limits, log *decisions.Log, scope tally.Scope) *Guard {
+func NewGuard(limits Limits, log Log, scope tally.Scope) *Guard {
 	return &Guard{
 		log: log, scope: scope, table: NewTable(limits), conns: map[*Client]*Conn{},
 		released: make(chan struct{}), counts: map[decision]int{},
@@ -251,13 +256,13 @@
 // Configure lets the server report the states of connections that come from Listen.
 func (g *Guard) Configure(server *http.Server) {
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
-		if conn := unwrap(c); conn != nil {
+		if conn := Of(c); conn != nil {
 			return context.WithValue(ctx, connKey{}, conn)
 		}
 		return ctx
 	}
 	server.ConnState = func(c net.Conn, state http.ConnState) {
-		conn := unwrap(c)
+		conn := Of(c)
 		if conn == nil {
 			return
 		}
@@ -270,8 +275,8 @@
 	}
 }
 
-// unwrap returns the guarded connection that c is or wraps, or nil.
-func unwrap(c net.Conn) *Conn {
+// Of returns the accounted connection that c is or wraps, or nil.
+func Of(c net.Conn) *Conn {
 	for {
 		if conn, ok := c.(*Conn); ok {
 			return conn
--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -41,6 +41,9 @@
 	// fieldCost is accounted for each field of a header besides its bytes. 1.2 million
 	// fields took 63 bytes each once parsed; the copy for the server takes as much again.
 	fieldCost = 160
+	// smallHeader is what the header of a probe or a look-up is accounted with at most: 8
+	// fields and 1 KiB are accounted with 2.3 KiB.
+	smallHeader = 8 << 10
 	// DefaultHeaderBytes is assumed while the operator's limit on headers is unknown.
 	DefaultHeaderBytes = 16 << 10
 	// minFieldBytes is the length of the shortest header field, "a:" and its line end.
--- a/internal/intake/table.go
+++ b/internal/intake/table.go
@@ -69,6 +69,8 @@
 	headerBytes, headerLines int
 	// sent is the body of the current request, taken the response.
 	sent, taken transfer
+	// requests counts those in progress.
+	requests int
 	// served reports whether a request of the connection has been answered.
 	served bool
 	// held is the number of bytes accounted for the connection.
@@ -167,6 +169,27 @@
 	c.phase, c.since = phase, now
 }
 
+// Begin starts a request whose header has arrived. On a connection with requests in
+// progress it is accounted besides them.
+func (t *Table) Begin(c *Client, now time.Time) {
+	c.requests++
+	if c.requests > 1 {
+		t.hold(c, requestCost)
+		return
+	}
+	t.Enter(c, Body, now)
+}
+
+// Finish ends a request.
+func (t *Table) Finish(c *Client, now time.Time) {
+	c.requests--
+	if c.requests > 0 {
+		t.hold(c, -requestCost)
+		return
+	}
+	t.Enter(c, Finishing, now)
+}
+
 // HeaderArrived records a part of a header. It reports false if the header has too many
 // fields.
 func (t *Table) HeaderArrived(c *Client, bytes, lines int, now time.Time) bool {
@@ -207,7 +230,12 @@
 }
 
 // fits reports whether the client may hold more bytes while held bytes are held in all.
+// An ordinary request to another listener than the front always fits, so that readiness
+// is answered whatever the front holds.
 func (t *Table) fits(c *Client, bytes, held int64) bool {
+	if c.listener != Front && c.held+bytes <= connectionCost+requestCost+smallHeader {
+		return true
+	}
 	limit := t.limits.Memory
 	if c.held+bytes > connectionCost+requestCost+SmallHolding {
 		limit = int64(float64(limit) * largeHolderShare)
--- a/internal/intake/table_test.go
+++ b/internal/intake/table_test.go
@@ -182,6 +182,45 @@
 	}
 }
 
+// TestProbesFitAFullBudget guards against readiness that is refused for the memory that
+// clients of the front hold, and against headers there that are not accounted.
+func TestProbesFitAFullBudget(t *testing.T) {
+	table := newTestTable(100, 1<<20)
+	full := admit(t, table, here, start)
+	table.Begin(full, start)
+	table.hold(full, 1<<20)
+	probe, _ := table.Admit(Ready, here, start)
+	table.HeaderArrived(probe, 200, 5, start)
+	if ok, _ := table.Reserve(probe, 200+5*fieldCost, start); !ok {
+		t.Error("a probe was refused")
+	}
+	if ok, _ := table.Reserve(probe, 2000*fieldCost, start); ok {
+		t.Error("a header of 2,000 fields was accepted")
+	}
+}
+
+// TestRequestsAtOnceOnAConnection guards against requests that end the accounting of
+// others on their connection.
+func TestRequestsAtOnceOnAConnection(t *testing.T) {
+	table := newTestTable(100, 1<<20)
+	c := admit(t, table, here, start)
+	table.HeaderArrived(c, 0, 0, start)
+	for range 3 {
+		table.Begin(c, start)
+		table.Enter(c, Serving, start)
+	}
+	for left := 2; left >= 0; left-- {
+		if want := int64(connectionCost + (left+1)*requestCost); table.held != want || c.phase != Serving {
+			t.Errorf("%d held in phase %d, want %d", table.held, c.phase, want)
+		}
+		table.Finish(c, start)
+	}
+	table.Enter(c, Idle, start)
+	if table.held != connectionCost {
+		t.Errorf("%d held when idle", table.held)
+	}
+}
+
 // TestMemoryVictims checks the order of eviction for memory: the slowest, then the
 // largest holder of whose request nothing was sent to a server.
 func TestMemoryVictims(t *testing.T) {
--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -1,14 +1,11 @@
 package node
 
 import (
-	"math"
 	"net/http"
 	"time"
 
 	"fuchsiaspar/internal/catalog"
 	"fuchsiaspar/internal/intake"
-
-	"golang.org/x/sys/unix"
 )
 
 // NameIntake is the name under which the guard of the listeners is registered.
@@ -24,26 +21,13 @@
 
 // registerIntake creates the budgets for what clients make this VM hold.
 func (b *assembly) registerIntake() error {
-	limits := intake.NewLimits(b.settings.Limits.MemoryMB, usableDescriptors(b.settings.Limits.MaxDescriptors))
+	limits := intake.NewLimits(b.settings.Limits.MemoryMB, intake.UsableDescriptors(b.settings.Limits.MaxDescriptors))
 	b.guard = intake.NewGuard(limits, b.node.log, b.metrics.Scope)
 	b.serverBytes = intake.NewServerBytes()
 	b.client.SetMaxConnections(limits.ServerConnections)
 	return b.register(NameIntake, b.guard)
 }
 
-// usableDescriptors returns the smaller of the stated number of descriptors and that
-// which the system allows the process; zero if neither is limited.
-func usableDescriptors(stated int) int {
-	var limit unix.Rlimit
-	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > math.MaxInt32 {
-		return stated
-	}
-	if stated <= 0 || int(limit.Cur) < stated {
-		return int(limit.Cur)
-	}
-	return stated
-}
-
 // setOperatorLimits applies the limits in the operator's configuration, if it is known.
 func (b *assembly) setOperatorLimits(config *catalog.Config) {
 	if config == nil {
