Guard the listener of the own interface

Cause: TestUncontrolledClientsOfTheOwnInterface.

Change: limits.memory_mb and limits.max_descriptors in the settings file; one guard for the only address. Bodies that are buffered for repeats are accounted and refused with 503 "memory", or with 408 "too_slow"; they had no time limit. Bodies of control requests are accounted and must arrive within 30 s. What is missing is listed in docs/design/intake.md.

--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fuchsiaspar/internal/header"
+	"fuchsiaspar/internal/intake"
 	"fuchsiaspar/internal/model"
 	"fuchsiaspar/internal/once"
 
@@ -22,16 +23,19 @@
 // process that issued the ticket may execute it, so other VMs forward the request.
 func (s *Server) serveTicketed(w http.ResponseWriter, r *http.Request, q *request) {
 	if q.ticket == "" {
+		intake.DiscardBody(w, r)
 		s.writeFailure(w, q, notRun(http.StatusUnprocessableEntity, model.ReasonTicketMissing, "this request is not idempotent; take a ticket first"))
 		return
 	}
 	info, err := once.Parse(q.ticket)
 	if err != nil {
+		intake.DiscardBody(w, r)
 		s.writeFailure(w, q, notRun(http.StatusUnprocessableEntity, model.ReasonTicketInvalid, "the ticket can't be read; take a new one"))
 		return
 	}
-	if err := q.body.buffer(); err != nil {
-		s.writeFailure(w, q, notRun(http.StatusBadRequest, model.ReasonMalformed, "the request body ended early"))
+	if f := readBody(r, q); f != nil {
+		intake.DiscardBody(w, r)
+		s.writeFailure(w, q, f)
 		return
 	}
 	if info.Owner != s.options.Self {
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -11,6 +11,7 @@
 	"fuchsiaspar/internal/backend"
 	"fuchsiaspar/internal/fullduplex"
 	"fuchsiaspar/internal/header"
+	"fuchsiaspar/internal/intake"
 	"fuchsiaspar/internal/model"
 	"fuchsiaspar/internal/once"
 	"fuchsiaspar/internal/owner"
@@ -33,6 +34,10 @@
 	s.inFlight.enter()
 	defer s.inFlight.leave()
 	s.setRelayHeaders(w, r)
+	if !intake.FromContext(r.Context()).Dispatched() {
+		s.writeRelayFailure(w, nil, noMemory())
+		return
+	}
 	w, upload := fullduplex.Wrap(w, r.Body)
 	j, f := s.parseRelay(r, upload)
 	if f != nil {
@@ -162,7 +167,7 @@
 		method:   r.Method,
 		path:     path,
 		header:   h,
-		body:     newReplayableBody(upload, r.ContentLength, 0, upload.Forward),
+		body:     newReplayableBody(upload, intake.FromContext(r.Context()), r.ContentLength, 0, upload.Forward),
 		deadline: deadline,
 	}
 	j.mayStart = func() bool { return s.options.Attempts.Start(j.attempt) }
--- a/internal/entry/replay.go
+++ b/internal/entry/replay.go
@@ -5,6 +5,8 @@
 	"crypto/sha256"
 	"io"
 
+	"fuchsiaspar/internal/intake"
+
 	"github.com/pkg/errors"
 )
 
@@ -14,6 +16,8 @@
 // replayableBody is a request body that can be sent again if it fits in memory.
 type replayableBody struct {
 	source io.Reader
+	// client accounts the buffer; nil if the connection is not accounted.
+	client *intake.Conn
 	// forward is called before the source is handed to another goroutine.
 	forward func() error
 	// length is the length in bytes, negative if unknown.
@@ -27,8 +31,8 @@
 	consumed bool
 }
 
-func newReplayableBody(source io.Reader, length int64, limit int, forward func() error) *replayableBody {
-	b := &replayableBody{source: source, forward: forward, length: length, limit: limit}
+func newReplayableBody(source io.Reader, client *intake.Conn, length int64, limit int, forward func() error) *replayableBody {
+	b := &replayableBody{source: source, client: client, forward: forward, length: length, limit: limit}
 	if length == 0 {
 		b.complete = true
 	}
@@ -40,7 +44,7 @@
 	if b.complete || b.length > int64(b.limit) {
 		return nil
 	}
-	buffered, err := io.ReadAll(io.LimitReader(b.source, int64(b.limit)+1))
+	buffered, err := b.client.ReadBody(b.source, b.length, b.limit+1)
 	b.buffered = buffered
 	if err != nil {
 		return errors.Wrap(err, "read request body")
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -13,6 +13,7 @@
 	"fuchsiaspar/internal/config"
 	"fuchsiaspar/internal/fullduplex"
 	"fuchsiaspar/internal/header"
+	"fuchsiaspar/internal/intake"
 	"fuchsiaspar/internal/model"
 )
 
@@ -103,7 +104,7 @@
 	header.CopyEndToEnd(q.header, r.Header)
 	s.locateClient(q)
 	body := s.rateLimited(r.Context(), upload, q.region, s.options.Region, q.priority)
-	q.body = newReplayableBody(body, r.ContentLength, s.options.MaxReplayBytes, upload.Forward)
+	q.body = newReplayableBody(body, intake.FromContext(r.Context()), r.ContentLength, s.options.MaxReplayBytes, upload.Forward)
 	return q, nil
 }
 
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -9,6 +9,7 @@
 	"fuchsiaspar/internal/explain"
 	"fuchsiaspar/internal/fullduplex"
 	"fuchsiaspar/internal/header"
+	"fuchsiaspar/internal/intake"
 	"fuchsiaspar/internal/model"
 	"fuchsiaspar/internal/once"
 	"fuchsiaspar/internal/owner"
@@ -100,6 +101,7 @@
 	w, upload := fullduplex.Wrap(w, r.Body)
 	q, f := s.parseRequest(r, upload)
 	if f != nil {
+		intake.DiscardBody(w, r)
 		s.metrics.offered(model.PriorityNormal)
 		s.writeFailure(w, nil, f)
 		return
@@ -116,8 +118,9 @@
 }
 
 func (s *Server) serveIdempotent(w http.ResponseWriter, r *http.Request, q *request) {
-	if err := q.body.buffer(); err != nil {
-		s.writeFailure(w, q, notRun(http.StatusBadRequest, model.ReasonMalformed, "the request body ended early"))
+	if f := readBody(r, q); f != nil {
+		intake.DiscardBody(w, r)
+		s.writeFailure(w, q, f)
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
--- a/internal/model/reason.go
+++ b/internal/model/reason.go
@@ -22,9 +22,13 @@
 // Reasons for refusing a request before admission. ReasonNone means that there
 // is no reason to report.
 const (
-	ReasonNone             Reason = ""
-	ReasonMalformed        Reason = "malformed"
-	ReasonTooLarge         Reason = "too_large"
+	ReasonNone      Reason = ""
+	ReasonMalformed Reason = "malformed"
+	ReasonTooLarge  Reason = "too_large"
+	// ReasonTooSlow refuses a request whose body arrives below the minimum rate.
+	ReasonTooSlow Reason = "too_slow"
+	// ReasonMemory refuses a request for which the entry VM has no memory.
+	ReasonMemory           Reason = "memory"
 	ReasonUnknownAccount   Reason = "unknown_account"
 	ReasonUnknownService   Reason = "unknown_service"
 	ReasonNoConfig         Reason = "no_config"
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -80,6 +80,8 @@
 	maxTicketValidity  = time.Hour
 	maxTickets         = 10_000_000
 	maxKeptAnswerBytes = 1 << 20
+	maxMemoryMB        = 1 << 20
+	maxMaxDescriptors  = 1 << 20
 	minStopTimeout     = time.Second
 	maxStopTimeout     = time.Hour
 	minSilenceAfter    = 50 * time.Millisecond
@@ -161,6 +163,8 @@
 	v.count("limits.max_replay_bytes", l.MaxReplayBytes, 0, maxReplayBytes)
 	v.count("limits.max_tickets", l.MaxTickets, 1, maxTickets)
 	v.count("limits.max_kept_answer_bytes", l.MaxKeptAnswerBytes, 0, maxKeptAnswerBytes)
+	v.count("limits.memory_mb", l.MemoryMB, 0, maxMemoryMB)
+	v.count("limits.max_descriptors", l.MaxDescriptors, 0, maxMaxDescriptors)
 	v.duration("limits.ticket_validity", l.TicketValidity.Std(), minTicketValidity, maxTicketValidity)
 	v.duration("limits.stop_timeout", l.StopTimeout.Std(), minStopTimeout, maxStopTimeout)
 	v.duration("limits.silence_after", l.SilenceAfter.Std(), minSilenceAfter, maxSilenceAfter)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -64,6 +64,12 @@
 	MaxKeptAnswerBytes int `toml:"max_kept_answer_bytes"`
 	// StopTimeout limits the duration of a planned stop.
 	StopTimeout model.Duration `toml:"stop_timeout"`
+	// MemoryMB is the memory of the VM in MB, of which a part is for what clients make it
+	// hold. Zero means unknown.
+	MemoryMB int `toml:"memory_mb"`
+	// MaxDescriptors is the number of descriptors that the process may open. Zero means as
+	// many as the system allows.
+	MaxDescriptors int `toml:"max_descriptors"`
 	// SilenceAfter is how long a connection may make no progress before it is
 	// considered suspect.
 	SilenceAfter model.Duration `toml:"silence_after"`
