Close arriving requests before idle connections of ordinary clients

Change: connections on which a header or a body is arriving go before kept ones, and get 503. An idle connection with unread input is not idle; a busy VM has only not read it yet.

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -220,6 +220,23 @@
 	c.closeNow()
 }
 
+// closeForAnother closes a connection that the table has removed for a new one. A request
+// whose header is arriving is refused, in another goroutine, since a client that reads no
+// responses may delay the write.
+func (c *Conn) closeForAnother() {
+	c.guard.mu.Lock()
+	inHeader := c.client.phase == Header
+	c.guard.mu.Unlock()
+	if !inHeader {
+		c.closeNow()
+		return
+	}
+	go func() {
+		c.refuseHeader(http.StatusServiceUnavailable)
+		c.closeNow()
+	}()
+}
+
 func refusalStatus(cause *evictionError) int {
 	if cause == errTooSlow {
 		return http.StatusRequestTimeout
--- a/internal/intake/guard.go
+++ b/internal/intake/guard.go
@@ -169,7 +169,7 @@
 		address = from.Addr().Unmap()
 	}
 	g.mu.Lock()
-	client, victim := g.table.Admit(kind, address, time.Now())
+	client, victim := g.table.Admit(kind, address, time.Now(), func(c *Client) bool { return g.conns[c].hasUnread() })
 	if client == nil {
 		g.count(kind, "refused", reasonConnections)
 		g.mu.Unlock()
@@ -185,7 +185,7 @@
 	g.conns[client] = c
 	g.mu.Unlock()
 	for _, v := range closed {
-		v.closeNow()
+		v.closeForAnother()
 	}
 	return c
 }
--- a/internal/intake/guard_test.go
+++ b/internal/intake/guard_test.go
@@ -180,6 +180,25 @@
 	}
 }
 
+// TestHeaderIsRefusedForANewConnection guards against closing a connection on which a
+// request is arriving without saying that it did not run.
+func TestHeaderIsRefusedForANewConnection(t *testing.T) {
+	g := serveGuarded(t, frontLimits(1, 1<<20), echo)
+	arriving := g.dial()
+	g.send(arriving, "POST / HTTP/1.1\r\nHo")
+	g.eventually("the header", func(table *Table) bool {
+		return len(table.clients) == 1 && table.clients[0].phase == Header && time.Since(table.clients[0].since) > newcomerTime
+	})
+	c := g.dial()
+	g.send(c, request+"\r\nhello")
+	if status := g.status(bufio.NewReader(c)); status != http.StatusOK {
+		t.Errorf("new connection: status %d", status)
+	}
+	if status := g.status(bufio.NewReader(arriving)); status != http.StatusServiceUnavailable {
+		t.Errorf("arriving request: status %d", status)
+	}
+}
+
 // TestStalledBodyIsRefusedForMemory guards against bodies that stop short of their end and
 // hold the memory that others need. The refusal must say that the request did not run.
 func TestStalledBodyIsRefusedForMemory(t *testing.T) {
--- a/internal/intake/table.go
+++ b/internal/intake/table.go
@@ -104,12 +104,17 @@
 // SetOperator sets the limits in the operator's configuration.
 func (t *Table) SetOperator(o Operator) { t.operator = o }
 
+// maxUnreadChecks bounds the connections that are asked for unread input for one new
+// connection.
+const maxUnreadChecks = 8
+
 // Admit adds a connection. If the listener has as many as it may have, it removes
 // another one, which must be closed. It returns nil if none can be closed; the new
-// connection must be closed then.
-func (t *Table) Admit(listener Listener, address netip.Addr, now time.Time) (client, victim *Client) {
+// connection must be closed then. hasUnread reports whether a client has sent something
+// that was not read: its connection is not idle, although a busy VM has not noticed.
+func (t *Table) Admit(listener Listener, address netip.Addr, now time.Time, hasUnread func(*Client) bool) (client, victim *Client) {
 	if t.counts[listener] >= t.limits.Connections[listener] {
-		if victim = t.connectionVictim(listener, now); victim == nil {
+		if victim = t.unreadVictim(listener, now, hasUnread); victim == nil {
 			return nil, nil
 		}
 		t.evict(victim)
@@ -123,6 +128,19 @@
 	return client, victim
 }
 
+// unreadVictim returns the connection to close for a new one. Of idle ones with unread
+// input, it records that a request is arriving.
+func (t *Table) unreadVictim(listener Listener, now time.Time, hasUnread func(*Client) bool) *Client {
+	for range maxUnreadChecks {
+		victim := t.connectionVictim(listener, now)
+		if victim == nil || victim.phase != Idle || !hasUnread(victim) {
+			return victim
+		}
+		t.Enter(victim, Header, now)
+	}
+	return t.connectionVictim(listener, now)
+}
+
 // Remove removes a connection that was closed. A second call does nothing.
 func (t *Table) Remove(c *Client) {
 	if c.index < 0 {
--- a/internal/intake/victims.go
+++ b/internal/intake/victims.go
@@ -19,10 +19,12 @@
 	classSilent class = iota
 	// classStalled connections send or read nothing, or next to nothing.
 	classStalled
-	// classKept connections are idle after a request.
-	classKept
 	// classArriving connections are sending a header or a body.
 	classArriving
+	// classKept connections are idle after a request. They come after those of which a
+	// request is arriving: a client that sends a request just when its connection is closed
+	// can't know whether it ran, while one whose request is arriving gets a refusal.
+	classKept
 	// classNew connections have just been opened, or their request has just begun.
 	classNew
 	// classBusy connections are not closed.
