Account the buffers of a long response that is being forwarded

Cause: the read buffer of 16 KiB and the part that may always be held were not accounted; slow_readers_of_large_answers reached 82 MB of 96.

Change: Conn.Hold accounts both while the response is forwarded.

--- a/internal/front/spool.go
+++ b/internal/front/spool.go
@@ -36,6 +36,9 @@
 func (q *request) spool(body *upstream.Body, onEnd func()) error {
 	s := &spool{client: q.client()}
 	s.changed.L = &s.mu
+	// The buffer for reading, and the part that may always be held.
+	s.client.Hold(2 * spoolPart)
+	defer s.client.Release(2 * spoolPart)
 	var filling sync.WaitGroup
 	filling.Go(func() {
 		err := s.fill(body)
--- a/internal/intake/request.go
+++ b/internal/intake/request.go
@@ -36,6 +36,16 @@
 	return c.guard.table.TryReserve(c.client, int64(bytes))
 }
 
+// Hold accounts bytes that the request holds in any case, until Release.
+func (c *Conn) Hold(bytes int) {
+	if c == nil {
+		return
+	}
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	c.guard.table.hold(c.client, int64(bytes))
+}
+
 // Release ends the accounting of bytes that the request no longer holds.
 func (c *Conn) Release(bytes int) {
 	if c == nil || bytes == 0 {
