--- a/internal/intake/guard_test.go
+++ b/internal/intake/guard_test.go
@@ -255,6 +255,39 @@
 	}
 }
 
+// lines counts log lines and the decisions that they report.
+type lines struct{ lines, decisions int }
+
+func (l *lines) Event(_ string, fields ...any) {
+	l.lines++
+	for i := 0; i < len(fields); i += 2 {
+		if fields[i] == "count" {
+			l.decisions += fields[i+1].(int)
+		}
+	}
+}
+
+// TestLogLinesAreBounded guards against one log line for each connection of a crowd, and
+// against decisions that no line reports.
+func TestLogLinesAreBounded(t *testing.T) {
+	log := &lines{}
+	g := NewGuard(frontLimits(2, 1<<20), log, tally.NoopScope)
+	for range 100 {
+		client, server := net.Pipe()
+		defer client.Close()
+		if g.admit(server, Front) == nil {
+			t.Fatal("not admitted")
+		}
+	}
+	now := time.Now()
+	g.sweep(now)
+	g.sweep(now.Add(reportInterval / 2))
+	g.sweep(now.Add(reportInterval))
+	if log.lines != 1 || log.decisions != 98 {
+		t.Errorf("%d lines about %d decisions, want 1 about 98", log.lines, log.decisions)
+	}
+}
+
 // TestSlowHeaderIsRefused checks that a header that takes too long ends with 408 and that
 // its connection is closed.
 func TestSlowHeaderIsRefused(t *testing.T) {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -45,6 +45,12 @@
 
 // startNode runs an entry VM in region r against a store.
 func startNode(t *testing.T, name string, store *storetest.Store, seeds ...string) *Node {
+	t.Helper()
+	return startNodeWithLimits(t, platform.NodeLimits{MemoryMB: 284}, name, store, seeds...)
+}
+
+// startNodeWithLimits is startNode with other resources of the VM.
+func startNodeWithLimits(t *testing.T, limits platform.NodeLimits, name string, store *storetest.Store, seeds ...string) *Node {
 	t.Helper()
 	n, err := New(platform.NodeSettings{
 		Name: model.VMID(name), Zone: "z", Region: "r", Regions: map[model.Zone]model.Region{"z": "r"},
@@ -52,7 +58,7 @@
 			Front: freeAddress(t), Ready: freeAddress(t), Directory: freeAddress(t), Peer: freeAddress(t),
 			Metrics: freeAddress(t),
 		},
-		Seeds: seeds, Store: store.Address(), Limits: platform.NodeLimits{MemoryMB: 284},
+		Seeds: seeds, Store: store.Address(), Limits: limits,
 		Bounds: platform.Bounds{
 			Grace: 3 * time.Second, RetryRatio: 0.2, RetrySlack: 60, ColdFactor: 1.5, ColdSlack: 5, MaxTTL: 5 * time.Second,
 		},
