Use a loopback IP of the test process in the crowd tests, and show the VM's output

Cause: in one run with a race-built process at load average 24 a VM exited with status 2 within 50 ms of its start. The output was discarded, so the cause isn't proven. Likely another process's connection had taken one of the ports on 127.0.0.1, which the test frees before the VM listens on them.

Change: the VM listens on an IP that no other process uses, and a failed test shows the end of its output. Crowds and bounds are unchanged. Refusals of a request whose body is being forwarded stop reading it after 1 s as well.

--- a/cmd/fuchsiaspard/crowd_own_test.go
+++ b/cmd/fuchsiaspard/crowd_own_test.go
@@ -83,7 +83,7 @@
 	t.Helper()
 	d := &deployment{t: t, dir: t.TempDir(), daemon: daemon, cli: cli, store: storetest.Start(t, storePageSize), limits: ownLimits}
 	d.startServer("desk-0", "lj-a")
-	d.addresses = []string{freeAddress(t)}
+	d.addresses = []string{ownLoopbackAddress(t)}
 	vm := &crowdVM{t: t, exited: make(chan struct{}), addresses: map[string]string{"front": d.addresses[0], "ready": d.addresses[0]}}
 	vm.start(d.command(0))
 	path := filepath.Join(d.dir, "fleet.toml")
--- a/cmd/fuchsiaspard/crowd_vm_test.go
+++ b/cmd/fuchsiaspard/crowd_vm_test.go
@@ -57,7 +57,7 @@
 	vm := &crowdVM{t: t, exited: make(chan struct{}), addresses: map[string]string{}, released: make(chan struct{})}
 	store := storetest.Start(t, storePageSize)
 	for _, role := range []string{"front", "ready", "control", "directory", "metrics"} {
-		vm.addresses[role] = freeAddress(t)
+		vm.addresses[role] = ownLoopbackAddress(t)
 	}
 	server := httptest.NewServer(http.HandlerFunc(vm.serveBackend))
 	t.Cleanup(server.Close)
@@ -78,14 +78,14 @@
 func (vm *crowdVM) run(binary, store string) {
 	dir := vm.t.TempDir()
 	settings := filepath.Join(dir, "node.toml")
-	_, port, err := net.SplitHostPort(vm.addresses["metrics"])
+	ip, port, err := net.SplitHostPort(vm.addresses["metrics"])
 	if err != nil {
 		vm.t.Fatal(err)
 	}
 	document := fmt.Sprintf(`node_name = "vm-a"
 zone = "z"
 region = "r"
-ip = "127.0.0.1"
+ip = %q
 internal_ports = [%s, %s]
 [zones]
 z = "r"
@@ -109,7 +109,7 @@
 ttl_max_s = 5
 [platform]
 address = %q
-`, port, port, vm.addresses["front"], vm.addresses["ready"], vm.addresses["control"], vm.addresses["directory"],
+`, ip, port, port, vm.addresses["front"], vm.addresses["ready"], vm.addresses["control"], vm.addresses["directory"],
 		crowdMemoryMB, crowdDescriptors, store)
 	if err := os.WriteFile(settings, []byte(document), 0o600); err != nil {
 		vm.t.Fatal(err)
@@ -119,9 +119,38 @@
 	vm.start(process)
 }
 
+// ownLoopbackAddress returns an address with a free port on a loopback IP of this test
+// process. On 127.0.0.1, connections of other processes may take the port until the VM
+// listens on it.
+func ownLoopbackAddress(t *testing.T) string {
+	t.Helper()
+	pid := os.Getpid()
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.77.%d.%d:0", pid>>8&0xff, pid&0xff|1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// logTail is the length in bytes of the output of a process that a failed test shows.
+const logTail = 4 << 10
+
 // start starts the process, which is killed when the test ends.
 func (vm *crowdVM) start(process *exec.Cmd) {
 	vm.process = process
+	path := filepath.Join(vm.t.TempDir(), "log")
+	output, err := os.Create(path)
+	if err != nil {
+		vm.t.Fatal(err)
+	}
+	defer output.Close()
+	process.Stdout, process.Stderr = output, output
+	vm.t.Cleanup(func() {
+		if data, err := os.ReadFile(path); err == nil && vm.t.Failed() {
+			vm.t.Logf("output of the process:\n%s", data[max(0, len(data)-logTail):])
+		}
+	})
 	if err := process.Start(); err != nil {
 		vm.t.Fatal(err)
 	}
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -181,7 +181,7 @@
 		wait = overload.RetryAfter(q.refusal(reason), rand.Float64()).Round(time.Millisecond)
 		h.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', -1, 64))
 	}
-	if !q.body.complete && q.body.rest == nil {
+	if !q.body.complete {
 		intake.DiscardBody(q.w, q.r)
 	}
 	message := `{"error":"` + reason + `"}` + "\n"
