Reuse large response buffers, and close descriptors before they are given away

Cause: in eight runs of requests_sent_ahead/route at load average 14 to 29 the process reached 89, 100 and 110 MB of 96 in three (two failures): buffers of 400 kB were garbage faster than a busy machine collects them. In another run 465 descriptors were open, since evicted connections were counted out before they were closed, and refusals for new connections delay that.

Change: buffers of 64 KiB and more are reused, in steps of 64 KiB. Connections are counted out once closed, and at most 16 are being refused for new ones at once.

--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -32,6 +32,7 @@
 		q.streamResponse(choice, resp, buffered, report)
 		return resultDelivered
 	}
+	defer returnResponseBuffer(buffered)
 	if resp.Status < http.StatusInternalServerError {
 		q.recordOutcome(choice, pick.Answered, report)
 		q.writeResponse(resp, buffered, nil)
--- a/internal/front/intake.go
+++ b/internal/front/intake.go
@@ -27,16 +27,21 @@
 	if resp.Length > maxBufferedResponse {
 		return nil, false, nil
 	}
+	reserved := 0
 	for len(buffered) <= maxBufferedResponse {
 		if len(buffered) == cap(buffered) {
 			size := max(2*cap(buffered), firstResponseBuffer)
 			if resp.Length >= 0 {
 				size = int(resp.Length) + 1
 			}
-			if !q.client().TryReserve(size - cap(buffered)) {
+			size = responseBufferSize(size)
+			if !q.client().TryReserve(size - reserved) {
 				return buffered, false, nil
 			}
-			buffered = append(make([]byte, 0, size), buffered...)
+			reserved = size
+			grown := append(takeResponseBuffer(size), buffered...)
+			returnResponseBuffer(buffered)
+			buffered = grown
 		}
 		n, err := resp.Body.Read(buffered[len(buffered):cap(buffered)])
 		buffered = buffered[:len(buffered)+n]
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -17,6 +17,8 @@
 	// refusalWriteTimeout bounds the write of a refusal to a client that is evicted while
 	// it sends a header. It fits an empty send buffer at once.
 	refusalWriteTimeout = 5 * time.Millisecond
+	// maxRefusing bounds the connections that are being refused for new ones at once.
+	maxRefusing = 16
 )
 
 // evictionError is the error of reading from a client that has to go. net/http closes
@@ -167,8 +169,9 @@
 
 // Close implements net.Conn.
 func (c *Conn) Close() error {
+	err := c.Conn.Close()
 	c.closed.Do(func() { c.guard.remove(c.client) })
-	return c.Conn.Close()
+	return err
 }
 
 // SetDeadline implements net.Conn.
@@ -222,16 +225,21 @@
 
 // closeForAnother closes a connection that the table has removed for a new one. A request
 // whose header is arriving is refused, in another goroutine, since a client that reads no
-// responses may delay the write.
+// responses may delay the write. Beyond maxRefusing of them, connections are closed
+// without a refusal, so that their descriptors are not in use beside new ones.
 func (c *Conn) closeForAnother() {
 	c.guard.mu.Lock()
 	inHeader := c.client.phase == Header
 	c.guard.mu.Unlock()
-	if !inHeader {
+	if !inHeader || c.guard.refusing.Add(1) > maxRefusing {
+		if inHeader {
+			c.guard.refusing.Add(-1)
+		}
 		c.closeNow()
 		return
 	}
 	go func() {
+		defer c.guard.refusing.Add(-1)
 		c.refuseHeader(http.StatusServiceUnavailable)
 		c.closeNow()
 	}()
--- a/internal/intake/guard.go
+++ b/internal/intake/guard.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fuchsiaspar/internal/background"
@@ -53,6 +54,8 @@
 	log   Log
 	scope tally.Scope
 	group background.Group
+	// refusing counts the connections on which a refusal is being written.
+	refusing atomic.Int64
 
 	mu    sync.Mutex
 	table *Table
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -66,10 +66,11 @@
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
+	err := c.Conn.Close()
 	if c.onClose != nil {
 		c.onClose()
 	}
-	return c.Conn.Close()
+	return err
 }
 
 // boundedInput fails once more bytes are read than allowed. A server in trouble may
