--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -17,6 +17,7 @@
 	"fuchsiaspar/internal/catalog"
 	"fuchsiaspar/internal/decisions"
 	"fuchsiaspar/internal/header"
+	"fuchsiaspar/internal/intake"
 	"fuchsiaspar/internal/model"
 	"fuchsiaspar/internal/pick"
 	"fuchsiaspar/internal/pipeline"
@@ -50,8 +51,13 @@
 	RetryBudget *allow.RetryBudget
 	// Limits limits the requests of client accounts, nil if there are no limits.
 	Limits *accountlimit.Limiter
-	Log    *decisions.Log
-	Scope  tally.Scope
+	// ServerBytes bounds the bodies that are sent to one server concurrently. If it is
+	// nil, there is no bound.
+	ServerBytes *intake.ServerBytes
+	// Guard accounts the requests of clients. If it is nil, they are not accounted.
+	Guard *intake.Guard
+	Log   *decisions.Log
+	Scope tally.Scope
 }
 
 // Server is the http.Handler for client requests. It is safe for concurrent use.
@@ -137,6 +143,10 @@
 	// limitedFor is when the client may come back if it got none.
 	hasToken   bool
 	limitedFor time.Duration
+	// serverBytes is the number of bytes accounted at the server of the current attempt.
+	serverBytes int64
+	// bytesRefused reports whether the last attempt was refused by that bound.
+	bytesRefused bool
 	// lastChoice is the server chosen last, for log lines.
 	lastChoice pick.Choice
 }
--- a/internal/front/pipelined.go
+++ b/internal/front/pipelined.go
@@ -16,8 +16,12 @@
 const boundLogInterval = 10 * time.Second
 
 func (s *Server) newPipeline() *pipeline.Handler {
+	handler := http.Handler(http.HandlerFunc(s.serveRequest))
+	if s.opts.Guard != nil {
+		handler = s.opts.Guard.Handler(handler)
+	}
 	return pipeline.NewHandler(pipeline.Options{
-		Handler:  http.HandlerFunc(s.serveRequest),
+		Handler:  handler,
 		MayStart: s.mayStart,
 		OnStart:  s.metrics.startedEarly,
 		OnStop:   s.logStop,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"fuchsiaspar/internal/decisions"
 	"fuchsiaspar/internal/feed"
 	"fuchsiaspar/internal/front"
+	"fuchsiaspar/internal/intake"
 	"fuchsiaspar/internal/kernel"
 	"fuchsiaspar/internal/liveness"
 	"fuchsiaspar/internal/metrics"
@@ -79,7 +80,7 @@
 	if err != nil {
 		return nil, err
 	}
-	for _, step := range []func() error{b.registerCore, b.registerPeers, b.registerStore, b.registerControl, b.registerTraffic} {
+	for _, step := range []func() error{b.registerCore, b.registerPeers, b.registerStore, b.registerControl, b.registerIntake, b.registerTraffic} {
 		if err := step(); err != nil {
 			return nil, errors.Wrap(err, "assemble entry VM")
 		}
@@ -111,6 +112,9 @@
 	client  *upstream.Client
 	repeats *allow.RetryBudget
 	limits  *accountLimits
+
+	guard       *intake.Guard
+	serverBytes *intake.ServerBytes
 }
 
 func newAssembly(n *Node, out io.Writer) (*assembly, error) {
@@ -259,6 +263,7 @@
 			b.node.liveness.SetStoreRecords(snapshot.VMs)
 			b.divideLimits(snapshot.Config)
 			b.limits.setConfig(snapshot.Config, now)
+			b.setOperatorLimits(snapshot.Config)
 			b.client.CloseIdle(b.fleet.SetSnapshot(snapshot, now))
 		},
 		OnTick: b.onTick,
@@ -318,7 +323,8 @@
 func (b *assembly) registerTraffic() error {
 	b.node.front = front.NewServer(front.Options{
 		Snapshot: b.node.state.Current, Age: b.feed.Age, Fleet: b.fleet, Client: b.client,
-		RetryBudget: b.repeats, Limits: b.limits.requestLimiter(), Log: b.node.log, Scope: b.metrics.Scope,
+		RetryBudget: b.repeats, Limits: b.limits.requestLimiter(), ServerBytes: b.serverBytes, Guard: b.guard,
+		Log: b.node.log, Scope: b.metrics.Scope,
 	})
 	var err error
 	if b.node.listeners, err = newListeners(b); err != nil {
--- a/internal/pipeline/handler.go
+++ b/internal/pipeline/handler.go
@@ -76,24 +76,45 @@
 
 type connKey struct{}
 
-// Configure makes server serve the connections of Listener. It sets the hooks ConnContext
-// and ConnState.
+// Configure makes server serve the connections of Listener, which may be wrapped. It sets
+// the hooks ConnContext and ConnState, which call those that were set before.
 func (h *Handler) Configure(server *http.Server) {
+	outerContext, outerState := server.ConnContext, server.ConnState
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
-		c, ok := conn.(*Conn)
-		if !ok {
+		if outerContext != nil {
+			ctx = outerContext(ctx, conn)
+		}
+		c := connOf(conn)
+		if c == nil {
 			return ctx
 		}
 		c.base = ctx
 		return context.WithValue(ctx, connKey{}, c)
 	}
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
-		if c, ok := conn.(*Conn); ok && state == http.StateIdle {
+		if outerState != nil {
+			outerState(conn, state)
+		}
+		if c := connOf(conn); c != nil && state == http.StateIdle {
 			c.idle()
 		}
 	}
 }
 
+// connOf returns the connection that conn is or wraps, or nil.
+func connOf(conn net.Conn) *Conn {
+	for {
+		if c, ok := conn.(*Conn); ok {
+			return c
+		}
+		wrapper, ok := conn.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil
+		}
+		conn = wrapper.NetConn()
+	}
+}
+
 // Listener returns a listener whose TCP connections start requests early.
 func (h *Handler) Listener(l net.Listener) net.Listener {
 	return &listener{Listener: l, handler: h}
