Estimate capacity and speed of backend servers from their responses, behind a setting

Servers of one service differ in speed, some slow down for seconds, and some lose throughput before all slots are used. pick knows slots and outstanding requests only, so a server that becomes five times slower keeps its objects until its queue is long. Package concurrency estimates each server's slowness relative to its service by a Kalman filter, from response times by route and acquaintance with the object, without the time in the queue, and from requests that are overdue; what is slow on all servers counts for none. The knee of a service is learned from all of its servers. pick uses the estimate in place of the slots if Options.LearnCapacity is set; the settings file switches it by features.learn_server_capacity, the default is off. Metrics by service and a bounded log line report it.

--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -51,6 +51,8 @@
 // response is truncated, the connection to the client is aborted, so that the
 // client does not take it for complete.
 func (q *request) streamResponse(choice pick.Choice, resp *upstream.Response, buffered []byte, report *pick.Report) {
+	// From here on the time depends on the client.
+	q.server.opts.Fleet.StopTiming(choice)
 	complete := q.writeResponse(resp, buffered, false)
 	outcome := pick.Answered
 	if !complete {
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -119,6 +119,10 @@
 
 // attempt sends the request to the chosen server and forwards its response.
 func (q *request) attempt(choice pick.Choice) attemptResult {
+	if q.body.rest != nil {
+		// The server reads the body as fast as the client sends it.
+		q.server.opts.Fleet.StopTiming(choice)
+	}
 	resp, err := q.server.opts.Client.Do(q.r.Context(), choice.Target, &upstream.Request{
 		ID:       q.id,
 		Method:   q.r.Method,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -54,6 +54,10 @@
 // program itself.
 const heapMemoryShare = 0.6
 
+// learnCapacityByDefault says whether the capacity of backend servers is estimated where
+// the settings file does not say.
+const learnCapacityByDefault = false
+
 // maxFollowers bounds the polls that wait at the reader of a region. It covers
 // the VMs of the largest planned region with a margin.
 const maxFollowers = 512
@@ -206,6 +210,7 @@
 	b.fleet = pick.NewFleet(pick.Options{
 		Self: s.Name, Region: s.Region, ColdFactor: s.Bounds.ColdFactor, ColdSlack: s.Bounds.ColdSlack,
 		OnEject: b.logEjection, OnLimit: b.logLimit,
+		LearnCapacity: learnsCapacity(s.Features), OnCapacity: b.logCapacity,
 	})
 	shares := share.New(s.Name, b.fleet, b.feed, b.mesh, b.node.liveness.Alive, b.newRandom())
 	if err := b.register(NameShare, shares); err != nil {
@@ -258,6 +263,43 @@
 		"tokens", strconv.FormatFloat(c.Tokens, 'f', 1, 64))
 }
 
+// learnsCapacity reports whether the capacity of backend servers is estimated.
+func learnsCapacity(features platform.Features) bool {
+	if features.LearnServerCapacity != nil {
+		return *features.LearnServerCapacity
+	}
+	return learnCapacityByDefault
+}
+
+// logCapacity logs a server whose estimated capacity fell below half of its slots, or
+// returned.
+func (b *assembly) logCapacity(c pick.CapacityChange) {
+	message := "server capacity is low"
+	if !c.Low {
+		message = "server capacity is back"
+	}
+	b.node.log.Event(message, "server", c.Server.ID, "service", c.Server.Service, "zone", c.Server.Zone,
+		"capacity", decimal(c.Evidence.Capacity), "slots", c.Evidence.Slots, "speed", decimal(c.Evidence.Speed),
+		"service_slowness", decimal(c.Evidence.Common), "knee", decimal(c.Evidence.Knee),
+		"samples", c.Evidence.Samples, "sample_age", c.Evidence.Age.Round(time.Millisecond),
+		"outstanding", c.Evidence.Outstanding, "overdue", c.Evidence.Overdue)
+}
+
+// decimal formats a figure for a log line.
+func decimal(value float64) string { return strconv.FormatFloat(value, 'f', 2, 64) }
+
+// reportSpeeds updates the gauges of the estimated speeds of each service's servers.
+func (b *assembly) reportSpeeds(now time.Time) {
+	for service, sum := range b.fleet.Speeds(now) {
+		scope := b.metrics.Scope.Tagged(map[string]string{"service": string(service)})
+		scope.Gauge("server_speed_lowest").Update(sum.Lowest)
+		scope.Gauge("server_speed_median").Update(sum.Median)
+		scope.Gauge("server_speed_highest").Update(sum.Highest)
+		scope.Gauge("servers_below_half_capacity").Update(float64(sum.BelowHalf))
+		scope.Gauge("server_knee").Update(sum.Knee)
+	}
+}
+
 // divideLimits divides the limits that hold for all VMs together among the live ones.
 // config is nil until one is known.
 func (b *assembly) divideLimits(config *catalog.Config) {
@@ -286,6 +328,7 @@
 	for service, count := range b.fleet.ServerCounts() {
 		scope.Tagged(map[string]string{"service": string(service)}).Gauge("servers").Update(float64(count))
 	}
+	b.reportSpeeds(now)
 }
 
 func (b *assembly) registerTraffic() error {
--- /dev/null
+++ b/internal/pick/capacity.go
@@ -0,0 +1,159 @@
+package pick
+
+import (
+	"time"
+
+	"fuchsiaspar/internal/catalog"
+	"fuchsiaspar/internal/concurrency"
+	"fuchsiaspar/internal/model"
+)
+
+// CapacityChange reports that the estimated capacity of a server fell below half of its
+// slots, or returned.
+type CapacityChange struct {
+	Server *catalog.Server
+	// Low reports whether the capacity is low now.
+	Low      bool
+	Evidence concurrency.Evidence
+}
+
+// startEstimate begins the estimate of a server process.
+func (f *Fleet) startEstimate(s *Server) {
+	if !f.options.LearnCapacity {
+		return
+	}
+	service, ok := f.estimates[s.Service]
+	if !ok {
+		service = concurrency.NewService()
+		f.estimates[s.Service] = service
+	}
+	s.estimator = service.NewEstimator(s.Slots, func(low bool, evidence concurrency.Evidence) {
+		f.options.OnCapacity(CapacityChange{Server: s.Server, Low: low, Evidence: evidence})
+	})
+}
+
+// stopEstimate ends the estimate of a server process that is listed no more.
+func (f *Fleet) stopEstimate(s *Server) {
+	if s.estimator != nil {
+		f.estimates[s.Service].Remove(s.estimator)
+	}
+}
+
+func (s *Server) setEstimateSlots() {
+	if s.estimator != nil {
+		s.estimator.SetSlots(s.Slots)
+	}
+}
+
+func (s *Server) forgetEstimate() {
+	if s.estimator != nil {
+		s.estimator.Forget()
+	}
+}
+
+// refreshEstimates brings the estimates of a service's servers up to date.
+func (f *Fleet) refreshEstimates(service model.ServiceName, now time.Time) {
+	if s, ok := f.estimates[service]; ok {
+		s.Refresh(now)
+	}
+}
+
+// capacity returns the number of requests that the server takes at once without queueing
+// longer than usual.
+func (s *Server) capacity() float64 {
+	if s.estimator != nil {
+		return s.estimator.Estimate().Capacity
+	}
+	return float64(max(s.Slots, 1))
+}
+
+// queueRoom returns the number of requests per slot that may wait at the server.
+func (s *Server) queueRoom() float64 {
+	if s.estimator != nil {
+		return queuePerSlot * s.estimator.Estimate().QueueShare
+	}
+	return queuePerSlot
+}
+
+// speedCost returns the cost of waiting behind load and of the time by which a request
+// takes longer than on a server of usual speed. The capacity, and so load, reflects a low
+// speed but no high one.
+func (s *Server) speedCost(load float64) float64 {
+	if s.estimator == nil {
+		return load
+	}
+	speed := s.estimator.Estimate().Speed
+	return load/max(speed, 1) + 1/speed - 1
+}
+
+// usualSlowness returns the slowness of the server's machine that the estimated speed
+// includes.
+func (s *Server) usualSlowness() float64 {
+	if s.estimator != nil {
+		return s.estimator.ReportedSlowness()
+	}
+	return 1
+}
+
+// beginEstimate tells the estimator of a request that is about to be sent.
+func (f *Fleet) beginEstimate(c *Choice, route *catalog.Route, now time.Time) {
+	s := c.Server
+	if s.estimator == nil {
+		return
+	}
+	acquaintance := concurrency.Foreign
+	switch {
+	case f.uses.isWarm(c.object, s, now):
+		acquaintance = concurrency.Known
+	case c.Rank == 0:
+		acquaintance = concurrency.Home
+	}
+	c.ticket = s.estimator.Begin(concurrency.Request{
+		Class: concurrency.Class{Route: route.Name, Object: acquaintance, Far: s.Region != f.options.Region},
+		Ahead: s.presentWithin(reportMaxAge, f.remoteTotals[s.hash], now),
+	}, now)
+}
+
+// recordEstimate tells the estimator how a request ended.
+func (s *Server) recordEstimate(c Choice, outcome Outcome, report *Report, now time.Time) {
+	if s.estimator == nil {
+		return
+	}
+	sample := concurrency.Sample{Ticket: c.ticket, End: concurrency.Ignored}
+	switch {
+	case c.Cold:
+	case outcome == Answered:
+		sample.End = concurrency.Completed
+	case outcome == Refused:
+		sample.End = concurrency.Refused
+	case outcome == Abandoned, outcome == Unanswered, outcome == Failed && report == nil:
+		sample.End = concurrency.Interrupted
+	}
+	if report != nil {
+		sample.Report = concurrency.Report{Running: report.Running, Waiting: report.Waiting, Slots: report.Slots, Slowness: report.Slowness}
+	}
+	s.estimator.Record(sample, now)
+}
+
+// StopTiming excludes a request from the estimate of its server, because its time depends
+// on the client.
+func (f *Fleet) StopTiming(choice Choice) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if choice.Server.estimator != nil {
+		choice.Server.estimator.Ignore(choice.ticket)
+	}
+}
+
+// Speeds returns a summary of the estimates of each service; it is empty unless
+// Options.LearnCapacity is set.
+func (f *Fleet) Speeds(now time.Time) map[model.ServiceName]concurrency.Summary {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	summaries := make(map[model.ServiceName]concurrency.Summary, len(f.estimates))
+	for name, service := range f.estimates {
+		service.Refresh(now)
+		summaries[name] = service.Summary()
+	}
+	return summaries
+}
--- a/internal/pick/fleet.go
+++ b/internal/pick/fleet.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"fuchsiaspar/internal/catalog"
+	"fuchsiaspar/internal/concurrency"
 	"fuchsiaspar/internal/model"
 	"fuchsiaspar/internal/share"
 )
@@ -33,6 +34,8 @@
 	report      Report
 	reportedAt  time.Time
 	slowness    slowness
+	// estimator is nil unless Options.LearnCapacity is set.
+	estimator *concurrency.Estimator
 	// sent counts the requests that this VM has sent to the server.
 	sent      uint64
 	limit     requestLimit
@@ -58,6 +61,8 @@
 	// byHash holds the servers by the hash under which VMs report them.
 	byHash    map[uint64]*Server
 	byService map[model.ServiceName][]candidate
+	// estimates holds the estimates of each service if Options.LearnCapacity is set.
+	estimates map[model.ServiceName]*concurrency.Service
 	uses      useLog
 	// remoteByVM holds the outstanding requests that each other VM reported,
 	// and remoteTotals their sum by server.
@@ -89,6 +94,13 @@
 	// OnLimit, if not nil, is called when the limit that a server states changes,
 	// with the Fleet's lock held. It must not block or call the Fleet.
 	OnLimit func(LimitChange)
+	// LearnCapacity estimates each server's capacity and speed from its responses.
+	// Without it, the capacity is the server's slots and all servers are as fast.
+	LearnCapacity bool
+	// OnCapacity, if not nil, is called for a bounded number of changes of a server's
+	// estimated capacity to less than half of its slots and back, with the Fleet's lock
+	// held. It must not block or call the Fleet.
+	OnCapacity func(CapacityChange)
 }
 
 // Ejection describes a temporary exclusion of a server and its cause.
@@ -111,11 +123,14 @@
 	if options.OnLimit == nil {
 		options.OnLimit = func(LimitChange) {}
 	}
+	if options.OnCapacity == nil {
+		options.OnCapacity = func(CapacityChange) {}
+	}
 	return &Fleet{
 		options: options, servers: map[model.ServerID]*Server{}, byHash: map[uint64]*Server{}, byService: map[model.ServiceName][]candidate{},
 		uses: newUseLog(), remoteByVM: map[model.VMID]vmCounts{}, remoteTotals: share.Counts{},
 		senders:   senders{self: hashString(string(options.Self)), generation: 1},
-		departing: map[process]time.Time{},
+		departing: map[process]time.Time{}, estimates: map[model.ServiceName]*concurrency.Service{},
 	}
 }
 
@@ -169,6 +184,7 @@
 	server, known := f.servers[entry.ID]
 	if known && (server.Started != entry.Started || server.Address != entry.Address) {
 		server.removed = true
+		f.stopEstimate(server)
 		known = false
 	}
 	if !known {
@@ -176,12 +192,14 @@
 		if since, leaving := f.departing[processOf(server)]; leaving {
 			server.withdraw().leavingSince = since
 		}
+		f.startEstimate(server)
 		f.servers[entry.ID], f.byHash[server.hash] = server, server
 		f.setCold(server, entry.ColdRemaining, now)
 		return server
 	}
 	if server.Server != entry {
 		server.Server = entry
+		server.setEstimateSlots()
 		f.setCold(server, entry.ColdRemaining, now)
 	}
 	return server
@@ -205,6 +223,7 @@
 	for id, server := range f.servers {
 		if !present[id] {
 			server.removed = true
+			f.stopEstimate(server)
 			removed = append(removed, server.Server)
 			delete(f.servers, id)
 			delete(f.byHash, server.hash)
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"fuchsiaspar/internal/catalog"
+	"fuchsiaspar/internal/concurrency"
 	"fuchsiaspar/internal/model"
 )
 
@@ -75,11 +76,13 @@
 	Rank int
 	// Cost is the sum of the server's load and its penalties; the lowest wins.
 	Cost float64
-	// Load is the number of requests at the server divided by its slots.
+	// Load is the number of requests at the server divided by its capacity, which is
+	// its slots unless Options.LearnCapacity is set.
 	Load float64
 	// Cold reports whether the server was starting cold.
 	Cold   bool
 	object uint64
+	ticket concurrency.Ticket
 }
 
 // Pick chooses the server with the lowest cost and counts the request as
@@ -89,6 +92,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	list := f.byService[q.Service]
+	f.refreshEstimates(q.Service, now)
 	top, limited := f.topServers(list, q, now)
 	best := Choice{Cost: math.Inf(1)}
 	for rank, entry := range top.entries[:top.count] {
@@ -113,7 +117,7 @@
 	if f.tolerant[q.Route.Name] && f.mustYield(best.Server, now) {
 		return best, Yield
 	}
-	f.recordStart(best, now)
+	f.recordStart(&best, q.Route, now)
 	return best, ""
 }
 
@@ -146,7 +150,7 @@
 	}
 	warm := rank == 0 || f.uses.isWarm(object, server, now)
 	switch {
-	case c.Load >= 1+queuePerSlot, !warm && c.Load >= 1:
+	case c.Load >= 1+server.queueRoom(), !warm && c.Load >= 1:
 		c.Cost = math.Inf(1)
 		return c
 	case rank > 0 && warm:
@@ -154,7 +158,8 @@
 	default:
 		c.Cost = rankStepCost * float64(rank)
 	}
-	c.Cost += c.Load + failureCost*server.health.currentFailureRate(now) + server.slowness.cost(c.Load, now)
+	c.Cost += server.speedCost(c.Load) + failureCost*server.health.currentFailureRate(now) +
+		server.slowness.cost(c.Load, server.usualSlowness(), now)
 	if c.Cold {
 		c.Cost += coldCost
 	}
@@ -205,7 +210,8 @@
 	return s.coldSender
 }
 
-func (f *Fleet) recordStart(c Choice, now time.Time) {
+func (f *Fleet) recordStart(c *Choice, route *catalog.Route, now time.Time) {
+	f.beginEstimate(c, route, now)
 	c.Server.outstanding++
 	c.Server.sent++
 	c.Server.limit.recordSend(now)
@@ -214,21 +220,26 @@
 	}
 }
 
-// load returns the requests of all VMs at a server divided by its slots, from the
+// load returns the requests of all VMs at a server divided by its capacity, from the
 // counts that the VMs reported and the server's own report.
 func (f *Fleet) load(s *Server, now time.Time) float64 {
 	return s.loadWithin(reportMaxAge, f.remoteTotals[s.hash], now)
 }
 
-// loadWithin returns the server's requests divided by its slots. It uses the
+// loadWithin returns the server's requests divided by its capacity. It uses the
 // server's own report only if that is younger than maxReportAge. remote is the
 // number of requests from other VMs.
 func (s *Server) loadWithin(maxReportAge time.Duration, remote int, now time.Time) float64 {
+	return float64(s.presentWithin(maxReportAge, remote, now)) / s.capacity()
+}
+
+// presentWithin returns the number of requests at the server, as loadWithin counts them.
+func (s *Server) presentWithin(maxReportAge time.Duration, remote int, now time.Time) int {
 	count := s.outstanding + remote
 	if now.Sub(s.reportedAt) < maxReportAge {
 		count = max(count, s.report.Running+s.report.Waiting)
 	}
-	return float64(count) / float64(max(s.Slots, 1))
+	return count
 }
 
 // Outcome is the result of a request at a server.
@@ -259,6 +270,7 @@
 	defer f.mu.Unlock()
 	server := choice.Server
 	server.outstanding--
+	server.recordEstimate(choice, outcome, report, now)
 	if report != nil {
 		// The report still includes the request that just ended.
 		report.Running = max(report.Running-1, 0)
@@ -287,6 +299,7 @@
 		})
 		if server.health.unanswered == restartThreshold {
 			f.setCold(server, f.coldDuration(server.Service)+server.health.ejectedUntil.Sub(now), now)
+			server.forgetEstimate()
 		}
 	}
 }
--- a/internal/pick/pick_test.go
+++ b/internal/pick/pick_test.go
@@ -52,7 +52,12 @@
 }
 
 func newFleet(self string, region model.Region, all []catalog.VM, list []*catalog.Server) *Fleet {
-	f := NewFleet(Options{Self: model.VMID(self), Region: region, ColdFactor: coldFactor, ColdSlack: coldSlack})
+	return newFleetWith(Options{Self: model.VMID(self), Region: region}, all, list)
+}
+
+func newFleetWith(options Options, all []catalog.VM, list []*catalog.Server) *Fleet {
+	options.ColdFactor, options.ColdSlack = coldFactor, coldSlack
+	f := NewFleet(options)
 	f.SetVMs(all)
 	f.SetSnapshot(snapshot(list, nil), start)
 	return f
@@ -300,7 +305,12 @@
 
 // BenchmarkPick chooses servers of a service of which no server is cold, and of one
 // of which all are, as after the loss of power in a zone.
-func BenchmarkPick(b *testing.B) {
+func BenchmarkPick(b *testing.B) { benchmarkPick(b, false) }
+
+// BenchmarkPickWithLearnedCapacity is BenchmarkPick with estimates of the servers.
+func BenchmarkPickWithLearnedCapacity(b *testing.B) { benchmarkPick(b, true) }
+
+func benchmarkPick(b *testing.B, learn bool) {
 	for _, count := range []int{20, 160, 753, 5000} {
 		for _, cold := range []time.Duration{0, time.Hour} {
 			b.Run(fmt.Sprintf("servers=%d/cold=%v", count, cold > 0), func(b *testing.B) {
@@ -308,7 +318,7 @@
 				for _, s := range list {
 					s.ColdRemaining = cold
 				}
-				f := newFleet("vm-0", "lj", vms(117), list)
+				f := newFleetWith(Options{Self: "vm-0", Region: "lj", LearnCapacity: learn}, vms(117), list)
 				b.ReportAllocs()
 				for i := 0; b.Loop(); i++ {
 					now := start.Add(time.Duration(i) * time.Millisecond)
--- a/internal/pick/slowness.go
+++ b/internal/pick/slowness.go
@@ -24,11 +24,11 @@
 }
 
 // cost returns the cost of the additional time that a request takes behind load, from
-// a sample that fades towards the usual speed.
-func (s *slowness) cost(load float64, now time.Time) float64 {
+// a sample that fades towards the usual slowness.
+func (s *slowness) cost(load, usual float64, now time.Time) float64 {
 	if s.sample == 0 {
 		return 0
 	}
 	age := now.Sub(s.sampledAt)
-	return (s.sample - 1) * (1 + load) * math.Exp(-age.Seconds()/slownessMemory.Seconds())
+	return (s.sample/usual - 1) * (1 + load) * math.Exp(-age.Seconds()/slownessMemory.Seconds())
 }
--- a/internal/pick/slowness_test.go
+++ b/internal/pick/slowness_test.go
@@ -49,7 +49,7 @@
 		t.Run(tt.desc, func(t *testing.T) {
 			var s slowness
 			s.record(tt.sample, start)
-			if got := s.cost(tt.load, start.Add(tt.age)); got < tt.min || got > tt.max {
+			if got := s.cost(tt.load, 1, start.Add(tt.age)); got < tt.min || got > tt.max {
 				t.Errorf("cost %.3f, want %.3f to %.3f", got, tt.min, tt.max)
 			}
 		})
