Compute the estimates of servers when they are refreshed, not at each choice

With estimates, a choice among 20 servers took 36 % longer, and one among 160 16 %: each candidate took divisions, an exponential and a look at the clock. Estimates are computed every 50 ms, and every 200 ms for servers without new evidence. Classes of requests are found by the route's name alone, and logarithms to 5 decimals.

--- a/internal/concurrency/curve.go
+++ b/internal/concurrency/curve.go
@@ -41,6 +41,8 @@
 // service together: one VM sees too few requests at one server to tell.
 type curve struct {
 	bins [curveBins]bin
+	// expected is the inflation of each bin.
+	expected [curveBins]float64
 	// knee is the share of the slots above which throughput does not rise, and retained
 	// the share of the highest throughput that is left with all slots in use.
 	knee, retained float64
@@ -54,20 +56,23 @@
 }
 
 // inflation returns the expected logarithm at a utilization, relative to a server with
-// few slots in use. It never decreases with utilization.
-func (c *curve) inflation(utilization float64) float64 {
+// few slots in use.
+func (c *curve) inflation(utilization float64) float64 { return c.expected[binOf(utilization)] }
+
+// updateExpected derives the expected inflation from the bins. It never decreases with
+// utilization.
+func (c *curve) updateExpected() {
 	base, highest, found := 0.0, 0.0, false
-	for i := range binOf(utilization) + 1 {
+	for i := range c.bins {
 		b := &c.bins[i]
-		if b.weight < minBinWeight {
-			continue
-		}
-		if !found {
-			base, found = b.inflation, true
+		if b.weight >= minBinWeight {
+			if !found {
+				base, found = b.inflation, true
+			}
+			highest = max(highest, b.inflation-base)
 		}
-		highest = max(highest, b.inflation-base)
+		c.expected[i] = highest
 	}
-	return highest
 }
 
 // record adds the logarithm of a work time, relative to the usual one, to its server and
@@ -86,6 +91,7 @@
 		return
 	}
 	c.refreshedAt = at
+	c.updateExpected()
 	knee, retained := c.latest(at)
 	c.knee += kneeStep * (knee - c.knee)
 	c.retained += kneeStep * (retained - c.retained)
--- a/internal/concurrency/estimator.go
+++ b/internal/concurrency/estimator.go
@@ -93,6 +93,9 @@
 // value: it weighs a sample by its spread and by the time since the last one, so it
 // follows a busy server as well as one that is asked every few seconds.
 type Estimator struct {
+	// published is first, since a choice reads only this of each candidate.
+	published Estimate
+
 	service  *Service
 	onChange func(low bool, evidence Evidence)
 	slots    int
@@ -120,7 +123,9 @@
 	overdue         int
 	overdueSlowness float64
 
-	published Estimate
+	// changed reports evidence since publishedAt.
+	changed     bool
+	publishedAt time.Duration
 
 	// low is whether the capacity was last reported as low, at changeAt.
 	low      bool
@@ -137,6 +142,11 @@
 	// Speed is how fast the server is relative to its service. When all of its servers
 	// are slow, it is 1.
 	Speed float64
+	// Time is the time that work takes, relative to the service: the inverse of Speed.
+	Time float64
+	// ReportedSlowness is the average of what the server reports as slowness of its
+	// machine, which Speed includes; 1 if it reports none.
+	ReportedSlowness float64
 }
 
 // SetSlots sets the number of slots of the server.
@@ -176,13 +186,14 @@
 	}
 }
 
-// Record records the end of a request.
+// Record records the end of a request. The estimate includes it from the next Refresh.
 func (e *Estimator) Record(sample Sample, now time.Time) {
 	at := e.service.since(now)
 	p, ok := e.take(sample.Ticket)
 	if !ok || p.usual == nil {
 		return
 	}
+	e.changed = true
 	switch sample.End {
 	case Completed:
 		e.recordWork(&p, sample.Report, false, at)
@@ -191,7 +202,6 @@
 	case Refused:
 		e.recordRefusal(&p, sample.Report, at)
 	}
-	e.publish(at)
 }
 
 // take removes an outstanding request.
@@ -212,10 +222,10 @@
 	return 1 + max(0, ahead+1-slots)/slots
 }
 
-// recordWork adds the time of a request. That of an interrupted one is a lower bound.
+// recordWork adds the time of a request, which is a step of the Kalman filter. The time of
+// an interrupted request is a lower bound.
 func (e *Estimator) recordWork(p *pending, report Report, bound bool, at time.Duration) {
-	elapsed := (at - p.sentAt).Seconds()
-	if elapsed <= 0 {
+	if at <= p.sentAt {
 		return
 	}
 	ahead := float64(p.ahead)
@@ -226,7 +236,7 @@
 		ahead = (ahead + float64(max(report.Running+report.Waiting-1, 0))) / 2
 		machine = e.recordMachine(report.Slowness)
 	}
-	value := math.Log(elapsed / e.queueing(ahead))
+	value := logarithm(float64(at-p.sentAt) / e.queueing(ahead))
 	utilization := min((ahead+1)/float64(e.slots), 1)
 	expected := e.service.curve.inflation(utilization)
 	// What the machine's other work adds at the moment says little about the next
@@ -239,7 +249,8 @@
 		return
 	}
 	relative := residual - p.usual.level - e.service.common
-	innovation := relative - e.predict(at)
+	slowness, variance := e.predict(at)
+	innovation := relative - slowness
 	if bound && innovation <= 0 {
 		return
 	}
@@ -248,7 +259,15 @@
 		p.usual.record(residual, innovation)
 		e.service.curve.record(utilization, value-machine-level-e.service.common-e.lasting, clipSpreads*spread, at)
 	}
-	e.update(relative, spread*spread, at)
+	e.gain = variance / (variance + spread*spread)
+	e.slowness = min(slowness+e.gain*innovation, maxSlowness)
+	e.variance = (1 - e.gain) * variance
+	e.samples++
+	lastingGain := max(1-fade(at-e.updatedAt, lastingMemory), 1/float64(e.samples+lastingPrior))
+	e.lasting = clip(e.lasting+min(lastingGain, maxLastingGain)*(relative-e.lasting), maxLasting)
+	e.updatedAt = at
+	e.common = e.service.common
+	e.observed = e.slowness + e.common
 }
 
 // recordMachine adds a report of the machine's slowness and returns the logarithm of its
@@ -257,7 +276,7 @@
 	if slowness <= 0 {
 		return 0
 	}
-	value := math.Log(slowness)
+	value := logarithm(slowness)
 	if !e.hasReported {
 		e.reported, e.hasReported = value, true
 	}
@@ -282,47 +301,33 @@
 	return e.shed * fade(at-e.shedAt, shedMemory)
 }
 
-// predict returns the slowness at a time, without newer evidence.
-func (e *Estimator) predict(at time.Duration) float64 {
-	return e.lasting + (e.slowness-e.lasting)*fade(at-e.updatedAt, memory)
-}
-
-// predictVariance returns the uncertainty of predict.
-func (e *Estimator) predictVariance(at time.Duration) float64 {
-	return priorVariance + (e.variance-priorVariance)*fade(2*(at-e.updatedAt), memory)
-}
-
-// update is the Kalman filter's step for a sample of the relative slowness.
-func (e *Estimator) update(relative, noise float64, at time.Duration) {
-	slowness, variance := e.predict(at), e.predictVariance(at)
-	e.gain = variance / (variance + noise)
-	e.slowness = min(slowness+e.gain*(relative-slowness), maxSlowness)
-	e.variance = (1 - e.gain) * variance
-	e.samples++
-	lastingGain := max(1-fade(at-e.updatedAt, lastingMemory), 1/float64(e.samples+lastingPrior))
-	e.lasting = clip(e.lasting+min(lastingGain, maxLastingGain)*(relative-e.lasting), maxLasting)
-	e.updatedAt = at
-	e.common = e.service.common
-	e.observed = e.slowness + e.common
+// predict returns the slowness at a time and its variance, without newer evidence.
+func (e *Estimator) predict(at time.Duration) (slowness, variance float64) {
+	left := fade(at-e.updatedAt, memory)
+	return e.lasting + (e.slowness-e.lasting)*left, priorVariance + (e.variance-priorVariance)*left*left
 }
 
 // weighOutstanding determines the slowness that the outstanding requests show: each that
 // has taken longer than expected is a sample that can only grow.
 func (e *Estimator) weighOutstanding(at time.Duration) {
+	e.changed = e.changed || e.overdue > 0
 	e.overdue = 0
-	slowness, variance := e.predict(at), e.predictVariance(at)
+	if len(e.outstanding) == 0 {
+		return
+	}
+	slowness, variance := e.predict(at)
 	for i := range e.outstanding {
 		p := &e.outstanding[i]
 		if p.usual == nil || p.usual.count == 0 || at <= p.sentAt {
 			continue
 		}
 		ahead := float64(p.ahead)
-		work := math.Log((at - p.sentAt).Seconds() / e.queueing(ahead))
+		work := logarithm(float64(at-p.sentAt) / e.queueing(ahead))
 		work -= p.usual.level + e.service.common + e.service.curve.inflation(min((ahead+1)/float64(e.slots), 1))
 		if work < slowness+overdueSpreads*p.usual.spread {
 			continue
 		}
-		e.overdue++
+		e.overdue, e.changed = e.overdue+1, true
 		gain := variance / (variance + p.usual.spread*p.usual.spread)
 		slowness += gain * (work - slowness)
 		variance *= 1 - gain
@@ -367,10 +372,11 @@
 
 // publish computes the estimate and reports a change of the capacity.
 func (e *Estimator) publish(at time.Duration) {
+	e.changed, e.publishedAt = false, at
 	curve := &e.service.curve
 	share, speed := curve.knee, 1.0
 	if e.samples > 0 || e.overdue > 0 {
-		slowness := e.predict(at)
+		slowness, _ := e.predict(at)
 		if e.overdue > 0 {
 			slowness = max(slowness, e.overdueSlowness)
 		}
@@ -381,7 +387,11 @@
 		share *= 1 - e.shedShare(at)
 	}
 	e.published = Estimate{
-		Capacity: max(minCapacity, share*float64(e.slots)), QueueShare: curve.queueShare(), Speed: speed,
+		Capacity: max(minCapacity, share*float64(e.slots)), QueueShare: curve.queueShare(),
+		Speed: speed, Time: 1 / speed, ReportedSlowness: 1,
+	}
+	if e.hasReported {
+		e.published.ReportedSlowness = math.Exp(e.reported)
 	}
 	low := share < lowShare || e.low && share < recoveredShare
 	if low != e.low && (at-e.changeAt >= changeInterval || e.changeAt == 0) {
@@ -390,8 +400,8 @@
 	}
 }
 
-// Estimate returns the estimate as of the last sample or Refresh.
-func (e *Estimator) Estimate() Estimate { return e.published }
+// Estimate returns the estimate as of the last Refresh of the service.
+func (e *Estimator) Estimate() *Estimate { return &e.published }
 
 // Speed returns the speed at a time.
 func (e *Estimator) Speed(now time.Time) float64 {
@@ -405,10 +415,6 @@
 	return e.published.Capacity
 }
 
-// ReportedSlowness returns the average of what the server reports as slowness of its
-// machine, which Speed includes; 1 if it reports none.
-func (e *Estimator) ReportedSlowness() float64 { return math.Exp(e.reported) }
-
 // evidence returns what the estimate rests on.
 func (e *Estimator) evidence(at time.Duration) Evidence {
 	return Evidence{
--- a/internal/concurrency/service.go
+++ b/internal/concurrency/service.go
@@ -5,6 +5,7 @@
 package concurrency
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -12,6 +13,8 @@
 const (
 	// refreshInterval is how often the evidence of all servers of a service is compared.
 	refreshInterval = 50 * time.Millisecond
+	// quietInterval is how often estimates without new evidence are computed.
+	quietInterval = 200 * time.Millisecond
 	// commonServers is the number of servers whose latest evidence shows how slow the
 	// service is as a whole. With a third of the servers slow, the median of fewer
 	// belongs to a slow one too often.
@@ -39,8 +42,11 @@
 
 // Service is what is known about the servers of one service together.
 type Service struct {
-	epoch      time.Time
-	started    bool
+	epoch   time.Time
+	started bool
+	// lastAt is what since returned for lastNow; a choice asks twice.
+	lastNow    time.Time
+	lastAt     time.Duration
 	estimators []*Estimator
 	usual      usualWork
 	curve      curve
@@ -97,10 +103,13 @@
 
 // since returns now as the time since the first call.
 func (s *Service) since(now time.Time) time.Duration {
-	if !s.started {
-		s.epoch, s.started = now, true
+	if now != s.lastNow {
+		if !s.started {
+			s.epoch, s.started = now, true
+		}
+		s.lastNow, s.lastAt = now, now.Sub(s.epoch)
 	}
-	return now.Sub(s.epoch)
+	return s.lastAt
 }
 
 // Refresh compares the servers by what is known now, requests without an answer
@@ -119,7 +128,9 @@
 	s.centerLasting(at)
 	for _, e := range s.estimators {
 		e.correctCommon(at)
-		e.publish(at)
+		if e.changed || at-e.publishedAt >= quietInterval {
+			e.publish(at)
+		}
 	}
 }
 
@@ -227,3 +238,12 @@
 	x := max(0, float64(age)/float64(constant))
 	return 1 / (1 + x*(1+x*(0.5+x/6)))
 }
+
+// logarithm returns the natural logarithm of a positive number, to 5 decimals, in a fifth
+// of the time of math.Log. Each request needs one while pick holds its lock.
+func logarithm(x float64) float64 {
+	fraction, exponent := math.Frexp(x)
+	z := (fraction - math.Sqrt2/2) / (fraction + math.Sqrt2/2)
+	square := z * z
+	return (float64(exponent)-0.5)*math.Ln2 + 2*z*(1+square*(1.0/3+square/5))
+}
--- a/internal/concurrency/usual.go
+++ b/internal/concurrency/usual.go
@@ -22,11 +22,12 @@
 	Home
 	// Foreign objects have probably not been handled lately.
 	Foreign
+	objectKinds
 )
 
 const (
-	// maxClasses bounds the classes of a service. Further ones share one entry.
-	maxClasses = 1024
+	// maxRoutes bounds the routes of a service. Further ones share one entry.
+	maxRoutes = 256
 	// minUsualGain is the least weight of a sample: about the last fifty count.
 	minUsualGain = 0.02
 	// firstSpread is the assumed deviation of the logarithm of work times before there
@@ -41,7 +42,7 @@
 	normalDeviation = 1.25
 )
 
-// usual is the usual logarithm of the work time, in seconds, of a class on all servers.
+// usual is the usual logarithm of the work time, in nanoseconds, of a class on all servers.
 type usual struct {
 	level, spread float64
 	count         int
@@ -63,26 +64,35 @@
 	u.spread = max(u.spread, minSpread)
 }
 
+// usualOfRoute holds the classes of a route: by acquaintance, near and far.
+type usualOfRoute [objectKinds][2]usual
+
+func (r *usualOfRoute) of(c Class) *usual {
+	if c.Far {
+		return &r[c.Object][1]
+	}
+	return &r[c.Object][0]
+}
+
 // usualWork holds the classes of a service.
 type usualWork struct {
-	classes map[Class]*usual
-	// rest is shared by the classes above maxClasses.
-	rest usual
+	routes map[string]*usualOfRoute
+	// rest is shared by the routes above maxRoutes.
+	rest usualOfRoute
 }
 
-func newUsualWork() usualWork { return usualWork{classes: map[Class]*usual{}} }
+func newUsualWork() usualWork { return usualWork{routes: map[string]*usualOfRoute{}} }
 
 func (w *usualWork) of(c Class) *usual {
-	u, ok := w.classes[c]
-	if ok {
-		return u
-	}
-	if len(w.classes) >= maxClasses {
-		return &w.rest
+	r, ok := w.routes[c.Route]
+	if !ok {
+		if len(w.routes) >= maxRoutes {
+			return w.rest.of(c)
+		}
+		r = &usualOfRoute{}
+		w.routes[c.Route] = r
 	}
-	u = &usual{}
-	w.classes[c] = u
-	return u
+	return r.of(c)
 }
 
 // clip limits value to the range from -limit to limit.
--- a/internal/pick/capacity.go
+++ b/internal/pick/capacity.go
@@ -1,6 +1,7 @@
 package pick
 
 import (
+	"math"
 	"time"
 
 	"fuchsiaspar/internal/catalog"
@@ -82,15 +83,15 @@
 	if s.estimator == nil {
 		return load
 	}
-	speed := s.estimator.Estimate().Speed
-	return load/max(speed, 1) + 1/speed - 1
+	taken := s.estimator.Estimate().Time
+	return load*min(taken, 1) + taken - 1
 }
 
 // usualSlowness returns the slowness of the server's machine that the estimated speed
 // includes.
 func (s *Server) usualSlowness() float64 {
 	if s.estimator != nil {
-		return s.estimator.ReportedSlowness()
+		return s.estimator.Estimate().ReportedSlowness
 	}
 	return 1
 }
@@ -103,14 +104,14 @@
 	}
 	acquaintance := concurrency.Foreign
 	switch {
-	case f.uses.isWarm(c.object, s, now):
+	case c.warm, c.Rank == 0 && f.uses.isWarm(c.object, s, now):
 		acquaintance = concurrency.Known
 	case c.Rank == 0:
 		acquaintance = concurrency.Home
 	}
 	c.ticket = s.estimator.Begin(concurrency.Request{
 		Class: concurrency.Class{Route: route.Name, Object: acquaintance, Far: s.Region != f.options.Region},
-		Ahead: s.presentWithin(reportMaxAge, f.remoteTotals[s.hash], now),
+		Ahead: int(math.Round(c.Load * s.capacity())),
 	}, now)
 }
 
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -80,7 +80,10 @@
 	// its slots unless Options.LearnCapacity is set.
 	Load float64
 	// Cold reports whether the server was starting cold.
-	Cold   bool
+	Cold bool
+	// warm reports that a server other than the first in the ranking has handled the
+	// object lately.
+	warm   bool
 	object uint64
 	ticket concurrency.Ticket
 }
@@ -154,7 +157,7 @@
 		c.Cost = math.Inf(1)
 		return c
 	case rank > 0 && warm:
-		c.Cost = warmCost
+		c.Cost, c.warm = warmCost, true
 	default:
 		c.Cost = rankStepCost * float64(rank)
 	}
@@ -230,16 +233,11 @@
 // server's own report only if that is younger than maxReportAge. remote is the
 // number of requests from other VMs.
 func (s *Server) loadWithin(maxReportAge time.Duration, remote int, now time.Time) float64 {
-	return float64(s.presentWithin(maxReportAge, remote, now)) / s.capacity()
-}
-
-// presentWithin returns the number of requests at the server, as loadWithin counts them.
-func (s *Server) presentWithin(maxReportAge time.Duration, remote int, now time.Time) int {
 	count := s.outstanding + remote
 	if now.Sub(s.reportedAt) < maxReportAge {
 		count = max(count, s.report.Running+s.report.Waiting)
 	}
-	return count
+	return float64(count) / s.capacity()
 }
 
 // Outcome is the result of a request at a server.
--- a/internal/pick/pick_test.go
+++ b/internal/pick/pick_test.go
@@ -305,12 +305,13 @@
 
 // BenchmarkPick chooses servers of a service of which no server is cold, and of one
 // of which all are, as after the loss of power in a zone.
-func BenchmarkPick(b *testing.B) { benchmarkPick(b, false) }
+func BenchmarkPick(b *testing.B) { benchmarkPick(b, false, 0) }
 
-// BenchmarkPickWithLearnedCapacity is BenchmarkPick with estimates of the servers.
-func BenchmarkPickWithLearnedCapacity(b *testing.B) { benchmarkPick(b, true) }
+// BenchmarkPickWithLearnedCapacity is BenchmarkPick with estimates of the servers, for which
+// requests must take time.
+func BenchmarkPickWithLearnedCapacity(b *testing.B) { benchmarkPick(b, true, 50*time.Millisecond) }
 
-func benchmarkPick(b *testing.B, learn bool) {
+func benchmarkPick(b *testing.B, learn bool, took time.Duration) {
 	for _, count := range []int{20, 160, 753, 5000} {
 		for _, cold := range []time.Duration{0, time.Hour} {
 			b.Run(fmt.Sprintf("servers=%d/cold=%v", count, cold > 0), func(b *testing.B) {
@@ -324,7 +325,7 @@
 					now := start.Add(time.Duration(i) * time.Millisecond)
 					c, reason := f.Pick(Query{Route: lookup, Service: "desk", Object: mix(uint64(i % 400))}, now)
 					if reason == "" {
-						f.Done(c, Answered, nil, now)
+						f.Done(c, Answered, nil, now.Add(took))
 					}
 				}
 			})
