Tell other entry VMs which servers are slow

In a large fleet one VM asks one server a few times a minute, so that a server that became five times slower kept half of its requests (98 servers, 26 VMs) or three quarters (160 servers, 103 VMs). The load messages name the servers that the sender found slow in the last 0.4 s, and those that it found not to be although others said so. A receiver weighs the mean of the latest reports by age against its own estimate, believes no single VM without own evidence, and ignores reports once half of a service's servers are reported, since then the service is slow. Nothing is sent where estimates are switched off. Samples of objects that rank the server first but that this VM has not asked for lately weigh less: now and then the server has not handled them, and they take three times as long.

--- a/internal/concurrency/estimator.go
+++ b/internal/concurrency/estimator.go
@@ -122,6 +122,8 @@
 	// overdueSlowness is the slowness that includes them.
 	overdue         int
 	overdueSlowness float64
+	// peers are the latest reports of other VMs.
+	peers []peerReport
 
 	// changed reports evidence since publishedAt.
 	changed     bool
@@ -254,12 +256,12 @@
 	if bound && innovation <= 0 {
 		return
 	}
-	level, spread := p.usual.level, p.usual.spread
+	level, spread, noise := p.usual.level, p.usual.spread, p.usual.noise()
 	if !bound {
 		p.usual.record(residual, innovation)
 		e.service.curve.record(utilization, value-machine-level-e.service.common-e.lasting, clipSpreads*spread, at)
 	}
-	e.gain = variance / (variance + spread*spread)
+	e.gain = variance / (variance + noise)
 	e.slowness = min(slowness+e.gain*innovation, maxSlowness)
 	e.variance = (1 - e.gain) * variance
 	e.samples++
@@ -328,7 +330,7 @@
 			continue
 		}
 		e.overdue, e.changed = e.overdue+1, true
-		gain := variance / (variance + p.usual.spread*p.usual.spread)
+		gain := variance / (variance + p.usual.noise())
 		slowness += gain * (work - slowness)
 		variance *= 1 - gain
 	}
@@ -375,8 +377,9 @@
 	e.changed, e.publishedAt = false, at
 	curve := &e.service.curve
 	share, speed := curve.knee, 1.0
-	if e.samples > 0 || e.overdue > 0 {
-		slowness, _ := e.predict(at)
+	if e.samples > 0 || e.overdue > 0 || len(e.peers) > 0 {
+		slowness, variance := e.predict(at)
+		slowness = e.withPeers(slowness, variance, at)
 		if e.overdue > 0 {
 			slowness = max(slowness, e.overdueSlowness)
 		}
--- a/internal/concurrency/estimator_test.go
+++ b/internal/concurrency/estimator_test.go
@@ -95,6 +95,42 @@
 	}
 }
 
+// TestReportsOfOtherVMs guards against reports that don't reach an estimate, are believed of
+// one VM alone, about too many servers, or for longer than they are repeated.
+func TestReportsOfOtherVMs(t *testing.T) {
+	b := newBench(1, 1, 1, 1, 1, 1)
+	b.times(50, 300*time.Millisecond)
+	report := func(source uint64, servers int) {
+		for _, e := range b.estimators[:servers] {
+			e.SetPeerReport(source, PeerReport{Slowness: 1.6}, b.now)
+		}
+		b.now = b.now.Add(refreshInterval)
+	}
+	speed := func(want string, low, high float64) {
+		t.Helper()
+		if got := b.estimators[0].Speed(b.now); got < low || got > high {
+			t.Errorf("speed %.2f with the report of %s", got, want)
+		}
+	}
+	b.now = b.now.Add(3 * time.Second)
+	report(1, 1)
+	speed("one VM", 0.8, 1.25)
+	report(2, 1)
+	speed("two VMs", 0.1, 0.5)
+	if _, ok := b.estimators[0].PeerReport(b.now); ok {
+		t.Error("reports of others are passed on")
+	}
+	b.times(2, 300*time.Millisecond)
+	if r, ok := b.estimators[0].PeerReport(b.now); !ok || r.Slowness > reportSlowness {
+		t.Errorf("report %v, %t after own evidence of the contrary", r, ok)
+	}
+	speed("two VMs and own evidence of the contrary", 0.6, 1.25)
+	b.now = b.now.Add(5 * time.Second)
+	report(1, 4)
+	report(2, 4)
+	speed("two VMs about most servers", 0.8, 1.25)
+}
+
 // TestTimeInTheQueueIsNotWork guards against the blame of a server for its queue.
 func TestTimeInTheQueueIsNotWork(t *testing.T) {
 	b := newBench(1, 1, 1)
--- a/internal/concurrency/service.go
+++ b/internal/concurrency/service.go
@@ -1,6 +1,6 @@
 // Package concurrency estimates how many requests each backend server takes well and how
 // fast it is relative to the other servers of its service, from the requests of this
-// entry VM. The caller passes the time as an argument; the package has no goroutines,
+// entry VM and the reports of others. The caller passes the time as an argument; the package has no goroutines,
 // clocks or sockets. Its types are not safe for concurrent use.
 package concurrency
 
@@ -56,6 +56,8 @@
 	window      time.Duration
 	refreshedAt time.Duration
 	centeredAt  time.Duration
+	// peerTrust is how far the reports of other VMs count, from 0 to 1.
+	peerTrust float64
 	// excesses is scratch space for commonSlowness.
 	excesses []float64
 	// changes counts the reports since changesSince.
@@ -124,6 +126,7 @@
 		e.weighOutstanding(at)
 	}
 	s.common = s.commonSlowness(at)
+	s.updatePeerTrust(at)
 	s.curve.refresh(at)
 	s.centerLasting(at)
 	for _, e := range s.estimators {
--- a/internal/concurrency/usual.go
+++ b/internal/concurrency/usual.go
@@ -35,6 +35,10 @@
 	firstSpread = 0.5
 	// minSpread keeps a few equal samples from being taken for certainty.
 	minSpread = 0.08
+	// homeDoubt is the additional variance of a sample of a Home object, which now and
+	// then the server has not handled lately, and then takes as long as one that is three
+	// times slower.
+	homeDoubt = 0.16
 	// clipSpreads is the number of spreads by which one sample counts at most.
 	clipSpreads = 2.5
 	// normalDeviation is the standard deviation of a normal distribution divided by its
@@ -45,7 +49,9 @@
 // usual is the usual logarithm of the work time, in nanoseconds, of a class on all servers.
 type usual struct {
 	level, spread float64
-	count         int
+	// doubt is the variance of a sample apart from spread.
+	doubt float64
+	count int
 }
 
 // record adds a sample. residual is its difference from what was expected of its server.
@@ -74,14 +80,27 @@
 	return &r[c.Object][0]
 }
 
+func newUsualOfRoute() *usualOfRoute {
+	r := &usualOfRoute{}
+	for far := range r[Home] {
+		r[Home][far].doubt = homeDoubt
+	}
+	return r
+}
+
+// noise returns the variance of a sample.
+func (u *usual) noise() float64 { return u.spread*u.spread + u.doubt }
+
 // usualWork holds the classes of a service.
 type usualWork struct {
 	routes map[string]*usualOfRoute
 	// rest is shared by the routes above maxRoutes.
-	rest usualOfRoute
+	rest *usualOfRoute
 }
 
-func newUsualWork() usualWork { return usualWork{routes: map[string]*usualOfRoute{}} }
+func newUsualWork() usualWork {
+	return usualWork{routes: map[string]*usualOfRoute{}, rest: newUsualOfRoute()}
+}
 
 func (w *usualWork) of(c Class) *usual {
 	r, ok := w.routes[c.Route]
@@ -89,7 +108,7 @@
 		if len(w.routes) >= maxRoutes {
 			return w.rest.of(c)
 		}
-		r = &usualOfRoute{}
+		r = newUsualOfRoute()
 		w.routes[c.Route] = r
 	}
 	return r.of(c)
--- a/internal/pick/capacity.go
+++ b/internal/pick/capacity.go
@@ -7,6 +7,7 @@
 	"fuchsiaspar/internal/catalog"
 	"fuchsiaspar/internal/concurrency"
 	"fuchsiaspar/internal/model"
+	"fuchsiaspar/internal/share"
 )
 
 // CapacityChange reports that the estimated capacity of a server fell below half of its
@@ -146,6 +147,40 @@
 	}
 }
 
+// SpeedReports returns what this VM tells others about servers that are slower than usual.
+func (f *Fleet) SpeedReports(now time.Time) share.SpeedReports {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	reports := share.SpeedReports{}
+	for _, service := range f.estimates {
+		service.Refresh(now)
+	}
+	for _, s := range f.servers {
+		if s.estimator == nil {
+			continue
+		}
+		if r, ok := s.estimator.PeerReport(now); ok {
+			reports[s.hash] = share.SpeedReport{
+				Slowness: int16(math.Round(r.Slowness * share.SlownessUnit)), AgeMillis: uint16(r.Age.Milliseconds()),
+			}
+		}
+	}
+	return reports
+}
+
+// SetRemoteSpeeds applies the reports of another VM.
+func (f *Fleet) SetRemoteSpeeds(vm model.VMID, reports share.SpeedReports, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for hash, r := range reports {
+		if s, ok := f.byHash[hash]; ok && s.estimator != nil {
+			s.estimator.SetPeerReport(hashString(string(vm)), concurrency.PeerReport{
+				Slowness: float64(r.Slowness) / share.SlownessUnit, Age: time.Duration(r.AgeMillis) * time.Millisecond,
+			}, now)
+		}
+	}
+}
+
 // Speeds returns a summary of the estimates of each service; it is empty unless
 // Options.LearnCapacity is set.
 func (f *Fleet) Speeds(now time.Time) map[model.ServiceName]concurrency.Summary {
--- a/internal/pick/capacity_test.go
+++ b/internal/pick/capacity_test.go
@@ -10,7 +10,6 @@
 
 	"fuchsiaspar/internal/catalog"
 	"fuchsiaspar/internal/model"
-	"fuchsiaspar/internal/share"
 )
 
 // simServer is a backend server of a simulation.
@@ -130,10 +129,11 @@
 func (s *simulation) share() {
 	s.after(100*time.Millisecond, s.share)
 	for i, from := range s.vms {
-		counts := from.Outstanding()
+		counts, speeds := from.Outstanding(), from.SpeedReports(s.clock())
 		for j, to := range s.vms {
 			if i != j {
-				to.SetRemoteCounts(model.VMID(fmt.Sprint("vm-", i)), share.Counts(counts), s.clock())
+				to.SetRemoteCounts(model.VMID(fmt.Sprint("vm-", i)), counts, s.clock())
+				to.SetRemoteSpeeds(model.VMID(fmt.Sprint("vm-", i)), speeds, s.clock())
 			}
 		}
 	}
@@ -207,25 +207,49 @@
 // while it is five times slower than the others, gets no probes, or does not get its
 // requests back.
 func TestSlowServerLosesAndRegainsItsLoad(t *testing.T) {
-	usual, slow, after := 0, 0, 0
-	for seed := range uint64(5) {
-		s := newSimulation(10, 4, 200, true)
-		s.random = rand.New(rand.NewPCG(seed, 7))
-		count := func(sum *int) { s.runFor(3 * time.Second); *sum += s.servers[0].sent }
-		s.runFor(20 * time.Second)
-		count(&usual)
-		s.servers[0].speed = 0.2
-		s.runFor(time.Second)
-		count(&slow)
-		s.servers[0].speed = 1
-		s.runFor(3 * time.Second)
-		count(&after)
-	}
-	if slow > usual/4 || slow == 0 {
-		t.Errorf("%d requests from 1 s after the slowdown, want some and at most a quarter of %d", slow, usual)
-	}
-	if after < usual*3/4 {
-		t.Errorf("%d requests from 3 s after the recovery, want about %d", after, usual)
+	for _, tt := range []struct {
+		desc         string
+		servers, vms int
+		rate         float64
+		seeds        uint64
+	}{
+		{"many requests of a VM at a server", 10, 4, 200, 5},
+		{"a request in 4 s of a VM at a server", 60, 40, 600, 2},
+	} {
+		t.Run(tt.desc, func(t *testing.T) {
+			usual, slow, after := 0, 0, 0
+			for seed := range tt.seeds {
+				s := newSimulation(tt.servers, tt.vms, tt.rate, true)
+				s.random = rand.New(rand.NewPCG(seed, 7))
+				some := s.servers[:tt.servers/10]
+				count := func(sum *int) {
+					s.runFor(3 * time.Second)
+					for _, server := range some {
+						*sum += server.sent
+					}
+				}
+				setSpeed := func(speed float64) {
+					for _, server := range some {
+						server.speed = speed
+					}
+				}
+				s.runFor(20 * time.Second)
+				count(&usual)
+				setSpeed(0.2)
+				s.runFor(time.Second)
+				count(&slow)
+				setSpeed(1)
+				s.runFor(3 * time.Second)
+				count(&after)
+			}
+			t.Logf("%d requests before, %d while slow, %d after", usual, slow, after)
+			if slow > usual/4 || slow == 0 {
+				t.Errorf("%d requests from 1 s after the slowdown, want some and at most a quarter of %d", slow, usual)
+			}
+			if after < usual*3/4 {
+				t.Errorf("%d requests from 3 s after the recovery, want about %d", after, usual)
+			}
+		})
 	}
 }
 
@@ -278,13 +302,17 @@
 	for _, tt := range tests {
 		t.Run(tt.desc, func(t *testing.T) {
 			share, mean := map[bool]float64{}, map[bool]time.Duration{}
+			seeds := max(1, 120/(tt.servers*tt.vms))
 			for _, learn := range []bool{false, true} {
-				s := newSimulation(tt.servers, tt.vms, tt.rate/2, learn)
-				tt.setup(s)
-				s.runFor(20 * time.Second)
-				s.rate = tt.rate
-				share[learn] = s.runFor(20 * time.Second)
-				mean[learn] = s.latency / time.Duration(s.served)
+				for seed := range seeds {
+					s := newSimulation(tt.servers, tt.vms, tt.rate/2, learn)
+					s.random = rand.New(rand.NewPCG(uint64(seed), 9))
+					tt.setup(s)
+					s.runFor(20 * time.Second)
+					s.rate = tt.rate
+					share[learn] += s.runFor(20*time.Second) / float64(seeds)
+					mean[learn] += s.latency / time.Duration(s.served*seeds)
+				}
 			}
 			t.Logf("in time %.3f without, %.3f with; mean %v, %v", share[false], share[true], mean[false], mean[true])
 			if share[true] < share[false]+tt.gain {
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -62,6 +62,23 @@
 // process.
 type LeavingReports map[uint64]int64
 
+// SlownessUnit is the value of SpeedReport.Slowness for a server that takes e times as
+// long as the others of its service.
+const SlownessUnit = 100
+
+// SpeedReport is what a VM found of the speed of a server lately.
+type SpeedReport struct {
+	_ struct{} `cbor:",toarray"`
+	// Slowness is the logarithm of how many times as long as the other servers of its
+	// service the server takes, times SlownessUnit.
+	Slowness int16
+	// AgeMillis is the age of the evidence in milliseconds.
+	AgeMillis uint16
+}
+
+// SpeedReports maps the hash of a server to the report about it.
+type SpeedReports map[uint64]SpeedReport
+
 // message is the message that VMs send each other.
 type message struct {
 	// Revision and Era are the position of the sender's replica of the store.
@@ -73,6 +90,8 @@
 	Limits LimitReports `cbor:"3,keyasint,omitempty"`
 	// Leaving are the servers that said to the sender that they leave.
 	Leaving LeavingReports `cbor:"5,keyasint,omitempty"`
+	// Speeds holds servers that are slower than usual, and those of which others say so wrongly.
+	Speeds SpeedReports `cbor:"6,keyasint,omitempty"`
 }
 
 // Feed maintains this VM's replica of the store.
@@ -97,6 +116,10 @@
 	Leaving(now time.Time) LeavingReports
 	// SetRemoteLeaving applies the reports of another VM.
 	SetRemoteLeaving(reports LeavingReports, now time.Time)
+	// SpeedReports returns this VM's reports about servers that are slower than usual.
+	SpeedReports(now time.Time) SpeedReports
+	// SetRemoteSpeeds applies the reports of another VM.
+	SetRemoteSpeeds(vm model.VMID, reports SpeedReports, now time.Time)
 	// ExpireRemoteCounts removes the counts of VMs that stopped sending.
 	ExpireRemoteCounts(now time.Time)
 }
@@ -146,6 +169,7 @@
 	s.fleet.SetRemoteCounts(from, msg.Counts, now)
 	s.fleet.SetRemoteLimits(from, msg.Limits, now)
 	s.fleet.SetRemoteLeaving(msg.Leaving, now)
+	s.fleet.SetRemoteSpeeds(from, msg.Speeds, now)
 	for _, vm := range s.liveVMs() {
 		if vm.Name == from {
 			s.feed.ObservePosition(vm, replica.Position{Era: msg.Era, Revision: msg.Revision}, now)
@@ -161,8 +185,9 @@
 	msg := message{
 		Revision: position.Revision, Era: position.Era,
 		Counts: s.fleet.Outstanding(), Limits: s.fleet.LimitReports(now), Leaving: s.fleet.Leaving(now),
+		Speeds: s.fleet.SpeedReports(now),
 	}
-	empty := len(msg.Counts) == 0 && len(msg.Limits) == 0 && len(msg.Leaving) == 0
+	empty := len(msg.Counts) == 0 && len(msg.Limits) == 0 && len(msg.Leaving) == 0 && len(msg.Speeds) == 0
 	if empty && s.lastSentEmpty {
 		return
 	}
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -25,6 +25,8 @@
 	receivedLimits map[model.VMID]LimitReports
 	// ownLeaving are reported, and receivedLeaving are the last reports received.
 	ownLeaving, receivedLeaving LeavingReports
+	// ownSpeeds are reported, and receivedSpeeds are the last reports received.
+	ownSpeeds, receivedSpeeds SpeedReports
 	// messages is the number of messages received.
 	messages int
 }
@@ -66,6 +68,18 @@
 	f.receivedLeaving = reports
 }
 
+func (f *fakeFleet) SpeedReports(time.Time) SpeedReports {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ownSpeeds
+}
+
+func (f *fakeFleet) SetRemoteSpeeds(_ model.VMID, reports SpeedReports, _ time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.receivedSpeeds = reports
+}
+
 func (f *fakeFleet) ExpireRemoteCounts(time.Time) {}
 
 func (f *fakeFleet) stats() (from, messages int) {
@@ -153,13 +167,16 @@
 	})
 }
 
-// TestLeavingServersReachOtherVMs guards against servers that leave and lose the requests
-// of those VMs only to which they said so, also if those have no request outstanding.
+// TestLeavingServersReachOtherVMs guards against servers that leave, or are slow, and lose
+// the requests only of those VMs that found it out, also if those have no request
+// outstanding.
 func TestLeavingServersReachOtherVMs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fleets := startAll(t, 3, func(int) Counts { return nil })
 		fleets[0].mu.Lock()
 		fleets[0].ownLeaving = LeavingReports{7: 1700000000000}
+		slow := SpeedReport{Slowness: -160, AgeMillis: 80}
+		fleets[0].ownSpeeds = SpeedReports{7: slow}
 		fleets[0].mu.Unlock()
 		time.Sleep(2 * time.Second)
 		for i, fleet := range fleets[1:] {
@@ -167,6 +184,9 @@
 			if got := fleet.receivedLeaving[7]; got != 1700000000000 {
 				t.Errorf("vm-%02d received %v", i+1, fleet.receivedLeaving)
 			}
+			if got := fleet.receivedSpeeds[7]; got != slow {
+				t.Errorf("vm-%02d received %v of speeds", i+1, fleet.receivedSpeeds)
+			}
 			fleet.mu.Unlock()
 		}
 	})
