Weigh reports about slow servers over two seconds

A server that has lost most of its requests gets about two a second from all VMs together, so that two reports within 0.6 s were rare and the others not believed: with 40 servers, 30 VMs and 300 requests a second, four servers that became five times slower got 51 requests from 1 to 4 s after, of 146 before. Reports count for 2 s, weighted by age.

--- a/internal/concurrency/peers.go
+++ b/internal/concurrency/peers.go
@@ -15,8 +15,10 @@
 	reportAge, contradictionAge = 400 * time.Millisecond, time.Second
 	// maxPeerReports is the number of VMs whose latest reports about a server are kept.
 	maxPeerReports = 6
-	// peerSpan is how old reports may be, relative to the latest, that count with it.
-	peerSpan = 600 * time.Millisecond
+	// peerSpan is how old reports may be, relative to the latest, that count with it, and
+	// peerFade the time constant with which their weight decreases. A slow server gets
+	// about two requests a second from all VMs together.
+	peerSpan, peerFade = 2 * time.Second, 600 * time.Millisecond
 	// peerVariance is the variance of the reports of other VMs, which have other usual
 	// work times, and peerMemory the time in which their weight fades.
 	peerVariance = 0.03
@@ -114,19 +116,20 @@
 	s.peerTrust = max(0, min(1, (noTrust-share)/(noTrust-fullTrust)))
 }
 
-// peerMean returns the mean of the latest reports, the time of the latest one, and how many
+// peerMean returns the weighted mean of the latest reports, the time of the latest one, and how many
 // count.
 func (e *Estimator) peerMean() (mean float64, latest time.Duration, count int) {
 	for _, p := range e.peers {
 		latest = max(latest, p.at)
 	}
-	sum := 0.0
+	sum, weights := 0.0, 0.0
 	for _, p := range e.peers {
 		if latest-p.at < peerSpan {
-			sum, count = sum+p.slowness, count+1
+			weight := fade(latest-p.at, peerFade)
+			sum, weights, count = sum+weight*p.slowness, weights+weight, count+1
 		}
 	}
-	return sum / float64(max(count, 1)), latest, count
+	return sum / max(weights, 1), latest, count
 }
 
 // withPeers returns the slowness from this VM's own estimate and the reports of others. One
