Use idle slots of slow servers before a request is refused

The estimated capacity of a slow server is less than its slots, and servers were full by that capacity: requests for objects that the server had not handled were refused while it had idle slots. A server with fewer requests than slots up to the knee is never full; that it is slow stays a cost. Measured: TestIdleSlotsOfSlowServersAreUsed fails without the change.

--- a/internal/concurrency/estimator.go
+++ b/internal/concurrency/estimator.go
@@ -139,6 +139,8 @@
 	// Capacity is the number of requests that the server takes without a longer wait
 	// than a server of usual speed with all useful slots in use. It is at least one.
 	Capacity float64
+	// UsefulSlots is the number of slots up to the knee, whatever the speed.
+	UsefulSlots float64
 	// QueueShare is the part of the server's queue that may be used, from 0 to 1.
 	QueueShare float64
 	// Speed is how fast the server is relative to its service. When all of its servers
@@ -386,12 +388,15 @@
 		speed = max(minSpeed, min(maxSpeed, math.Exp(-slowness)))
 		share *= min(speed, 1)
 	}
+	useful := curve.knee
 	if e.shed > 0 {
-		share *= 1 - e.shedShare(at)
+		left := 1 - e.shedShare(at)
+		share, useful = share*left, useful*left
 	}
 	e.published = Estimate{
 		Capacity: max(minCapacity, share*float64(e.slots)), QueueShare: curve.queueShare(),
-		Speed: speed, Time: 1 / speed, ReportedSlowness: 1,
+		UsefulSlots: max(minCapacity, useful*float64(e.slots)),
+		Speed:       speed, Time: 1 / speed, ReportedSlowness: 1,
 	}
 	if e.hasReported {
 		e.published.ReportedSlowness = math.Exp(e.reported)
--- a/internal/pick/capacity.go
+++ b/internal/pick/capacity.go
@@ -69,6 +69,12 @@
 	return float64(max(s.Slots, 1))
 }
 
+// hasIdleSlot reports whether a slow server behind load has a slot that is worth using. Its
+// estimated capacity is less than that, but a slot that is idle is no reason for a refusal.
+func (s *Server) hasIdleSlot(load float64) bool {
+	return s.estimator != nil && load*s.capacity() < s.estimator.Estimate().UsefulSlots
+}
+
 // queueRoom returns the number of requests per slot that may wait at the server.
 func (s *Server) queueRoom() float64 {
 	if s.estimator != nil {
@@ -140,15 +146,19 @@
 // StopTiming excludes a request from the estimate of its server, because its time depends
 // on the client.
 func (f *Fleet) StopTiming(choice Choice) {
+	if !f.options.LearnCapacity {
+		return
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if choice.Server.estimator != nil {
-		choice.Server.estimator.Ignore(choice.ticket)
-	}
+	choice.Server.estimator.Ignore(choice.ticket)
 }
 
 // SpeedReports returns what this VM tells others about servers that are slower than usual.
 func (f *Fleet) SpeedReports(now time.Time) share.SpeedReports {
+	if !f.options.LearnCapacity {
+		return nil
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	reports := share.SpeedReports{}
@@ -156,9 +166,6 @@
 		service.Refresh(now)
 	}
 	for _, s := range f.servers {
-		if s.estimator == nil {
-			continue
-		}
 		if r, ok := s.estimator.PeerReport(now); ok {
 			reports[s.hash] = share.SpeedReport{
 				Slowness: int16(math.Round(r.Slowness * share.SlownessUnit)), AgeMillis: uint16(r.Age.Milliseconds()),
--- a/internal/pick/capacity_test.go
+++ b/internal/pick/capacity_test.go
@@ -325,6 +325,25 @@
 	}
 }
 
+// TestIdleSlotsOfSlowServersAreUsed guards against refusals while a slow server has idle
+// slots: once the first server of the objects is full, the other one must take as many
+// requests as it has slots, though its estimated capacity is less.
+func TestIdleSlotsOfSlowServersAreUsed(t *testing.T) {
+	s := newSimulation(2, 1, 40, true)
+	s.servers[0].speed = 0.2
+	s.runFor(20 * time.Second)
+	f := s.vms[0]
+	slow, fast := f.servers["i-0"], f.servers["i-1"]
+	for object := uint64(1_000_000); slow.outstanding+fast.outstanding < 16+4; object++ {
+		if serverWeight(object, slow.hash) > serverWeight(object, fast.hash) {
+			continue
+		}
+		if _, reason := f.Pick(Query{Route: s.route, Service: "desk", Object: object}, s.clock()); reason != "" {
+			t.Fatalf("refused with %d and %d requests: %s", slow.outstanding, fast.outstanding, reason)
+		}
+	}
+}
+
 // TestExplainAgreesWithPick guards against an explanation that names another server than a
 // request gets, or another reason for none.
 func TestExplainAgreesWithPick(t *testing.T) {
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -153,7 +153,7 @@
 	}
 	warm := rank == 0 || f.uses.isWarm(object, server, now)
 	switch {
-	case c.Load >= 1+server.queueRoom(), !warm && c.Load >= 1:
+	case c.Load >= 1 && (!warm || c.Load >= 1+server.queueRoom()) && !server.hasIdleSlot(c.Load):
 		c.Cost = math.Inf(1)
 		return c
 	case rank > 0 && warm:
