--- a/internal/share/link.go
+++ b/internal/share/link.go
@@ -107,9 +107,10 @@
 	// position and source are those last sent.
 	position replica.Position
 	source   model.VMID
-	// statements and leaving hold what was last sent, and when.
+	// statements, leaving and speeds hold what was last sent, and when.
 	statements map[uint64]statement
 	leaving    map[leavingServer]time.Time
+	speeds     map[speedKey]speed
 }
 
 // inStream is the state of the messages received from a neighbour.
@@ -133,7 +134,7 @@
 	return &link{vm: vm, direction: direction, createdAt: now, out: outStream{
 		stream: stream, resetDue: true, counterNumbers: map[CounterKey]int{}, totals: map[CounterKey]uint64{},
 		changedKeys: map[CounterKey]bool{}, unsent: map[CounterKey]uint64{}, unconfirmed: map[CounterKey]uint64{}, statements: map[uint64]statement{},
-		leaving: map[leavingServer]time.Time{},
+		leaving: map[leavingServer]time.Time{}, speeds: map[speedKey]speed{},
 	}}
 }
 
@@ -147,6 +148,7 @@
 	o.position, o.source = replica.Position{}, ""
 	clear(o.statements)
 	clear(o.leaving)
+	clear(o.speeds)
 	o.resetDue = false
 }
 
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -27,6 +27,8 @@
 	sent      map[uint64]uint64
 	// ownLeaving are reported, and receivedLeaving are the last reports received.
 	ownLeaving, receivedLeaving LeavingReports
+	// ownSpeeds are reported, and receivedSpeeds holds the last report received of each server.
+	ownSpeeds, receivedSpeeds SpeedReports
 }
 
 func (f *fakeFleet) Outstanding() Counts {
@@ -74,6 +76,20 @@
 	f.receivedLeaving = reports
 }
 
+func (f *fakeFleet) SpeedReports(time.Time) SpeedReports {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ownSpeeds
+}
+
+func (f *fakeFleet) SetRemoteSpeeds(reports []RemoteSpeed, _ time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, r := range reports {
+		f.receivedSpeeds[r.Server] = r.SpeedReport
+	}
+}
+
 // fakeFeed is at a fixed position and records the latest position of a hint.
 type fakeFeed struct {
 	position replica.Position
@@ -101,7 +117,7 @@
 	}
 	var fleets []*fakeFleet
 	for i, vm := range vms {
-		fleet := &fakeFleet{own: own(i), remote: Counts{}, stated: LimitReports{}, sent: map[uint64]uint64{}}
+		fleet := &fakeFleet{own: own(i), remote: Counts{}, stated: LimitReports{}, sent: map[uint64]uint64{}, receivedSpeeds: SpeedReports{}}
 		fleets = append(fleets, fleet)
 		endpoint := net.Join(vm.Name)
 		s := New(vm, fleet, &fakeFeed{position: replica.Position{Era: 1, Revision: 1}}, endpoint, func() []catalog.VM { return vms }, rand.New(rand.NewPCG(uint64(i), 1)))
@@ -146,13 +162,16 @@
 	})
 }
 
-// TestLeavingServersReachOtherVMs guards against servers that leave and lose the requests
-// of those VMs only to which they said so, also if those have no request outstanding.
+// TestLeavingServersReachOtherVMs guards against servers that leave, or are slow, and lose
+// the requests only of those VMs that found it out, also if those have no request
+// outstanding.
 func TestLeavingServersReachOtherVMs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fleets := startAll(t, 3, func(int) Counts { return nil })
 		fleets[0].mu.Lock()
 		fleets[0].ownLeaving = LeavingReports{7: 1700000000000}
+		slow := SpeedReport{Slowness: -160, Age: 80 * time.Millisecond}
+		fleets[0].ownSpeeds = SpeedReports{7: slow}
 		fleets[0].mu.Unlock()
 		time.Sleep(2 * time.Second)
 		for i, fleet := range fleets[1:] {
@@ -160,6 +179,11 @@
 			if got := fleet.receivedLeaving[7]; got != 1700000000000 {
 				t.Errorf("vm-%02d received %v", i+1, fleet.receivedLeaving)
 			}
+			// It ages on the way.
+			got := fleet.receivedSpeeds[7]
+			if age := got.Age - slow.Age; got.Slowness != slow.Slowness || age < 0 || age > 300*time.Millisecond {
+				t.Errorf("vm-%02d received %+v of speeds, want %+v", i+1, fleet.receivedSpeeds, slow)
+			}
 			fleet.mu.Unlock()
 		}
 	})
