--- a/internal/share/exchange_test.go
+++ b/internal/share/exchange_test.go
@@ -411,9 +411,10 @@
 // makes it allocate without bound.
 func TestDecodeRejectsMalformedMessages(t *testing.T) {
 	m := message{
-		flags: toChild | flagReset | flagPosition | flagSource | flagLoads | flagCounters | flagReports, stream: 900, sequence: 3, era: 1, revisionChange: -4,
+		flags: toChild | flagReset | flagPosition | flagSource | flagLoads | flagCounters | flagReports | flagSpeeds, stream: 900, sequence: 3, era: 1, revisionChange: -4,
 		source: "vm-1", newServers: []uint64{7, 9}, loads: []numbered{{0, 3}, {40, 99}}, newKeys: []CounterKey{{1, 2}},
 		counters: []numbered{{0, 12}}, statements: []statementRecord{{7, true, 2.5, time.Second}}, leaving: []leavingRecord{{9, 17}},
+		speeds: []RemoteSpeed{{9, 300, SpeedReport{-40, 250 * time.Millisecond}}},
 	}
 	data := m.encode()
 	if got, err := decode(data); err != nil || fmt.Sprint(got) != fmt.Sprint(m) {
--- a/internal/share/speeds.go
+++ b/internal/share/speeds.go
@@ -26,8 +26,9 @@
 	// maxSpeedServers bounds the servers with reports.
 	maxSpeedServers = 128
 	// maxSpeedRecords bounds the reports in a message, some 14 bytes each. The largest
-	// slowness goes first.
-	maxSpeedRecords = 6
+	// slowness goes first. With six, the reports of ordinary operation took more bytes than
+	// all other parts of the messages.
+	maxSpeedRecords = 4
 )
 
 // speed is the report of a VM about a server, with the time of the evidence and the link
