Keep query parameters out of the errors of `fuchsiaspar route`

The query is now set after the URL is parsed, and the cause is printed without the URL.

New checks: no answer of the endpoint repeats a key in any parameter or header, only GET is answered, and only on the metrics listener (front, readiness, directory and peer listeners give 404).

--- a/internal/cli/route.go
+++ b/internal/cli/route.go
@@ -58,13 +58,20 @@
 func fetchRouteReport(ctx context.Context, cmd *cli.Command, address string, params url.Values) (*routereport.Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, cmd.Duration(flagTimeout))
 	defer cancel()
-	target := url.URL{Scheme: "http", Host: address, Path: routereport.Path, RawQuery: params.Encode()}
+	target := url.URL{Scheme: "http", Host: address, Path: routereport.Path}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
 	if err != nil {
 		return nil, newUsageError("%s", err)
 	}
+	// The errors of net/http name the URL, whose query holds a key if one was passed in
+	// place of an account's name.
+	req.URL.RawQuery = params.Encode()
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
+		var urlError *url.Error
+		if errors.As(err, &urlError) {
+			err = urlError.Err
+		}
 		return nil, errors.WithStack(&unreachableError{servers: []string{address}, lastErr: err})
 	}
 	defer resp.Body.Close()
--- a/internal/cli/route_test.go
+++ b/internal/cli/route_test.go
@@ -10,8 +10,12 @@
 	"fuchsiaspar/internal/routereport"
 )
 
-// TestRoute guards against answers that are printed without what they rest on, and against
-// refusals of a VM that look like success.
+// shows reports whether a command printed text.
+func (r commandResult) shows(text string) bool { return strings.Contains(r.stdout+r.stderr, text) }
+
+// TestRoute guards against answers that are printed without what they rest on, against
+// refusals of a VM that look like success, and against keys that are printed when they are
+// passed in place of an account's name.
 func TestRoute(t *testing.T) {
 	const answer = `{"vm":"edge-1","region":"mb","data":{"config_version":7,"copy_age_ms":120},
 		"route":{"name":"read","host":"h","prefix":"/a/","kind":"idempotent","rank":1},
@@ -46,11 +50,23 @@
 	if got := run("route", "--host", "h", "--region", "x", address); got.code != ExitRefused || !strings.Contains(got.stderr, "unknown region") {
 		t.Errorf("unknown region: got %d, %s", got.code, got.stderr)
 	}
+	if got := run("route", "--host", "h", "--account", "key-1", "--object", "key-2", address); got.code != 0 || got.shows("key-") {
+		t.Errorf("a key instead of an account's name: got %d, %s%s", got.code, got.stdout, got.stderr)
+	}
+	if got := run("route", "--host", "h", "--account", "key-1", "--region", "x", address); got.code != ExitRefused || got.shows("key-") {
+		t.Errorf("refused with a key: got %d, %s%s", got.code, got.stdout, got.stderr)
+	}
+	if got := run("route", "--host", "h", "--account", "key-1", "bad address\x7f:1"); got.code != ExitUsage || got.shows("key-") {
+		t.Errorf("bad address with a key: got %d, %s%s", got.code, got.stdout, got.stderr)
+	}
 	if got := run("route", address); got.code != ExitUsage {
 		t.Errorf("no host: got %d, want a usage error", got.code)
 	}
 	server.Close()
-	if got := run("route", "--host", "h", address); got.code != ExitUnavailable {
-		t.Errorf("no VM: got %d", got.code)
+	for _, args := range [][]string{nil, {"--json"}} {
+		got := run(append(args, "route", "--host", "h", "--account", "key-1", address)...)
+		if got.code != ExitUnavailable || got.shows("key-") || !got.shows("refused") {
+			t.Errorf("no VM: got %d, %s%s", got.code, got.stdout, got.stderr)
+		}
 	}
 }
--- a/internal/front/explain_test.go
+++ b/internal/front/explain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -112,14 +113,25 @@
 		{http.MethodGet, "host=h.example&path=/read/a&account=key-1", nil, 200},
 		{http.MethodGet, "host=h.example&region=key-1", nil, 400},
 		{http.MethodGet, "path=/read/a", nil, 400},
+		{http.MethodGet, "host=key-1", nil, 200},
+		{http.MethodGet, "host=h.example&path=/key-1", nil, 200},
+		{http.MethodGet, "host=h.example&path=/read/key-1&account=homed&object=key-1", nil, 200},
+		{http.MethodGet, "host=h.example&path=/read/a&account=homed&zone=key-1", nil, 400},
+		{http.MethodGet, "host=h.example&account=homed&account=key-1", nil, 400},
 		{http.MethodPost, "host=h.example", nil, 405},
+		{http.MethodHead, "host=h.example", nil, 405},
+		{http.MethodPut, "host=h.example", nil, 405},
+		{http.MethodDelete, "host=h.example", nil, 405},
+		{http.MethodOptions, "host=h.example", nil, 405},
+		{http.MethodConnect, "host=h.example", nil, 405},
+		{"key-1", "host=h.example", nil, 405},
 	} {
 		answer := ask(explainer(t, 0), tt.method, tt.query, tt.header)
 		if answer.Code != tt.status {
 			t.Errorf("%s %s: got status %d, want %d", tt.method, tt.query, answer.Code, tt.status)
 		}
-		if strings.Contains(answer.Body.String(), "key-") {
-			t.Errorf("%s: the answer repeats the key: %s", tt.query, answer.Body)
+		if shown := answer.Body.String() + fmt.Sprint(answer.Header()); strings.Contains(shown, "key-") {
+			t.Errorf("%s %s: the answer repeats the key: %s", tt.method, tt.query, shown)
 		}
 	}
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -158,6 +158,42 @@
 	}
 }
 
+// TestRouteIsExplainedOnTheMetricsListenerOnly guards against an explanation of the routing
+// that clients can ask for, and against methods other than GET that reach the handler.
+func TestRouteIsExplainedOnTheMetricsListenerOnly(t *testing.T) {
+	store := storetest.Start(t, 2)
+	n := startNode(t, "vm-a", store)
+	startBackend(t, store, "i-1", "one", 0)
+	configure(store, 1, "one")
+	eventually(t, "served", n.serves("one"))
+	const question = routereport.Path + "?host=h&path=/a/x"
+	listen := n.settings.Listen
+	for name, address := range map[string]string{
+		"front": listen.Front, "readiness": listen.Ready, "directory": listen.Directory, "peer": listen.Peer,
+	} {
+		if status, body := get(address, question, "h"); status != http.StatusNotFound || strings.Contains(body, "i-1") {
+			t.Errorf("%s: got %d, %s, want 404", name, status, body)
+		}
+	}
+	for _, method := range []string{http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete, http.MethodOptions, http.MethodHead} {
+		req, err := http.NewRequest(method, "http://"+listen.Metrics+question, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode != http.StatusMethodNotAllowed || resp.Header.Get("Allow") != http.MethodGet {
+			t.Errorf("%s: got %d, Allow %q, want 405 and GET", method, resp.StatusCode, resp.Header.Get("Allow"))
+		}
+	}
+	if status, body := get(listen.Metrics, question, "x"); status != http.StatusOK || !strings.Contains(body, `"chosen":"i-1"`) {
+		t.Errorf("metrics: got %d, %s", status, body)
+	}
+}
+
 // TestCapacityIsLearnedWhereSwitchedOn guards against a setting that has no effect, and
 // checks that the VM explains its routing where it serves its metrics.
 func TestCapacityIsLearnedWhereSwitchedOn(t *testing.T) {
