Test that a server is full at the lower of queue and latency objective

The tests check which of them holds, when a refusal is too_late, and that an explanation agrees with the choice where requests are admitted by their objective (before only by the queue).

--- a/internal/pick/capacity_test.go
+++ b/internal/pick/capacity_test.go
@@ -361,10 +361,77 @@
 // TestExplainAgreesWithPick guards against an explanation that names another server than a
 // request gets, or another reason for none.
 func TestExplainAgreesWithPick(t *testing.T) {
-	s := newSimulation(12, 1, 500, true)
+	t.Run("by queue", func(t *testing.T) {
+		if reasons := explainAgrees(t, newSimulation(12, 1, 500, true)); reasons[AllFull] == 0 || reasons[TooLate] > 0 {
+			t.Errorf("refusals %v, want some by full servers and none by the objective", reasons)
+		}
+	})
+	t.Run("by objective", func(t *testing.T) {
+		s := newSimulation(12, 1, 500, true)
+		s.admitByObjective(t, 150*time.Millisecond)
+		// Work times must be known.
+		s.rate = 150
+		s.runFor(10 * time.Second)
+		if reasons := explainAgrees(t, s); reasons[TooLate] == 0 {
+			t.Errorf("refusals %v, want some by the objective", reasons)
+		}
+	})
+}
+
+// admitByObjective makes the VMs refuse requests that would miss an objective.
+func (s *simulation) admitByObjective(t *testing.T, objective time.Duration) {
+	t.Helper()
+	s.route.TargetLatency = objective
+	configuration := config()
+	configuration.Routes = []catalog.Route{*s.route}
+	if err := configuration.Accounts.Add(&catalog.Account{ID: "a"}, nil); err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range s.vms {
+		f.SetSnapshot(catalog.NewSnapshot(2, configuration, s.entries, nil, nil), s.clock())
+	}
+}
+
+// TestServersAreFullAtTheLowerThreshold guards against requests that queue where they would
+// miss their objective because the queue has room, or that are refused by a server whose
+// queue the objective would not fill.
+func TestServersAreFullAtTheLowerThreshold(t *testing.T) {
+	s := newSimulation(10, 4, 120, true)
+	s.knee = 0.5
+	s.runFor(20 * time.Second)
+	s.rate = 240
+	s.runFor(20 * time.Second)
+	server := s.vms[0].servers["i-0"]
+	byQueue := 1 + server.queueRoom()
+	if byQueue >= queueFull || byQueue <= 1 {
+		t.Fatalf("the server is full at %.2f by its queue, want less than %d after a knee was found", byQueue, queueFull)
+	}
+	for full, want := range map[float64]float64{queueFull: byQueue, byQueue + 0.1: byQueue, 1.5: 1.5} {
+		if got := server.fullLoad(full); got != want {
+			t.Errorf("full at %.2f for a request with the threshold %.2f, want %.2f", got, full, want)
+		}
+	}
+	for _, tt := range []struct {
+		load, full float64
+		want       bool
+	}{{1.6, 1.5, true}, {1.4, 1.5, false}, {byQueue, 1.5, false}, {byQueue, queueFull, false}} {
+		if c := (Choice{Server: server, Load: tt.load}); c.wouldBeLate(tt.full) != tt.want {
+			t.Errorf("load %.2f, threshold %.2f: late is %t", tt.load, tt.full, !tt.want)
+		}
+	}
+	plain := &Server{Server: s.entries[0]}
+	if got := plain.fullLoad(queueFull); got != queueFull {
+		t.Errorf("without estimates full at %.2f, want %d", got, queueFull)
+	}
+}
+
+// explainAgrees compares explanations and choices under growing load, and returns how often
+// each reason was given for none.
+func explainAgrees(t *testing.T, s *simulation) map[Reason]int {
+	t.Helper()
 	s.servers[3].speed = 0.2
 	f := s.vms[0]
-	refused := 0
+	refused, reasons := 0, map[Reason]int{}
 	for i := range uint64(400) {
 		s.rate = 300 + 10*float64(i)
 		s.runFor(20 * time.Millisecond)
@@ -376,6 +443,7 @@
 		c, reason := f.Pick(query, s.clock())
 		if reason != "" {
 			refused++
+			reasons[reason]++
 		}
 		if e.Reason != reason || reason == "" && e.Service.Chosen != string(c.Target.ID) {
 			t.Fatalf("explained as %q %q, picked %v %q", e.Service.Chosen, e.Reason, c.Target, reason)
@@ -396,6 +464,7 @@
 	if refused <= 40 {
 		t.Errorf("%d refusals, want some by full servers", refused)
 	}
+	return reasons
 }
 
 // TestEstimateEndsWithTheProcess guards against the judgment of a server by what its
