Test that reports about slow servers don't return

Two checks could be removed without a failing test, since each covers for the other in a settled tree: a report is not sent back on its link, and a VM does not take over its own report.

--- a/internal/share/speeds_test.go
+++ b/internal/share/speeds_test.go
@@ -231,3 +231,35 @@
 		}
 	}
 }
+
+// TestSpeedsDoNotReturn guards against reports that are sent back on the link that they were
+// heard on, and those that a VM takes over from others although they are its own, as may
+// happen while links change.
+func TestSpeedsDoNotReturn(t *testing.T) {
+	s := newSim(t, 9)
+	s.load(simRequestsPerVM, everyVM)
+	s.advance(time.Second)
+	e := s.root("r0").exchange
+	for from := range e.links() {
+		clear(e.speeds)
+		m := message{speeds: []RemoteSpeed{
+			{7, e.origin + 1, SpeedReport{160, time.Millisecond}}, {8, e.origin, SpeedReport{160, time.Millisecond}},
+		}}
+		e.takeSpeeds(from, &m, s.now)
+		if len(e.speeds[7]) != 1 || len(e.speeds[8]) > 0 {
+			t.Errorf("took over %v, want the report of the other VM only", e.speeds)
+		}
+		for l := range e.links() {
+			var sent message
+			e.addSpeeds(l, &sent, s.now)
+			want := 0
+			if carries(l, from) {
+				want = 1
+			}
+			if l == from && want != 0 || len(sent.speeds) != want {
+				t.Errorf("a report from %s is sent %d times to %s, want %d", from.vm.Name, len(sent.speeds), l.vm.Name, want)
+			}
+			clear(l.out.speeds)
+		}
+	}
+}
