Merge the estimation of server capacity and the command route

The options of tests that start a node are one function now; the endpoint of the command route is accounted as the metrics listener. The estimation is off by default.

--- a/internal/front/account.go
+++ b/internal/front/account.go
@@ -5,7 +5,6 @@
 	"strconv"
 	"time"
 
-	"fuchsiaspar/internal/catalog"
 	"fuchsiaspar/platform"
 )
 
@@ -35,14 +34,6 @@
 	return true
 }
 
-// allowedRegions returns the regions in which the request may run.
-func (q *request) allowedRegions() catalog.Regions {
-	if q.account == nil {
-		return catalog.NewRegions(q.route.Regions)
-	}
-	return catalog.NewRegions(q.route.Regions, q.account.Regions)
-}
-
 // setAccountHeaders replaces what the client said of its account by what the servers may
 // know of it. Where there are accounts, the Authorization header holds a key.
 func (q *request) setAccountHeaders(h http.Header) {
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -139,6 +139,10 @@
 		return result
 	}
 	defer q.endAttempt(choice)
+	if q.body.rest != nil {
+		// The server reads the body as fast as the client sends it.
+		q.server.opts.Fleet.StopTiming(choice)
+	}
 	resp, err := q.server.opts.Client.Do(q.r.Context(), choice.Target, &upstream.Request{
 		ID:       q.id,
 		Method:   q.r.Method,
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -163,7 +163,7 @@
 		q.refuse(http.StatusBadRequest, reasonNoRequestID)
 		return
 	}
-	if q.route = matchRoute(q.snapshot, q.r); q.route == nil {
+	if q.route = matchRoute(q.snapshot, q.r.Host, q.r.URL.EscapedPath()); q.route == nil {
 		q.refuse(http.StatusNotFound, reasonNoRoute)
 		return
 	}
@@ -176,7 +176,7 @@
 	}
 	q.service = q.chooseService()
 	q.objectHash = pick.ObjectHash(q.route.Host, q.route.Prefix, q.affinityKey())
-	q.regions = q.allowedRegions()
+	q.regions = allowedRegions(q.route, q.account)
 	q.forwardedHeader = forwardHeader(q.r.Header)
 	q.setAccountHeaders(q.forwardedHeader)
 	q.server.opts.RetryBudget.Deposit(q.service)
@@ -199,15 +199,14 @@
 	}
 }
 
-// matchRoute returns the route for the host and path of r, or nil. A Host header
-// that does not match as sent is tried without its port.
-func matchRoute(snapshot *catalog.Snapshot, r *http.Request) *catalog.Route {
-	path := r.URL.EscapedPath()
-	if route := snapshot.MatchRoute(r.Host, path); route != nil {
+// matchRoute returns the route for a host and path, or nil. A host that does not match as
+// sent is tried without its port.
+func matchRoute(snapshot *catalog.Snapshot, host, path string) *catalog.Route {
+	if route := snapshot.MatchRoute(host, path); route != nil {
 		return route
 	}
-	if host, _, err := net.SplitHostPort(r.Host); err == nil {
-		return snapshot.MatchRoute(host, path)
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return snapshot.MatchRoute(name, path)
 	}
 	return nil
 }
--- a/internal/front/pipelined.go
+++ b/internal/front/pipelined.go
@@ -50,7 +50,7 @@
 	if s.draining.Load() || snapshot.Config == nil || r.Header.Get(platform.HeaderRequestID) == "" {
 		return false
 	}
-	route := matchRoute(snapshot, r)
+	route := matchRoute(snapshot, r.Host, r.URL.EscapedPath())
 	return route != nil && route.Kind.Repeatable()
 }
 
--- a/internal/node/intake_test.go
+++ b/internal/node/intake_test.go
@@ -14,7 +14,7 @@
 // links by occupying the connections of the peer listener.
 func TestLinksDuringACrowd(t *testing.T) {
 	store := storetest.Start(t, 2)
-	a := startNodeWithLimits(t, platform.NodeLimits{MemoryMB: 284, MaxDescriptors: 600}, "vm-a", store)
+	a := startNodeWith(t, platform.NodeLimits{MemoryMB: 284, MaxDescriptors: 600}, platform.Features{}, "vm-a", store)
 	configure(store, 1, "one")
 	eventually(t, "ready", a.Ready)
 	// Several times as many as the listener may have with 600 descriptors.
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -18,6 +18,7 @@
 
 	"fuchsiaspar/internal/catalog"
 	"fuchsiaspar/internal/model"
+	"fuchsiaspar/internal/routereport"
 	"fuchsiaspar/platform"
 	"fuchsiaspar/platform/storetest"
 )
@@ -47,14 +48,15 @@
 // startNode runs an entry VM in region r against a store.
 func startNode(t *testing.T, name string, store *storetest.Store, seeds ...string) *Node {
 	t.Helper()
-	return startNodeWithLimits(t, platform.NodeLimits{MemoryMB: 284}, name, store, seeds...)
+	return startNodeWith(t, platform.NodeLimits{MemoryMB: 284}, platform.Features{}, name, store, seeds...)
 }
 
-// startNodeWithLimits is startNode with other resources of the VM.
-func startNodeWithLimits(t *testing.T, limits platform.NodeLimits, name string, store *storetest.Store, seeds ...string) *Node {
+// startNodeWith is startNode with other resources and features of the VM.
+func startNodeWith(t *testing.T, limits platform.NodeLimits, features platform.Features, name string, store *storetest.Store, seeds ...string) *Node {
 	t.Helper()
 	n, err := New(platform.NodeSettings{
-		Name: model.VMID(name), Zone: "z", Region: "r", Regions: map[model.Zone]model.Region{"z": "r"},
+		Features: features,
+		Name:     model.VMID(name), Zone: "z", Region: "r", Regions: map[model.Zone]model.Region{"z": "r"},
 		Listen: platform.Listen{
 			Front: freeAddress(t), Ready: freeAddress(t), Directory: freeAddress(t), Peer: freeAddress(t),
 			Metrics: freeAddress(t),
@@ -158,6 +160,74 @@
 	}
 }
 
+// TestRouteIsExplainedOnTheMetricsListenerOnly guards against an explanation of the routing
+// that clients can ask for, and against methods other than GET that reach the handler.
+func TestRouteIsExplainedOnTheMetricsListenerOnly(t *testing.T) {
+	store := storetest.Start(t, 2)
+	n := startNode(t, "vm-a", store)
+	startBackend(t, store, "i-1", "one", 0)
+	configure(store, 1, "one")
+	eventually(t, "served", n.serves("one"))
+	const question = routereport.Path + "?host=h&path=/a/x"
+	listen := n.settings.Listen
+	for name, address := range map[string]string{
+		"front": listen.Front, "readiness": listen.Ready, "directory": listen.Directory, "peer": listen.Peer,
+	} {
+		if status, body := get(address, question, "h"); status != http.StatusNotFound || strings.Contains(body, "i-1") {
+			t.Errorf("%s: got %d, %s, want 404", name, status, body)
+		}
+	}
+	for _, method := range []string{http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete, http.MethodOptions, http.MethodHead} {
+		req, err := http.NewRequest(method, "http://"+listen.Metrics+question, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode != http.StatusMethodNotAllowed || resp.Header.Get("Allow") != http.MethodGet {
+			t.Errorf("%s: got %d, Allow %q, want 405 and GET", method, resp.StatusCode, resp.Header.Get("Allow"))
+		}
+	}
+	if status, body := get(listen.Metrics, question, "x"); status != http.StatusOK || !strings.Contains(body, `"chosen":"i-1"`) {
+		t.Errorf("metrics: got %d, %s", status, body)
+	}
+}
+
+// TestCapacityIsLearnedWhereSwitchedOn guards against a setting that has no effect, and
+// checks that the VM explains its routing where it serves its metrics.
+func TestCapacityIsLearnedWhereSwitchedOn(t *testing.T) {
+	for _, learn := range []bool{true, false} {
+		store := storetest.Start(t, 2)
+		n := startNodeWith(t, platform.NodeLimits{MemoryMB: 284}, platform.Features{LearnServerCapacity: &learn}, "vm-a", store)
+		startBackend(t, store, "i-1", "one", 0)
+		configure(store, 1, "one")
+		eventually(t, "served", n.serves("one"))
+		if _, body := get(n.settings.Listen.Metrics, routereport.Path+"?host=h&path=/a/x", "x"); !strings.Contains(body, `"chosen":"i-1"`) {
+			t.Errorf("got %s, want the only server as chosen", body)
+		}
+		// The gauges of a service are updated in this order, but may be reported apart.
+		shown := func(gauge string) func() bool {
+			return func() bool {
+				_, metrics := get(n.settings.Listen.Metrics, metricsPath, "x")
+				return strings.Contains(metrics, gauge)
+			}
+		}
+		speed := shown("fuchsiaspar_server_speed_median{")
+		if learn {
+			eventually(t, "a gauge of the speed", speed)
+			continue
+		}
+		eventually(t, "a gauge of the servers", shown("fuchsiaspar_servers{"))
+		time.Sleep(1500 * time.Millisecond)
+		if speed() {
+			t.Error("a gauge of the speed is shown though it is switched off")
+		}
+	}
+}
+
 func TestConfigurationReachesVMWithoutStore(t *testing.T) {
 	store, away := storetest.Start(t, 100), storetest.Start(t, 100)
 	away.SetFaults(storetest.Faults{RefuseStatus: http.StatusTooManyRequests})
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -10,6 +10,7 @@
 	"fuchsiaspar/internal/front"
 	"fuchsiaspar/internal/intake"
 	"fuchsiaspar/internal/peer"
+	"fuchsiaspar/internal/routereport"
 	"fuchsiaspar/platform"
 
 	"github.com/pkg/errors"
@@ -58,6 +59,10 @@
 	}{
 		{intake.Ready, addresses.Ready, platform.PathReady, http.HandlerFunc(b.node.serveReady)},
 		{intake.Metrics, addresses.Metrics, metricsPath, b.metrics},
+		{intake.Metrics, addresses.Metrics, routereport.Path, &front.RouteExplainer{
+			VM: b.settings.Name, Region: b.settings.Region, Regions: b.settings.Regions,
+			Snapshot: b.node.state.Current, Age: b.feed.Age, Fleet: b.fleet,
+		}},
 		{intake.Directory, addresses.Directory, platform.PathResolve, lookups},
 		{intake.Peer, addresses.Peer, peer.Path, b.mesh},
 		{intake.Peer, addresses.Peer, seedPath, limitConcurrency(&seedHandler{copy: b.copy, liveness: b.node.liveness})},
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"fuchsiaspar/internal/catalog"
+	"fuchsiaspar/internal/concurrency"
 	"fuchsiaspar/internal/model"
 )
 
@@ -80,16 +81,21 @@
 	Rank int
 	// Cost is the sum of the server's load and its penalties; the lowest wins.
 	Cost float64
-	// Load is the number of requests at the server divided by its slots.
+	// Load is the number of requests at the server divided by its capacity, which is
+	// its slots unless Options.LearnCapacity is set.
 	Load float64
 	// Cold reports whether the server was starting cold.
-	Cold   bool
+	Cold bool
+	// warm reports that a server other than the first in the ranking has handled the
+	// object lately.
+	warm   bool
 	object uint64
-	// route, startedAt and known serve the average of work times: known reports that the
+	// route, startedAt and known serve the averages of work times: known reports that the
 	// server has handled the object lately.
 	route     string
 	startedAt time.Time
 	known     bool
+	ticket    concurrency.Ticket
 }
 
 // Pick chooses the server with the lowest cost and counts the request as
@@ -99,11 +105,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	list := f.byService[q.Service]
+	f.refreshEstimates(q.Service, now)
 	top, limited := f.topServers(list, q, now)
 	best, full, late := Choice{Cost: math.Inf(1)}, f.fullLoad(q), false
 	for rank, entry := range top.entries[:top.count] {
 		c := f.evaluate(entry.server, rank, q.Object, full, now)
-		late = late || c.Load >= full && c.Load < queueFull
+		late = late || c.wouldBeLate(full)
 		if c.Cost < best.Cost {
 			best = c
 		}
@@ -129,7 +136,7 @@
 	}
 	best.route, best.startedAt = q.Route.Name, now
 	best.known = f.uses.isWarm(q.Object, best.Server, now)
-	f.recordStart(best, now)
+	f.recordStart(&best, now)
 	return best, ""
 }
 
@@ -158,8 +165,19 @@
 	return f.work.fullLoad(q.Route, q.Service)
 }
 
+// fullLoad returns the load at which the server is full for a request: where its queue
+// ends, or full if that is lower.
+func (s *Server) fullLoad(full float64) float64 { return min(full, 1+s.queueRoom()) }
+
+// wouldBeLate reports whether the server has room in its queue, but only where a request
+// would miss its latency objective.
+func (c *Choice) wouldBeLate(full float64) bool {
+	return c.Load >= full && c.Load < 1+c.Server.queueRoom()
+}
+
 // evaluate returns the server as a candidate for object, with its cost. The cost
-// is infinite for a server whose load is full or more, and for one that has not handled
+// is infinite for a server that is full, with full as the load behind which the request
+// would miss its objective, and for one that has not handled
 // the object lately and has no free slot: work on an object that is not cached
 // takes several times as long, so spreading objects under overload would make the
 // overload worse.
@@ -170,15 +188,16 @@
 	}
 	warm := rank == 0 || f.uses.isWarm(object, server, now)
 	switch {
-	case c.Load >= full, !warm && c.Load >= 1:
+	case c.Load >= 1 && (!warm || c.Load >= server.fullLoad(full)) && !server.hasIdleSlot(c.Load):
 		c.Cost = math.Inf(1)
 		return c
 	case rank > 0 && warm:
-		c.Cost = warmCost
+		c.Cost, c.warm = warmCost, true
 	default:
 		c.Cost = rankStepCost * float64(rank)
 	}
-	c.Cost += c.Load + failureCost*server.health.currentFailureRate(now) + server.slowness.cost(c.Load, now)
+	c.Cost += server.speedCost(c.Load) + failureCost*server.health.currentFailureRate(now) +
+		server.slowness.cost(c.Load, server.usualSlowness(), now)
 	if c.Cold {
 		c.Cost += coldCost
 	}
@@ -229,7 +248,8 @@
 	return s.coldSender
 }
 
-func (f *Fleet) recordStart(c Choice, now time.Time) {
+func (f *Fleet) recordStart(c *Choice, now time.Time) {
+	f.beginEstimate(c, now)
 	c.Server.outstanding++
 	c.Server.sent++
 	c.Server.limit.recordSend(now)
@@ -238,13 +258,13 @@
 	}
 }
 
-// load returns the requests of all VMs at a server divided by its slots, from the
+// load returns the requests of all VMs at a server divided by its capacity, from the
 // counts that the VMs reported and the server's own report.
 func (f *Fleet) load(s *Server, now time.Time) float64 {
 	return s.loadWithin(reportMaxAge, f.remoteTotals[s.hash], now)
 }
 
-// loadWithin returns the server's requests divided by its slots. It uses the
+// loadWithin returns the server's requests divided by its capacity. It uses the
 // server's own report only if that is younger than maxReportAge. remote is the
 // number of requests from other VMs.
 func (s *Server) loadWithin(maxReportAge time.Duration, remote int, now time.Time) float64 {
@@ -252,7 +272,7 @@
 	if now.Sub(s.reportedAt) < maxReportAge {
 		count = max(count, s.report.Running+s.report.Waiting)
 	}
-	return float64(count) / float64(max(s.Slots, 1))
+	return float64(count) / s.capacity()
 }
 
 // Outcome is the result of a request at a server.
@@ -283,6 +303,7 @@
 	defer f.mu.Unlock()
 	server := choice.Server
 	server.outstanding--
+	server.recordEstimate(choice, outcome, report, now)
 	if report != nil {
 		// The report still includes the request that just ended.
 		report.Running = max(report.Running-1, 0)
@@ -314,6 +335,7 @@
 		})
 		if server.health.unanswered == restartThreshold {
 			f.setCold(server, f.coldDuration(server.Service)+server.health.ejectedUntil.Sub(now), now)
+			server.forgetEstimate()
 		}
 	}
 }
--- a/internal/pick/pick_test.go
+++ b/internal/pick/pick_test.go
@@ -52,7 +52,12 @@
 }
 
 func newFleet(self string, region model.Region, all []catalog.VM, list []*catalog.Server) *Fleet {
-	f := NewFleet(Options{Self: model.VMID(self), Region: region, ColdFactor: coldFactor, ColdSlack: coldSlack})
+	return newFleetWith(Options{Self: model.VMID(self), Region: region}, all, list)
+}
+
+func newFleetWith(options Options, all []catalog.VM, list []*catalog.Server) *Fleet {
+	options.ColdFactor, options.ColdSlack = coldFactor, coldSlack
+	f := NewFleet(options)
 	f.SetVMs(all)
 	f.SetSnapshot(snapshot(list, nil), start)
 	return f
@@ -300,7 +305,13 @@
 
 // BenchmarkPick chooses servers of a service of which no server is cold, and of one
 // of which all are, as after the loss of power in a zone.
-func BenchmarkPick(b *testing.B) {
+func BenchmarkPick(b *testing.B) { benchmarkPick(b, false, 0) }
+
+// BenchmarkPickWithLearnedCapacity is BenchmarkPick with estimates of the servers, for which
+// requests must take time.
+func BenchmarkPickWithLearnedCapacity(b *testing.B) { benchmarkPick(b, true, 50*time.Millisecond) }
+
+func benchmarkPick(b *testing.B, learn bool, took time.Duration) {
 	for _, count := range []int{20, 160, 753, 5000} {
 		for _, cold := range []time.Duration{0, time.Hour} {
 			b.Run(fmt.Sprintf("servers=%d/cold=%v", count, cold > 0), func(b *testing.B) {
@@ -308,13 +319,13 @@
 				for _, s := range list {
 					s.ColdRemaining = cold
 				}
-				f := newFleet("vm-0", "lj", vms(117), list)
+				f := newFleetWith(Options{Self: "vm-0", Region: "lj", LearnCapacity: learn}, vms(117), list)
 				b.ReportAllocs()
 				for i := 0; b.Loop(); i++ {
 					now := start.Add(time.Duration(i) * time.Millisecond)
 					c, reason := f.Pick(Query{Route: lookup, Service: "desk", Object: mix(uint64(i % 400))}, now)
 					if reason == "" {
-						f.Done(c, Answered, nil, now)
+						f.Done(c, Answered, nil, now.Add(took))
 					}
 				}
 			})
--- a/internal/share/codec.go
+++ b/internal/share/codec.go
@@ -39,6 +39,8 @@
 	// flagProbe marks a question whether the receiver is back, which says nothing else, or
 	// the answer.
 	flagProbe
+	// flagSpeeds marks a message with reports about the speeds of servers.
+	flagSpeeds
 )
 
 // message is the decoded form of a message. A stream of messages from one VM to
@@ -61,6 +63,7 @@
 	counters   []numbered
 	statements []statementRecord
 	leaving    []leavingRecord
+	speeds     []RemoteSpeed
 }
 
 // numbered is the value of a server or counter by its number in the stream.
@@ -120,6 +123,9 @@
 	if m.has(flagReports) {
 		b = m.appendReports(b)
 	}
+	if m.has(flagSpeeds) {
+		b = m.appendSpeeds(b)
+	}
 	return b
 }
 
@@ -256,6 +262,9 @@
 	if m.has(flagReports) {
 		r.reports(&m)
 	}
+	if m.has(flagSpeeds) {
+		r.speeds(&m)
+	}
 	if r.failed || len(r.data) > 0 {
 		return message{}, errMalformed
 	}
--- a/internal/share/exchange.go
+++ b/internal/share/exchange.go
@@ -147,6 +147,9 @@
 	totals, lastUses map[CounterKey]uint64
 	statements       map[uint64]statement
 	departures       map[leavingServer]departure
+	// speeds holds the reports about slow servers, and origin is this VM in them.
+	speeds speedTable
+	origin uint16
 
 	// activeUntil is when this VM's traffic counts as ended.
 	activeUntil time.Time
@@ -171,7 +174,7 @@
 		tree: newTree(self), fleet: fleet, feed: feed, counters: counters, random: random,
 		children: map[model.VMID]*link{}, regions: map[model.VMID]*link{}, indexes: map[uint64]int{},
 		totals: map[CounterKey]uint64{}, lastUses: map[CounterKey]uint64{}, statements: map[uint64]statement{},
-		departures: map[leavingServer]departure{},
+		departures: map[leavingServer]departure{}, speeds: speedTable{}, origin: speedOrigin(self.Name),
 	}
 }
 
@@ -567,7 +570,8 @@
 func (e *exchange) sample(now time.Time) {
 	e.nextSample = now.Add(idleInterval)
 	counts, limits, leaving := e.fleet.Outstanding(), e.fleet.LimitReports(now), e.fleet.Leaving(now)
-	active := len(counts) > 0 || len(limits) > 0 || len(leaving) > 0
+	speeds := e.fleet.SpeedReports(now)
+	active := len(counts) > 0 || len(limits) > 0 || len(leaving) > 0 || len(speeds) > 0
 	e.forgetUnusedServers()
 	for index, server := range e.servers {
 		load := int32(counts[server])
@@ -603,6 +607,10 @@
 	for server, started := range leaving {
 		e.departures[leavingServer{server, started}] = departure{now, nil}
 	}
+	e.speeds.forget(now)
+	for _, server := range slices.Sorted(maps.Keys(speeds)) {
+		e.speeds.add(server, speed{e.origin, speeds[server].Slowness, now.Add(-speeds[server].Age), nil})
+	}
 	e.reportLimits(now)
 	e.forgetReports(now)
 }
@@ -659,6 +667,9 @@
 			delete(e.departures, server)
 		}
 	}
+	for l := range e.links() {
+		l.out.forgetSpeeds(now)
+	}
 }
 
 // forgetUnusedServers begins all streams again if most servers with an index have no
@@ -712,6 +723,7 @@
 	}
 	o.appendCounters(&m)
 	e.addReports(l, &m, now)
+	e.addSpeeds(l, &m, now)
 	for key, increment := range o.held {
 		o.count(key, increment)
 	}
@@ -821,6 +833,7 @@
 	e.takeLoads(l, &m)
 	// A limit must be known before the requests under it are counted.
 	e.takeReports(l, &m, now)
+	e.takeSpeeds(l, &m, now)
 	e.takeCounters(l, &m, now)
 	return nil
 }
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -46,6 +46,31 @@
 // process.
 type LeavingReports map[uint64]int64
 
+// SlownessUnit is the value of SpeedReport.Slowness for a server that takes e times as
+// long as the others of its service.
+const SlownessUnit = 100
+
+// SpeedReport is what a VM found of the speed of a server lately.
+type SpeedReport struct {
+	// Slowness is the logarithm of how many times as long as the other servers of its
+	// service the server takes, times SlownessUnit.
+	Slowness int16
+	// Age is the age of the evidence.
+	Age time.Duration
+}
+
+// SpeedReports maps the hash of a server to the report about it.
+type SpeedReports map[uint64]SpeedReport
+
+// RemoteSpeed is the report of another VM about the server with a hash.
+type RemoteSpeed struct {
+	Server uint64
+	// Origin tells the VMs that report apart. Two VMs have the same one by chance in one
+	// of 65,536 pairs; the later report then replaces the other.
+	Origin uint16
+	SpeedReport
+}
+
 // Feed maintains this VM's replica of the store.
 type Feed interface {
 	// Position returns the position of the replica.
@@ -70,6 +95,11 @@
 	Leaving(now time.Time) LeavingReports
 	// SetRemoteLeaving applies the reports of another VM.
 	SetRemoteLeaving(reports LeavingReports, now time.Time)
+	// SpeedReports returns this VM's reports about servers that are slower than usual, and
+	// those that are not although other VMs say so.
+	SpeedReports(now time.Time) SpeedReports
+	// SetRemoteSpeeds applies reports of other VMs, each of them once.
+	SetRemoteSpeeds(reports []RemoteSpeed, now time.Time)
 }
 
 // Service exchanges load with other VMs from Start to Stop. It is safe for concurrent use.
--- a/internal/share/sim_test.go
+++ b/internal/share/sim_test.go
@@ -38,16 +38,19 @@
 	record   catalog.VM
 	exchange *exchange
 	// run is the number of the process, so that events of an earlier one are ignored.
-	run            int
-	dead           bool
-	pausedUntil    time.Time
-	outstanding    Counts
-	remote         Counts
-	limits         LimitReports
-	leaving        LeavingReports
-	statements     map[uint64]LimitReport
-	remoteSent     map[uint64]uint64
-	remoteLeaving  LeavingReports
+	run           int
+	dead          bool
+	pausedUntil   time.Time
+	outstanding   Counts
+	remote        Counts
+	limits        LimitReports
+	leaving       LeavingReports
+	statements    map[uint64]LimitReport
+	remoteSent    map[uint64]uint64
+	remoteLeaving LeavingReports
+	speeds        SpeedReports
+	// remoteSpeeds holds the time of the evidence in the reports received.
+	remoteSpeeds   map[speedKey]time.Time
 	uses, useTotal map[uint64]uint64
 	position       replica.Position
 	aheadSince     time.Time
@@ -88,6 +91,12 @@
 		v.remoteLeaving[server] = started
 	}
 }
+func (v *simVM) SpeedReports(time.Time) SpeedReports { return v.speeds }
+func (v *simVM) SetRemoteSpeeds(reports []RemoteSpeed, now time.Time) {
+	for _, r := range reports {
+		v.remoteSpeeds[speedKey{r.Server, r.Origin}] = now.Add(-r.Age)
+	}
+}
 func (v *simVM) Uses(time.Time) map[uint64]uint64 { return v.uses }
 func (v *simVM) SetRemoteUses(_ string, uses map[uint64]uint64, _ time.Time) {
 	v.useTotal = uses
@@ -185,6 +194,7 @@
 	v.dead = false
 	v.outstanding, v.remote, v.limits, v.leaving = Counts{}, Counts{}, LimitReports{}, LeavingReports{}
 	v.statements, v.remoteSent, v.remoteLeaving = map[uint64]LimitReport{}, map[uint64]uint64{}, LeavingReports{}
+	v.speeds, v.remoteSpeeds = nil, map[speedKey]time.Time{}
 	v.uses, v.useTotal = map[uint64]uint64{}, map[uint64]uint64{}
 	v.exchange = newExchange(v.record, v, v, []Counter{v}, v.sim.random)
 	v.schedule(time.Duration(v.sim.random.Int64N(int64(100 * time.Millisecond))))
