Keep a client's connection when the server answers right after it has read a long body

Clients that had sent further requests behind an upload lost their connection at times, and sent these again. Cause: a server may respond before the goroutine that sent the last of the request has said so; the upload then counted as still running, which closes the connection. It is now given 10 ms.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -312,16 +312,22 @@
 	ex.client.put(ex.server, ex.conn)
 }
 
+// uploadGrace is the time in which the goroutine that has sent the last of a request
+// says so. A server that has read it may respond before that.
+const uploadGrace = 10 * time.Millisecond
+
 // uploading reports whether a part of the request is still being sent.
 func (ex *exchange) uploading() bool {
 	if ex.uploaded == nil {
 		return false
 	}
+	timer := time.NewTimer(uploadGrace)
+	defer timer.Stop()
 	select {
 	case ex.uploadErr = <-ex.uploaded:
 		ex.uploaded = nil
 		return false
-	default:
+	case <-timer.C:
 		return true
 	}
 }
