--- a/internal/accountlimit/account.go
+++ b/internal/accountlimit/account.go
@@ -150,7 +150,8 @@
 	if a.window.slots == nil {
 		a.window.init(l.opts.Window, now)
 		if !a.startedAt.IsZero() {
-			a.window.fill(a.limit.rate, a.startedAt, now)
+			// The window is raised when more VMs are in contact.
+			a.window.fill(a.limit.rate*l.reach.fraction, a.startedAt, now)
 		}
 	}
 	a.window.advance(now)
@@ -296,12 +297,14 @@
 // lower one, so that an account that keeps to it is not refused for those before.
 func (a *account) setLimit(lim limit, l *Limiter, now time.Time) {
 	a.advance(l, now)
-	if lim.bound < a.limit.bound {
-		a.window.scale(lim.bound / a.limit.bound)
+	if part := lim.bound / a.limit.bound; part < 1 {
+		a.window.scale(part)
+		a.allowance *= part
+		a.allowanceCap *= part
+		a.allowanceRate *= part
 	}
 	a.limit = lim
 	a.tokens = min(a.tokens, lim.capacity*l.reach.fraction)
-	a.allowance = min(a.allowance, a.allowanceCap*min(1, lim.bound/a.limit.bound))
 }
 
 // retryAfter returns when the client of a refused request may come back. Each refused
--- a/internal/accountlimit/limiter.go
+++ b/internal/accountlimit/limiter.go
@@ -26,6 +26,9 @@
 	// maxTickGap is the time between two calls of Uses from which on the process
 	// counts as having been suspended, since it may not know what others did meanwhile.
 	maxTickGap = time.Second
+	// startPart is the part of an account's tokens that a new process assumes to be left.
+	// The bound's tolerance covers as much where earlier processes had used all.
+	startPart = 0.2
 	// maxClockStep is the difference between the progress of the wall clock and the
 	// monotonic clock that shows that the process was suspended.
 	maxClockStep = 500 * time.Millisecond
@@ -96,7 +99,7 @@
 }
 
 // SetAccounts takes over the limits of a configuration. Accounts that remain keep their
-// balance. Accounts of the first configuration start without tokens, since earlier
+// balance. Accounts of the first configuration start with few tokens, since earlier
 // processes may have used them up; accounts that are added later start with all.
 func (l *Limiter) SetAccounts(accounts *catalog.Accounts, now time.Time) {
 	l.mu.Lock()
@@ -122,6 +125,7 @@
 		a := &account{id: c.ID, key: keyOf(c.ID), limit: lim, at: now, reachChange: l.reach.change, fraction: l.reach.fraction}
 		if !l.started {
 			a.startedAt = now
+			a.tokens = startPart * lim.capacity
 		} else {
 			a.tokens = lim.capacity * l.reach.fraction
 		}
--- a/internal/accountlimit/limiter_test.go
+++ b/internal/accountlimit/limiter_test.go
@@ -52,6 +52,7 @@
 	// renewed is when each VM last renewed its record. records are those that the store
 	// listed at listedAt.
 	renewed  map[int]time.Time
+	stored   map[int]catalog.VM
 	records  map[model.VMID]catalog.VM
 	listedAt time.Time
 }
@@ -90,7 +91,7 @@
 
 // record returns the VM's record. As in deployment A, 12 VMs of 26 have a wide link.
 func (v *vm) record() catalog.VM {
-	record := catalog.VM{Name: name(v.id), LinkMbps: 10, CPUShare: 0.4}
+	record := catalog.VM{Name: name(v.id), LinkMbps: 10, CPUShare: 0.4, Started: int64(v.process)}
 	if v.id%26 < 12 {
 		record.LinkMbps, record.CPUShare = 200, 0.8
 	}
@@ -102,6 +103,7 @@
 		t: t, random: rand.New(rand.NewPCG(uint64(vms), *seed)), now: epoch, rate: rate, burst: burst,
 		delay: 15 * time.Millisecond, loss: 0.04, cut: func(int, int) bool { return false },
 		store: func(int) bool { return true }, renewed: map[int]time.Time{},
+		stored: map[int]catalog.VM{},
 	}
 	for range vms {
 		f.add()
@@ -121,7 +123,7 @@
 	v.process++
 	v.down, v.records, v.gossip, v.copied = false, nil, map[int]time.Time{}, time.Time{}
 	v.limiter = New(Options{Window: testWindow, Excess: testExcess, Slack: testSlack, Process: v.process<<16 | uint32(v.id), Seed: 1})
-	v.reach = NewReach(name(v.id), f.clock(v))
+	v.reach = NewReach(name(v.id), int64(v.process), f.clock(v))
 	f.configure(v)
 }
 
@@ -191,7 +193,10 @@
 func (f *fleet) report(v *vm) {
 	now := f.clock(v)
 	if f.store(v.id) {
-		f.renewed[v.id] = f.now
+		if !v.copied.IsZero() {
+			// A process reads the store before it writes its record.
+			f.renewed[v.id], f.stored[v.id] = f.now, v.record()
+		}
 		v.records, v.copied = f.listed(), now
 	}
 	var alive []catalog.VM
@@ -230,7 +235,7 @@
 		f.records, f.listedAt = map[model.VMID]catalog.VM{}, f.now
 		for id, at := range f.renewed {
 			if f.now.Sub(at) < 4*time.Second {
-				f.records[name(id)] = f.vms[id].record()
+				f.records[name(id)] = f.stored[id]
 			}
 		}
 	}
--- a/internal/accountlimit/reach.go
+++ b/internal/accountlimit/reach.go
@@ -53,6 +53,8 @@
 type Reach struct {
 	self      model.VMID
 	startedAt time.Time
+	// process is the start of this process as its record in the store states it.
+	process int64
 	// evidence is when each VM was last heard, or named by the store or by gossip.
 	evidence map[model.VMID]evidence
 	// confirmedAt is when the store last confirmed this VM, or a majority was heard.
@@ -63,9 +65,10 @@
 	listedSince time.Time
 }
 
-// NewReach returns a Reach for a process that starts now.
-func NewReach(self model.VMID, now time.Time) *Reach {
-	return &Reach{self: self, startedAt: now, evidence: map[model.VMID]evidence{}, confirmedAt: now}
+// NewReach returns a Reach for a process that starts now. process is the start that its
+// record states.
+func NewReach(self model.VMID, process int64, now time.Time) *Reach {
+	return &Reach{self: self, process: process, startedAt: now, evidence: map[model.VMID]evidence{}, confirmedAt: now}
 }
 
 // evidence is what shows that a VM may be alive.
@@ -172,6 +175,10 @@
 		r.listedSince = now
 	}
 	listed := !r.listedSince.IsZero() && now.Sub(r.listedSince) >= settleTime
+	if record, ok := v.Records[r.self]; ok && record.Started != r.process && v.CopyAge < maxCopyAge {
+		// The list is from before this start, when all VMs had written their records.
+		listed = true
+	}
 	if listed || now.Sub(r.startedAt) >= maxSettleTime {
 		r.settled = true
 		return
--- a/internal/accountlimit/scenario_test.go
+++ b/internal/accountlimit/scenario_test.go
@@ -129,7 +129,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.desc, func(t *testing.T) {
-			r := NewReach(name(0), epoch)
+			r := NewReach(name(0), 0, epoch)
 			var got Contact
 			for at := time.Duration(0); at <= 10*time.Second+tt.after; at += 100 * time.Millisecond {
 				now, heard, v := epoch.Add(at), vms, View{Records: records}
@@ -160,7 +160,7 @@
 // Guards against processes that each take the whole limit because they start before they
 // know of each other.
 func TestNewProcessAssumesManyVMs(t *testing.T) {
-	r := NewReach(name(0), epoch)
+	r := NewReach(name(0), 0, epoch)
 	alone := View{LastHeard: func(model.VMID) time.Time { return time.Time{} }}
 	if got := r.Update(alone, epoch.Add(time.Second)); got.Total < unsettledTotal {
 		t.Errorf("a new process assumes %d VMs", got.Total)
@@ -168,6 +168,12 @@
 	if got := r.Update(alone, epoch.Add(maxSettleTime)); got.Total != 1 {
 		t.Errorf("a single VM assumes %d VMs", got.Total)
 	}
+	// A list with the record of an earlier process of this VM is complete.
+	r = NewReach(name(0), 2, epoch)
+	alone.Records = map[model.VMID]catalog.VM{name(0): {Name: name(0), Started: 1}, name(1): {Name: name(1), Started: 1}}
+	if got := r.Update(alone, epoch); got.Heard != 1 || got.Total != 2 {
+		t.Errorf("a restarted process that the store listed with another hears %d of %d VMs", got.Heard, got.Total)
+	}
 }
 
 // single returns a limiter of a deployment with one VM, with a full balance.
@@ -346,3 +352,16 @@
 		l.Take(accountID(i%74), now)
 	}
 }
+
+// Guards against a VM that may go on at the old rate, unheard by the others, after a limit
+// was lowered.
+func TestLoweredLimitLowersTheAllowance(t *testing.T) {
+	l := single(1, 1000, 1000)
+	if ok, _ := l.Take(accountID(0), epoch); !ok {
+		t.Fatal("no token")
+	}
+	l.SetAccounts(manyAccounts(1, 1, 1), epoch)
+	if got := l.State(accountID(0), epoch).Allowance; got > testSlack*2 {
+		t.Errorf("an allowance of %.0f requests under a limit of one a second", got)
+	}
+}
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -26,6 +26,7 @@
 // retry and sends nothing.
 func (q *request) forwardResponse(choice pick.Choice, resp *upstream.Response, report *pick.Report) attemptResult {
 	buffered, complete, err := q.readBuffered(resp)
+	defer q.releaseResponse(buffered)
 	if err != nil {
 		return q.handleTruncated(choice, err, report)
 	}
@@ -33,7 +34,6 @@
 		q.streamResponse(choice, resp, buffered, report)
 		return resultDelivered
 	}
-	defer returnResponseBuffer(buffered)
 	if resp.Status < http.StatusInternalServerError {
 		q.recordOutcome(choice, pick.Answered, report)
 		q.writeResponse(resp, buffered, nil)
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -46,6 +46,9 @@
 		switch q.attempt(choice) {
 		case resultDelivered:
 			return
+		case resultRefused:
+			q.hasToken = hasToken
+			return
 		case resultNotSent:
 			q.hasToken = hasToken
 			connectFailures++
@@ -128,6 +131,9 @@
 	resultRetry
 	// resultNotSent means that nothing was sent to the server.
 	resultNotSent
+	// resultRefused means that nothing was sent to the server and that the client got a
+	// refusal.
+	resultRefused
 	// resultFailed means that the request was sent and that no response that
 	// can be forwarded was received.
 	resultFailed
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -145,6 +145,8 @@
 	limitedFor time.Duration
 	// serverBytes is the number of bytes accounted at the server of the current attempt.
 	serverBytes int64
+	// responseBytes is the number of bytes accounted for the buffered response.
+	responseBytes int
 	// bytesRefused reports whether the last attempt was refused by that bound.
 	bytesRefused bool
 	// lastChoice is the server chosen last, for log lines.
--- a/internal/front/intake.go
+++ b/internal/front/intake.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net/http"
 
 	"fuchsiaspar/internal/intake"
 	"fuchsiaspar/internal/pick"
@@ -28,7 +27,6 @@
 	if resp.Length > int64(limit) {
 		return nil, false, nil
 	}
-	reserved := 0
 	for len(buffered) <= limit {
 		if len(buffered) == cap(buffered) {
 			size := max(2*cap(buffered), firstResponseBuffer)
@@ -36,10 +34,10 @@
 				size = int(resp.Length) + 1
 			}
 			size = responseBufferSize(size)
-			if !q.client().TryReserve(size - reserved) {
+			if !q.client().TryReserve(size - q.responseBytes) {
 				return buffered, false, nil
 			}
-			reserved = size
+			q.responseBytes = size
 			grown := append(takeResponseBuffer(size), buffered...)
 			returnResponseBuffer(buffered)
 			buffered = grown
@@ -56,6 +54,14 @@
 	return buffered, false, nil
 }
 
+// releaseResponse ends the accounting of a buffered response that has been written or is
+// not needed, and makes its buffer available.
+func (q *request) releaseResponse(buffered []byte) {
+	q.client().Release(q.responseBytes)
+	q.responseBytes = 0
+	returnResponseBuffer(buffered)
+}
+
 // admitAttempt accounts the request's body at the chosen server. If the server can't
 // take it now, or the client has been evicted, it ends the attempt before anything is
 // sent and returns its result.
@@ -71,8 +77,8 @@
 	if !q.client().Dispatched() {
 		q.endAttempt(choice)
 		q.recordOutcome(choice, pick.Abandoned, nil)
-		q.refuse(http.StatusServiceUnavailable, reasonMemory)
-		return resultDelivered, false
+		q.fail(reasonMemory)
+		return resultRefused, false
 	}
 	return 0, true
 }
--- a/internal/front/pipelined.go
+++ b/internal/front/pipelined.go
@@ -16,16 +16,16 @@
 const boundLogInterval = 10 * time.Second
 
 func (s *Server) newPipeline() *pipeline.Handler {
-	handler := http.Handler(http.HandlerFunc(s.serveRequest))
-	if s.opts.Guard != nil {
-		handler = s.opts.Guard.Handler(handler)
-	}
-	return pipeline.NewHandler(pipeline.Options{
-		Handler:  handler,
+	opts := pipeline.Options{
+		Handler:  http.HandlerFunc(s.serveRequest),
 		MayStart: s.mayStart,
 		OnStart:  s.metrics.startedEarly,
 		OnStop:   s.logStop,
-	})
+	}
+	if s.opts.Guard != nil {
+		opts.Handler, opts.Hold = s.opts.Guard.Handler(opts.Handler), s.opts.Guard.Hold
+	}
+	return pipeline.NewHandler(opts)
 }
 
 // Configure prepares server for the connections of Listener.
--- a/internal/intake/request.go
+++ b/internal/intake/request.go
@@ -94,6 +94,20 @@
 	})
 }
 
+// Hold accounts a request that is started before net/http has read it, on the connection
+// of ctx. It returns false if the connection is to be closed, and otherwise a function that
+// ends the accounting.
+func (g *Guard) Hold(ctx context.Context) (release func(), ok bool) {
+	c := FromContext(ctx)
+	if c == nil {
+		return func() {}, true
+	}
+	if !c.begin() {
+		return nil, false
+	}
+	return c.finish, true
+}
+
 // WithoutBody returns a handler for requests whose bodies mean nothing.
 func WithoutBody(inner http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -43,7 +43,7 @@
 			Window: bounds.AccountWindow, Excess: bounds.AccountExcess, Slack: bounds.AccountSlack,
 			Process: b.random.Uint32(), Seed: b.random.Uint64(),
 		}),
-		reach: accountlimit.NewReach(b.settings.Name, time.Now()),
+		reach: accountlimit.NewReach(b.settings.Name, b.self.Started, time.Now()),
 	}
 	a.Periodic = background.NewPeriodic(accountReportInterval, a.sendRound)
 	b.mesh.Handle(peer.KindAccountUses, a.receive)
@@ -74,9 +74,6 @@
 
 // sendRound updates which VMs are in contact, and reports this VM's requests to the others.
 func (a *accountLimits) sendRound(now time.Time) {
-	if !a.limiter.Limited() {
-		return
-	}
 	alive := a.assembly.node.liveness.Alive()
 	contact := a.reach.Update(accountlimit.View{
 		Records: a.assembly.node.state.Current().VMs, CopyAge: a.assembly.feed.Age(now),
@@ -86,6 +83,9 @@
 	scope := a.assembly.metrics.Scope
 	scope.Gauge("account_vms_heard").Update(float64(contact.Heard))
 	scope.Gauge("account_vms_counted").Update(float64(contact.Total))
+	if !a.limiter.Limited() {
+		return
+	}
 	uses := a.limiter.Uses(now)
 	for _, vm := range alive {
 		if vm.Name == a.assembly.settings.Name {
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -35,7 +35,9 @@
 	byAddress map[string]*http.Server
 	front     *http.Server
 	traffic   *front.Server
-	guard     *intake.Guard
+	// frontListener is the listener of the front, once it is open.
+	frontListener net.Listener
+	guard         *intake.Guard
 	// muxes holds the handlers of the addresses other than the front's.
 	muxes map[string]*http.ServeMux
 	// kinds holds what the connections to an address are accounted as.
@@ -108,6 +110,7 @@
 			return errors.Wrap(err, "listen")
 		}
 		if server == s.front {
+			s.frontListener = listener
 			listener = s.traffic.Listener(listener)
 		}
 		go func() {
@@ -124,7 +127,7 @@
 	for _, server := range s.byAddress {
 		group.Go(func() error {
 			if server == s.front {
-				s.traffic.FinishStarted(ctx)
+				s.finishStarted(ctx)
 			}
 			return server.Shutdown(ctx)
 		})
@@ -132,6 +135,25 @@
 	return group.Wait()
 }
 
+// startedShare is the part of the remaining time in which requests that were started early
+// may be answered before connections are closed after one response each.
+const startedShare = 0.6
+
+// finishStarted accepts no further connections and waits for the requests that were
+// started early.
+func (s *listeners) finishStarted(ctx context.Context) {
+	if s.frontListener != nil {
+		// An error means that it is closed.
+		_ = s.frontListener.Close()
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, time.Duration(startedShare*float64(time.Until(deadline))))
+		defer cancel()
+	}
+	s.traffic.FinishStarted(ctx)
+}
+
 // serveReady answers readiness probes.
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !n.Ready() {
--- a/internal/pipeline/ahead.go
+++ b/internal/pipeline/ahead.go
@@ -111,13 +111,19 @@
 		c.stop(StopDraining)
 		return false
 	}
+	release, ok := c.hold()
+	if !ok {
+		c.handler.pending.Add(-1)
+		c.stop(StopHeld)
+		return false
+	}
 	if a.ctx == nil {
 		a.ctx = context.WithValue(c.base, http.LocalAddrContextKey, c.LocalAddr())
 	}
 	ctx, cancel := context.WithCancel(a.ctx)
 	r.RemoteAddr = c.RemoteAddr().String()
 	s := &started{
-		conn: c, offset: a.parsedTo, request: r.WithContext(ctx), cancel: cancel,
+		conn: c, offset: a.parsedTo, request: r.WithContext(ctx), cancel: cancel, release: release,
 		header: http.Header{}, attached: make(chan struct{}), dropped: make(chan struct{}), done: make(chan struct{}),
 	}
 	a.queue = append(a.queue, s)
@@ -126,6 +132,14 @@
 	return true
 }
 
+// hold calls the handler's Hold.
+func (c *Conn) hold() (release func(), ok bool) {
+	if c.handler.opts.Hold == nil {
+		return func() {}, true
+	}
+	return c.handler.opts.Hold(c.base)
+}
+
 // stop stops reading ahead until the next request is served.
 func (c *Conn) stop(reason string) {
 	c.ahead.stopped = true
@@ -170,6 +184,7 @@
 		a.held -= s.held
 		s.held = 0
 		c.handler.pending.Add(-1)
+		s.release()
 	}
 	a.queue = nil
 }
--- a/internal/pipeline/handler.go
+++ b/internal/pipeline/handler.go
@@ -42,6 +42,8 @@
 	StopForm = "form"
 	// StopDraining: the process is about to stop.
 	StopDraining = "draining"
+	// StopHeld: Hold forbids it.
+	StopHeld = "held"
 	// StopCount, StopBytes and StopResponses: a bound of the connection is reached, on
 	// requests, received bytes or response bytes.
 	StopCount     = "count"
@@ -49,7 +51,7 @@
 	StopResponses = "response_bytes"
 )
 
-// Options configures a Handler. All fields are required.
+// Options configures a Handler. All fields but Hold are required.
 type Options struct {
 	// Handler serves the requests. It must not modify them. A started request has a
 	// response writer that supports flushing and write deadlines.
@@ -57,6 +59,10 @@
 	// MayStart reports whether a GET or HEAD request may run while others of its
 	// connection do. It may be called while r is served.
 	MayStart func(r *http.Request) bool
+	// Hold, if not nil, is called with the context of the connection before a request is
+	// started. It returns false if the request must not be started, and a function that is
+	// called when the request has been answered or dropped.
+	Hold func(ctx context.Context) (release func(), ok bool)
 	// OnStart and OnStop report a started request, and why no further one is started. They
 	// must return quickly.
 	OnStart func()
@@ -131,6 +137,7 @@
 	panicking := true
 	defer func() { c.finish(w, panicking) }()
 	if s != nil {
+		defer s.release()
 		s.answer(w, r)
 	} else {
 		h.opts.Handler.ServeHTTP(w, r)
--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -306,7 +306,7 @@
 		{"another host", 7, "GET /a HTTP/1.1\r\nHost: i\r\n\r\n", false},
 		{"another method", 7, "HEAD /a HTTP/1.1\r\nHost: h\r\n\r\n", false},
 	} {
-		started := &started{offset: 7, request: parsed(t, get("/a")), cancel: func() {}, dropped: make(chan struct{})}
+		started := &started{release: func() {}, offset: 7, request: parsed(t, get("/a")), cancel: func() {}, dropped: make(chan struct{})}
 		c := &Conn{handler: NewHandler(Options{}), headStart: tt.start}
 		c.handler.pending.Store(1)
 		c.ahead.queue = append(c.ahead.queue, started)
--- a/internal/pipeline/started.go
+++ b/internal/pipeline/started.go
@@ -22,6 +22,8 @@
 	offset  int64
 	request *http.Request
 	cancel  context.CancelFunc
+	// release is called when the request has been answered or dropped.
+	release func()
 	// held is the number of bytes reserved for the response, guarded by conn.mu.
 	held int
 
--- a/internal/upstream/body.go
+++ b/internal/upstream/body.go
@@ -70,8 +70,9 @@
 	b.Close()
 }
 
-// Interrupt makes a concurrent Read fail. Close must still be called.
-func (b *Body) Interrupt() { b.ex.conn.Close() }
+// Interrupt makes a concurrent Read fail, unless the body has ended. Close must still be
+// called.
+func (b *Body) Interrupt() { b.ex.interrupt() }
 
 // Close closes the connection unless the body was read to its end and the request was
 // sent.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -10,6 +10,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"fuchsiaspar/internal/catalog"
@@ -143,6 +144,10 @@
 	uploaded chan error
 	// uploadErr is the error of an upload that failed.
 	uploadErr error
+
+	mu sync.Mutex
+	// ended reports that the connection is no longer that of this exchange.
+	ended bool
 }
 
 // run sends the request and reads the response header. All of the request but its
@@ -294,8 +299,25 @@
 	return errors.WithMessage(ErrNoResponse, err.Error())
 }
 
+// end marks the exchange as ended. From then on, its connection may be another's.
+func (ex *exchange) end() {
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	ex.ended = true
+}
+
+// interrupt closes the connection unless the exchange has ended.
+func (ex *exchange) interrupt() {
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	if !ex.ended {
+		ex.conn.Close()
+	}
+}
+
 // abort closes the connection of an exchange that did not complete.
 func (ex *exchange) abort() {
+	ex.end()
 	ex.stop()
 	ex.conn.Close()
 }
@@ -303,6 +325,7 @@
 // finish ends an exchange whose response was read completely and whose request was
 // sent. The connection becomes idle if it can be reused, and is closed otherwise.
 func (ex *exchange) finish(resp *http.Response) {
+	ex.end()
 	now := time.Now()
 	if !ex.stop() || resp.Close || ex.uploadErr != nil || ex.conn.reader.Buffered() > 0 || ex.client.refusesUnnamed(ex.server, now) {
 		ex.conn.Close()
