--- a/internal/front/guarded_test.go
+++ b/internal/front/guarded_test.go
@@ -7,63 +7,14 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
-	"fuchsiaspar/internal/allow"
-	"fuchsiaspar/internal/catalog"
-	"fuchsiaspar/internal/decisions"
-	"fuchsiaspar/internal/intake"
-	"fuchsiaspar/internal/model"
-	"fuchsiaspar/internal/pick"
-	"fuchsiaspar/internal/upstream"
 	"fuchsiaspar/platform"
-
-	"github.com/uber-go/tally/v4"
 )
 
-// newGuardedFront starts an entry VM with pipelining and a guard with so much memory, as a
-// node does, and one server. It returns the address for clients.
-func newGuardedFront(t *testing.T, memory int64, serve http.HandlerFunc) string {
-	t.Helper()
-	server := httptest.NewServer(serve)
-	t.Cleanup(server.Close)
-	servers := []*catalog.Server{{ID: "i-0", Service: "desk", Address: server.Listener.Addr().String(), Slots: 300}}
-	config := &catalog.Config{Services: map[model.ServiceName]catalog.Service{"desk": {}}}
-	for prefix, kind := range map[string]catalog.Kind{"/read": catalog.Idempotent, "/order": catalog.NonIdempotent} {
-		config.Routes = append(config.Routes, catalog.Route{
-			Name: prefix, Host: "h.example", Prefix: prefix, Kind: kind, MaxAttempts: 2, Timeout: 20 * time.Second,
-			Targets: []catalog.WeightedService{{Service: "desk", Weight: 1}},
-		})
-	}
-	snapshot := catalog.NewSnapshot(9, config, servers, nil, nil)
-	fleet := pick.NewFleet(pick.Options{Self: "vm-0"})
-	fleet.SetSnapshot(snapshot, time.Now())
-	client := upstream.NewClient(tally.NoopScope)
-	t.Cleanup(client.Close)
-	limits := intake.NewLimits(0, 0)
-	limits.Memory = memory
-	guard := intake.NewGuard(limits, decisions.Discard(), tally.NoopScope)
-	front := NewServer(Options{
-		Snapshot: func() *catalog.Snapshot { return snapshot }, Age: func(time.Time) time.Duration { return 0 },
-		Fleet: fleet, Client: client, RetryBudget: allow.NewRetryBudget(0.2, 60), ServerBytes: intake.NewServerBytes(), Guard: guard,
-		Log: decisions.Discard(), Scope: tally.NoopScope,
-	})
-	httpServer := &http.Server{Handler: front}
-	guard.Configure(httpServer)
-	front.Configure(httpServer)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	go func() { _ = httpServer.Serve(guard.Listen(front.Listener(listener), intake.Front)) }()
-	t.Cleanup(func() { httpServer.Close() })
-	return listener.Addr().String()
-}
-
 func dialGuarded(t *testing.T, address string) (net.Conn, *bufio.Reader) {
 	t.Helper()
 	conn, err := net.Dial("tcp", address)
@@ -91,18 +42,13 @@
 	return resp.StatusCode
 }
 
-func sealResponse(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set(platform.HeaderRequestID, r.Header.Get(platform.HeaderRequestID))
-	w.Header().Set(platform.HeaderSeal, "seal")
-}
-
 // Guards against a client that leaves before it has read a response and thereby cuts off
 // the request of another client, on the connection on which that response had arrived.
 func TestOrderIsNotCutOffByAClientThatLeaves(t *testing.T) {
 	const long = 1 << 20
 	bigSent, atServer, left := make(chan struct{}), make(chan struct{}), make(chan struct{})
-	address := newGuardedFront(t, 64<<20, func(w http.ResponseWriter, r *http.Request) {
-		sealResponse(w, r)
+	address, _ := startGuardedFront(t, 64<<20, func(w http.ResponseWriter, r *http.Request) {
+		sealed(w, r)
 		switch {
 		case strings.Contains(r.URL.Path, "slow"):
 			<-r.Context().Done()
@@ -138,9 +84,9 @@
 // connection that always has a request in progress.
 func TestPipelinedResponsesReleaseTheirMemory(t *testing.T) {
 	const requests = 800
-	address := newGuardedFront(t, 2<<20, func(w http.ResponseWriter, r *http.Request) {
+	address, _ := startGuardedFront(t, 2<<20, func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
-		sealResponse(w, r)
+		sealed(w, r)
 		time.Sleep(time.Duration(5+rand.IntN(15)) * time.Millisecond)
 		_, _ = w.Write(make([]byte, 2000))
 	})
--- a/internal/front/intake_test.go
+++ b/internal/front/intake_test.go
@@ -24,8 +24,9 @@
 	"github.com/uber-go/tally/v4"
 )
 
-// startGuardedFront starts an entry VM with the given memory for clients, and a backend
-// server for each handler.
+// startGuardedFront starts an entry VM with the given memory for clients, wired as in a
+// node, and a backend server for each handler. Host h takes orders at every path, host
+// h.example has a route of either kind.
 func startGuardedFront(t *testing.T, memory int64, handlers ...http.HandlerFunc) (address string, bytes *intake.ServerBytes) {
 	t.Helper()
 	var servers []*catalog.Server
@@ -33,13 +34,19 @@
 		server := httptest.NewServer(handler)
 		t.Cleanup(server.Close)
 		servers = append(servers, &catalog.Server{
-			ID: model.ServerID("i-" + strconv.Itoa(i)), Service: "desk", Address: server.Listener.Addr().String(), Slots: 3,
+			ID: model.ServerID("i-" + strconv.Itoa(i)), Service: "desk", Address: server.Listener.Addr().String(), Slots: 300,
 		})
 	}
-	config := &catalog.Config{Version: 3, Services: map[model.ServiceName]catalog.Service{"desk": {}}, Routes: []catalog.Route{{
-		Name: "order", Host: "h", Prefix: "/", Kind: catalog.NonIdempotent, MaxAttempts: 2, Timeout: 20 * time.Second,
-		Targets: []catalog.WeightedService{{Service: "desk", Weight: 1}},
-	}}}
+	config := &catalog.Config{Version: 3, Services: map[model.ServiceName]catalog.Service{"desk": {}}}
+	for _, route := range []catalog.Route{
+		{Host: "h", Prefix: "/", Kind: catalog.NonIdempotent},
+		{Host: "h.example", Prefix: "/order", Kind: catalog.NonIdempotent},
+		{Host: "h.example", Prefix: "/read", Kind: catalog.Idempotent},
+	} {
+		route.Name, route.MaxAttempts, route.Timeout = route.Host+route.Prefix, 2, 20*time.Second
+		route.Targets = []catalog.WeightedService{{Service: "desk", Weight: 1}}
+		config.Routes = append(config.Routes, route)
+	}
 	snapshot := catalog.NewSnapshot(9, config, servers, nil, nil)
 	fleet := pick.NewFleet(pick.Options{Self: "vm-0"})
 	fleet.SetSnapshot(snapshot, time.Now())
@@ -49,15 +56,17 @@
 	limits := intake.NewLimits(0, 0)
 	limits.Memory = memory
 	guard := intake.NewGuard(limits, decisions.Discard(), tally.NoopScope)
-	front := httptest.NewUnstartedServer(guard.Handler(NewServer(Options{
+	server := NewServer(Options{
 		Snapshot: func() *catalog.Snapshot { return snapshot },
 		Age:      func(time.Time) time.Duration { return 0 },
-		Fleet:    fleet, Client: client, RetryBudget: allow.NewRetryBudget(0.2, 60), ServerBytes: bytes,
+		Fleet:    fleet, Client: client, RetryBudget: allow.NewRetryBudget(0.2, 60), ServerBytes: bytes, Guard: guard,
 		Log: decisions.Discard(), Scope: tally.NoopScope,
-	})))
-	front.Listener = guard.Listen(front.Listener, intake.Front)
+	})
+	front := httptest.NewUnstartedServer(server)
+	front.Listener = guard.Listen(server.Listener(front.Listener), intake.Front)
 	// httptest replaces ConnState by one that calls this.
 	guard.Configure(front.Config)
+	server.Configure(front.Config)
 	front.Start()
 	t.Cleanup(front.Close)
 	return front.Listener.Addr().String(), bytes
