--- a/internal/accountlimit/limiter.go
+++ b/internal/accountlimit/limiter.go
@@ -42,7 +42,7 @@
 	Excess, Slack float64
 	// Process identifies this process among those of the same VM.
 	Process uint32
-	// Seed seeds the times after which refused clients are told to come back.
+	// Seed seeds the times after which refused clients may come back.
 	Seed uint64
 }
 
--- a/internal/concurrency/peers.go
+++ b/internal/concurrency/peers.go
@@ -50,7 +50,7 @@
 	at       time.Duration
 }
 
-// PeerReport returns what to tell other VMs: fresh evidence of this VM that the server is
+// PeerReport returns what to report to other VMs: fresh evidence of this VM that the server is
 // slow, or that it is not although another VM says so.
 func (e *Estimator) PeerReport(now time.Time) (PeerReport, bool) {
 	at := e.service.since(now)
--- a/internal/concurrency/usual.go
+++ b/internal/concurrency/usual.go
@@ -2,7 +2,7 @@
 
 import "math"
 
-// Class tells apart requests for which the same server needs different times.
+// Class separates requests for which the same server needs different times.
 type Class struct {
 	Route  string
 	Object Object
--- a/internal/pick/capacity.go
+++ b/internal/pick/capacity.go
@@ -103,7 +103,7 @@
 	return 1
 }
 
-// beginEstimate tells the estimator of a request that is about to be sent.
+// beginEstimate reports to the estimator a request that is about to be sent.
 func (f *Fleet) beginEstimate(c *Choice, now time.Time) {
 	s := c.Server
 	if s.estimator == nil {
@@ -122,7 +122,7 @@
 	}, now)
 }
 
-// recordEstimate tells the estimator how a request ended.
+// recordEstimate reports to the estimator how a request ended.
 func (s *Server) recordEstimate(c Choice, outcome Outcome, report *Report, now time.Time) {
 	if s.estimator == nil {
 		return
@@ -154,7 +154,7 @@
 	choice.Server.estimator.Ignore(choice.ticket)
 }
 
-// SpeedReports returns what this VM tells others about servers that are slower than usual.
+// SpeedReports returns the reports of this VM about servers that are slower than usual.
 func (f *Fleet) SpeedReports(now time.Time) share.SpeedReports {
 	if !f.options.LearnCapacity {
 		return nil
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -158,7 +158,7 @@
 	c.headStart = start
 }
 
-// lose gives up following what net/http does until the start of a request is found again.
+// lose stops following what net/http does until the start of a request is found again.
 func (c *Conn) lose() {
 	c.phase = phaseLost
 	c.resync = resyncNone
--- a/internal/share/exchange.go
+++ b/internal/share/exchange.go
@@ -54,7 +54,7 @@
 	maxStatementAge = 2 * time.Second
 	// statementRefresh is how often an unchanged statement is repeated.
 	statementRefresh = 500 * time.Millisecond
-	// leavingAge is how long a VM tells new neighbours that a server leaves, and
+	// leavingAge is how long a VM reports to new neighbours that a server leaves, and
 	// leavingRefresh how often it repeats its own reports.
 	leavingAge     = 2 * time.Second
 	leavingRefresh = time.Second
--- a/internal/share/link.go
+++ b/internal/share/link.go
@@ -139,7 +139,7 @@
 	}}
 }
 
-// reset forgets what the neighbour has been told, except the cumulative totals.
+// reset forgets what the neighbour has been sent, except the cumulative totals.
 func (o *outStream) reset() {
 	o.numbers, o.order, o.loads = nil, nil, nil
 	o.counterNumbers, o.counterOrder, o.sentTotals = map[CounterKey]int{}, nil, nil
--- a/internal/share/neighbours.go
+++ b/internal/share/neighbours.go
@@ -22,7 +22,7 @@
 	}
 }
 
-// sendReplies answers neighbours without traffic, and tells them what can't wait.
+// sendReplies answers neighbours without traffic, and sends them what is urgent.
 func (e *exchange) sendReplies(now time.Time) []outgoing {
 	var messages []outgoing
 	for l := range e.links() {
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -65,7 +65,7 @@
 // RemoteSpeed is the report of another VM about the server with a hash.
 type RemoteSpeed struct {
 	Server uint64
-	// Origin tells the VMs that report apart. Two VMs have the same one by chance in one
+	// Origin distinguishes the VMs that report. Two VMs have the same one by chance in one
 	// of 65,536 pairs; the later report then replaces the other.
 	Origin uint16
 	SpeedReport
--- a/internal/share/speeds.go
+++ b/internal/share/speeds.go
@@ -49,7 +49,7 @@
 // speedTable holds the latest reports by the hash of the server.
 type speedTable map[uint64][]speed
 
-// speedOrigin returns the number by which a VM is told apart in reports.
+// speedOrigin returns the number that stands for a VM in reports.
 func speedOrigin(vm model.VMID) uint16 {
 	h := fnv.New32a()
 	// Write on a hash.Hash never returns an error.
