Check client accounts in the fault soak

Cause: the soak's configurations had no accounts, so keys, limits and regions of accounts were never tested on real processes while faults are injected.

Change: every configuration has five accounts (two with a rate limit, one of them asked for several times its limit; one restricted to a region; one whose key is replaced while faults are injected) and exempt routes. One server of each service is in a second region without entry VMs. Clients use these accounts, wrong keys, or no key on the exempt routes. Checked from what clients and servers see: no key reaches a server, a server is told the account of the key, an unknown key and a region that is not allowed never run, and the executions of an account within 5 s stay within the bound. With -soak.timed, a key has no effect 3 s after its withdrawal. 401 and 429 are accepted only where the key may be unknown or its account has a limit, and then an order must not have run.

--- a/internal/soak/backend_test.go
+++ b/internal/soak/backend_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -18,24 +19,48 @@
 	"fuchsiaspar/platform/storetest"
 )
 
-// executionCounter counts how often each request was executed, over all backend
-// servers.
-type executionCounter struct {
+// execution is one execution of a request by a backend server.
+type execution struct {
+	at time.Time
+	// account is the account that the VM named, and region that of the server.
+	account, region string
+}
+
+// executionLog records which requests were executed, over all backend servers.
+type executionLog struct {
 	mu sync.Mutex
-	// counts is keyed by request ID.
-	counts map[string]int
+	// byID is keyed by request ID.
+	byID map[string][]execution
+	// leaks are requests that reached a server with a client's key.
+	leaks []string
 }
 
-func (c *executionCounter) increment(id string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.counts[id]++
+// add records the execution of r by a server in region.
+func (l *executionLog) add(r *http.Request, region string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	id := r.Header.Get(platform.HeaderRequestID)
+	account := strings.Join(r.Header.Values(platform.HeaderAccount), ",")
+	l.byID[id] = append(l.byID[id], execution{time.Now(), account, region})
 }
 
-func (c *executionCounter) get(id string) int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.counts[id]
+// checkKeys records r as a leak if any of its headers or its target contains a key.
+func (l *executionLog) checkKeys(r *http.Request) {
+	_, leaked := r.Header[platform.HeaderKey]
+	for name, values := range r.Header {
+		leaked = leaked || strings.Contains(strings.ToLower(name+strings.Join(values, ",")), keyMark)
+	}
+	if leaked || strings.Contains(strings.ToLower(r.RequestURI), keyMark) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.leaks = append(l.leaks, r.Header.Get(platform.HeaderRequestID))
+	}
+}
+
+func (l *executionLog) get(id string) []execution {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.byID[id]
 }
 
 // responseFault is what a server does in place of a proper response to a request
@@ -67,9 +92,11 @@
 // response of an executed request and refuse requests without executing them.
 type backend struct {
 	service    string
+	zone       string
+	region     string
 	server     *httptest.Server
 	proxy      *proxy
-	executions *executionCounter
+	executions *executionLog
 	store      *storetest.Store
 
 	// registration is held while the entry in the store is written; entry is its text.
@@ -97,11 +124,15 @@
 }
 
 // startBackend starts a backend server and its proxy, and registers it as ready.
-func startBackend(t *testing.T, store *storetest.Store, executions *executionCounter, service string, index int, seed uint64) *backend {
+func startBackend(t *testing.T, store *storetest.Store, executions *executionLog, service string, index int, seed uint64) *backend {
 	b := &backend{
 		service: service, executions: executions, store: store, instanceID: fmt.Sprintf("i-%s-%d", service, index),
 		random: rand.New(rand.NewPCG(seed, uint64(index))), started: time.Now().UnixMilli(),
 	}
+	b.zone, b.region = "z1", "r"
+	if index == serversPerService-1 {
+		b.zone, b.region = "z2", farRegion
+	}
 	b.server = httptest.NewServer(b)
 	t.Cleanup(func() {
 		b.server.CloseClientConnections()
@@ -121,8 +152,8 @@
 	instanceID, sequence, started := b.instanceID, b.sequence, b.started
 	b.mu.Unlock()
 	b.entry = fmt.Appendf(nil,
-		`{"address":%q,"born":%d,"info":{"service":%q,"version":"v1","zone":"z1","slots":3},"status":{"state":%q,"sequence":%d,"cold_left_ms":0}}`,
-		b.proxy.address(), started, b.service, state, sequence)
+		`{"address":%q,"born":%d,"info":{"service":%q,"version":"v1","zone":%q,"slots":3},"status":{"state":%q,"sequence":%d,"cold_left_ms":0}}`,
+		b.proxy.address(), started, b.service, b.zone, state, sequence)
 	b.store.Put(platform.PrefixServers+instanceID, b.entry)
 }
 
@@ -199,6 +230,7 @@
 	requestID := r.Header.Get(platform.HeaderRequestID)
 	w.Header().Set(platform.HeaderRequestID, requestID)
 	b.state(w.Header())
+	b.executions.checkKeys(r)
 	if expect := r.Header.Get(platform.HeaderExpectedInstance); expect != "" && expect != b.currentInstance() {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -209,7 +241,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	b.executions.increment(requestID)
+	b.executions.add(r, b.region)
 	time.Sleep(processingTime)
 	if spoil {
 		b.spoilResponse(w, requestID)
@@ -280,7 +312,8 @@
 	}
 	requestID := r.Header.Get(platform.HeaderRequestID)
 	_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", platform.HeaderNotExecuted)
-	b.executions.increment(requestID)
+	b.executions.checkKeys(r)
+	b.executions.add(r, b.region)
 	time.Sleep(lateCopyDelay)
 	_, _ = io.WriteString(conn, wholeResponse(requestID))
 	time.Sleep(lateCopyDelay)
--- a/internal/soak/client_test.go
+++ b/internal/soak/client_test.go
@@ -24,6 +24,9 @@
 	// failure describes a failed request or a response with wrong content.
 	failure string
 	sentAt  time.Time
+	// key is the key that the client sent, and exempt says that the route needs none.
+	key    string
+	exempt bool
 }
 
 // client sends requests one at a time over keep-alive connections, to addresses
@@ -33,6 +36,8 @@
 	directoryAddresses []string
 	random             *rand.Rand
 	http               *http.Client
+	// chooseKey returns the key of the next request. Clients without it use the exempt route.
+	chooseKey func() string
 
 	mu      sync.Mutex
 	results []requestResult
@@ -65,6 +70,9 @@
 // a non-idempotent POST, at random.
 func (c *client) send(requestID string) requestResult {
 	result := requestResult{requestID: requestID, nonIdempotent: c.random.IntN(2) == 0, sentAt: time.Now()}
+	if result.exempt = c.chooseKey == nil; !result.exempt {
+		result.key = c.chooseKey()
+	}
 	addresses := c.resolve()
 	if len(addresses) == 0 {
 		result.failure = "lookup failed at every directory tried"
@@ -75,6 +83,9 @@
 	if result.nonIdempotent {
 		method, path, payload = http.MethodPost, "/order/x", strings.NewReader("order "+requestID)
 	}
+	if result.exempt {
+		path = "/open" + path
+	}
 	req, err := http.NewRequest(method, "http://"+addresses[c.random.IntN(len(addresses))]+path, payload)
 	if err != nil {
 		result.failure = err.Error()
@@ -86,6 +97,10 @@
 	req.Header.Set(platform.HeaderRequestID, requestID)
 	req.Header.Set(platform.HeaderObject, strconv.Itoa(c.random.IntN(30)))
 	req.Header.Set(platform.HeaderDeadline, "3000")
+	req.Header.Set(platform.HeaderAccount, claimedAccount)
+	if result.key != "" {
+		req.Header.Set(platform.HeaderKey, "Bearer "+result.key)
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		result.failure = err.Error()
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -94,6 +94,7 @@
 seeds = [%q]
 [zones]
 z1 = "r"
+z2 = %q
 [listen]
 front = %q
 directory = %q
@@ -109,9 +110,13 @@
 cold_load_factor = 1.5
 cold_slack = 5
 ttl_max_s = 5
+quota_window_s = %g
+quota_excess = %g
+quota_slack = %g
 [platform]
 address = %q
-`, v.name, seedAddress, listen[0], listen[1], listen[2], listen[3], stopGracePeriod.Seconds(), v.storeProxy.address())
+`, v.name, seedAddress, farRegion, listen[0], listen[1], listen[2], listen[3], stopGracePeriod.Seconds(),
+		quotaWindow.Seconds(), quotaExcess, float64(quotaSlack), v.storeProxy.address())
 	if err := os.WriteFile(v.settingsFile, []byte(content), 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/soak/promises_test.go
+++ b/internal/soak/promises_test.go
@@ -112,6 +112,7 @@
 	h.configure("desk")
 	h.awaitNewestVersion("CONFIG", applyBound)
 	h.checkStatements()
+	h.withdrawKeyTimed()
 }
 
 // checkStatements checks that a server that asks for a pause, and then one that says that it
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -34,7 +34,7 @@
 )
 
 const (
-	clientCount       = 12
+	clientCount       = 16
 	serversPerService = 4
 	// recoveryBound is the time after the last fault within which every VM serves
 	// requests again, a documented guarantee to operators.
@@ -55,14 +55,17 @@
 	store      *storetest.Store
 	vms        []*vm
 	backends   []*backend
-	executions *executionCounter
+	executions *executionLog
 	clients    []*client
 	// operator is held while the operator writes.
 	operator sync.Mutex
 	// configVersion is the version of the newest configuration, configDocument its text.
 	configVersion  atomic.Int64
 	configDocument []byte
-	restorer       *restorer
+	// configService is the service to which all its routes lead.
+	configService string
+	keys          *accountKeys
+	restorer      *restorer
 	// later draws the faults that were added later, so that each seed still plays the
 	// others as before.
 	later *rand.Rand
@@ -111,6 +114,7 @@
 	for end := time.Now().Add(*faultDuration); time.Now().Before(end); {
 		h.injectFault()
 		h.maybeWriteOddEntry()
+		h.maybeRotateKey()
 		h.restorer.maybeRestore()
 		time.Sleep(time.Duration(100+h.random.IntN(400)) * time.Millisecond)
 	}
@@ -133,10 +137,11 @@
 func startHarness(t *testing.T, binary string, seed uint64) *harness {
 	h := &harness{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), store: storetest.Start(t, 100),
-		executions: &executionCounter{counts: map[string]int{}},
+		executions: &executionLog{byID: map[string][]execution{}},
 	}
 	h.later = rand.New(rand.NewPCG(seed, 3))
 	h.restorer = newRestorer(h, seed)
+	h.keys = newAccountKeys(seed)
 	dir := t.TempDir()
 	t.Cleanup(func() { saveLogs(t, dir, seed) })
 	for _, service := range []string{"desk", "vault"} {
@@ -156,6 +161,7 @@
 	}
 	for i := range clientCount {
 		h.clients = append(h.clients, newClient(i, seed, directoryAddresses))
+		h.assignAccount(h.clients[i])
 	}
 	return h
 }
@@ -171,16 +177,27 @@
 }
 
 // configure writes a new configuration version to the store. All its routes lead to
-// service, including one whose path prefix exists only in this version.
+// service, including one whose path prefix exists only in this version and that needs no key.
 func (h *harness) configure(service string) {
 	h.operator.Lock()
 	defer h.operator.Unlock()
+	h.configService = service
+	h.writeConfiguration()
+}
+
+// writeConfiguration writes a new configuration version. The caller holds operator.
+func (h *harness) writeConfiguration() {
+	service := h.configService
 	version := h.configVersion.Load() + 1
-	route := `{"host":"h.example","path_prefix":%q,"kind":%q,"timeout_ms":2000,"target_latency_ms":300,"service":%q,"max_attempts":2,"session_affinity":true}`
+	route := func(prefix, kind string, exempt bool) string {
+		return fmt.Sprintf(`{"host":"h.example","path_prefix":%q,"kind":%q,"timeout_ms":2000,"target_latency_ms":300,"service":%q,"max_attempts":2,"session_affinity":true,"auth_exempt":%t}`,
+			prefix, kind, service, exempt)
+	}
 	h.configDocument = fmt.Appendf(nil,
-		`{"version":%d,"routes":{"read":%s,"order":%s,"v%d":%s},"services":{"desk":{},"vault":{}},"limits":{"max_body_bytes":1000000}}`,
-		version, fmt.Sprintf(route, "/read/", "idempotent", service), fmt.Sprintf(route, "/order/", "non_idempotent", service),
-		version, fmt.Sprintf(route, fmt.Sprintf("/v%d/", version), "idempotent", service))
+		`{"version":%d,"routes":{"read":%s,"order":%s,"open-read":%s,"open-order":%s,"v%d":%s},"services":{"desk":{},"vault":{}},"tenants":%s,"limits":{"max_body_bytes":1000000}}`,
+		version, route("/read/", "idempotent", false), route("/order/", "non_idempotent", false),
+		route("/open/read/", "idempotent", true), route("/open/order/", "non_idempotent", true),
+		version, route(fmt.Sprintf("/v%d/", version), "idempotent", true), h.keys.document())
 	h.store.Put(platform.KeyConfig, h.configDocument)
 	h.configVersion.Store(version)
 }
@@ -302,16 +319,17 @@
 		for _, result := range c.snapshot() {
 			sentRequests[result.requestID] = true
 			statusCounts[result.status]++
-			for _, violation := range violations(result, h.executions.get(result.requestID)) {
+			for _, violation := range h.keys.violations(result, h.executions.get(result.requestID)) {
 				h.t.Errorf("%s: request %s at %s", violation, result.requestID, result.sentAt.Format(time.RFC3339Nano))
 			}
 		}
 	}
-	for id := range h.executions.counts {
+	for id := range h.executions.byID {
 		if !sentRequests[id] && !strings.HasPrefix(id, "probe-") {
 			h.t.Errorf("UNASKED: a server executed %q, which no client sent", id)
 		}
 	}
+	h.checkAccounts()
 	if statusCounts[http.StatusOK] == 0 {
 		h.t.Error("no request succeeded")
 	}
@@ -330,6 +348,11 @@
 	}
 	switch result.status {
 	case 0, http.StatusOK, http.StatusBadGateway, http.StatusGatewayTimeout:
+	case http.StatusUnauthorized, http.StatusTooManyRequests:
+		if !mayDeny(result) {
+			found = append(found, fmt.Sprintf("DENIED: unexpected status %d", result.status))
+		}
+		fallthrough
 	case http.StatusServiceUnavailable:
 		if result.nonIdempotent && executions > 0 {
 			found = append(found, "REFUSED: answered as not executed, but was executed")
@@ -363,6 +386,11 @@
 		{"200 without execution", requestResult{status: 200}, 0, "MIXED"},
 		{"wrong response content", requestResult{status: 200, failure: "MIXED: 200 response"}, 1, "MIXED"},
 		{"unexpected status", requestResult{status: 404}, 0, "DENIED"},
+		{"known key denied", requestResult{status: 401, key: stableKey("open")}, 0, "DENIED"},
+		{"unknown key denied", requestResult{status: 401, key: wrongKeys[0]}, 0, ""},
+		{"limit reached", requestResult{status: 429, key: stableKey("greedy")}, 0, ""},
+		{"limited without a limit", requestResult{status: 429, key: stableKey("open")}, 0, "DENIED"},
+		{"limited after execution", requestResult{nonIdempotent: true, status: 429, key: stableKey("greedy")}, 1, "REFUSED"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.desc, func(t *testing.T) {
