Add pipelined clients to the fault soak

Cause: no client of the soak sent a request before the previous answer, so requests that are started early were never tested while VMs stop, pause and die.

Change: two more clients send two to six idempotent requests ahead on one raw connection, in two writes at a random byte, one in ten with a wrong key. Every answer must come in order with the ID of its request, and a 200 with its body and seal.

--- a/internal/soak/accounts_test.go
+++ b/internal/soak/accounts_test.go
@@ -157,6 +157,8 @@
 		return
 	case 15:
 		return
+	case 16, 17:
+		c.pipelined = true
 	}
 	c.chooseKey = func() string { return stableKey(name) }
 }
--- a/internal/soak/client_test.go
+++ b/internal/soak/client_test.go
@@ -38,6 +38,9 @@
 	http               *http.Client
 	// chooseKey returns the key of the next request. Clients without it use the exempt route.
 	chooseKey func() string
+	// pipelined clients send several requests ahead over conn.
+	pipelined bool
+	conn      *pipelinedConn
 
 	mu      sync.Mutex
 	results []requestResult
@@ -58,9 +61,15 @@
 			return
 		default:
 		}
-		result := c.send(fmt.Sprintf("%d-%d", c.number, i))
+		id := fmt.Sprintf("%d-%d", c.number, i)
+		var results []requestResult
+		if c.pipelined {
+			results = c.sendAhead(id)
+		} else {
+			results = append(results, c.send(id))
+		}
 		c.mu.Lock()
-		c.results = append(c.results, result)
+		c.results = append(c.results, results...)
 		c.mu.Unlock()
 		time.Sleep(time.Duration(5+c.random.IntN(25)) * time.Millisecond)
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -34,7 +34,7 @@
 )
 
 const (
-	clientCount       = 16
+	clientCount       = 18
 	serversPerService = 4
 	// recoveryBound is the time after the last fault within which every VM serves
 	// requests again, a documented guarantee to operators.
@@ -340,7 +340,7 @@
 // backend servers executed it.
 func violations(result requestResult, executions int) []string {
 	var found []string
-	if strings.HasPrefix(result.failure, "MIXED") {
+	if strings.HasPrefix(result.failure, "MIXED") || strings.HasPrefix(result.failure, "ORDER") {
 		found = append(found, result.failure)
 	}
 	if result.nonIdempotent && executions > 1 {
@@ -391,6 +391,7 @@
 		{"limit reached", requestResult{status: 429, key: stableKey("greedy")}, 0, ""},
 		{"limited without a limit", requestResult{status: 429, key: stableKey("open")}, 0, "DENIED"},
 		{"limited after execution", requestResult{nonIdempotent: true, status: 429, key: stableKey("greedy")}, 1, "REFUSED"},
+		{"responses out of order", requestResult{status: 503, failure: "ORDER: x"}, 0, "ORDER"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.desc, func(t *testing.T) {
