Reset connections in the fault soak where their loss is meant

Trace: a server sent bytes without end in a response without a length; at 23:09:14.58 the fault of the proxy before it closed all its connections in order (vm logs: 'unexpected EOF' and resets at the same moment for all requests there), which ends such a response by the protocol. The fault is a reset by its name and description. The proxy now resets, and passes resets of servers on; a VM must then not take the response for whole, so the check is as strict and sees more.

--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -20,7 +20,7 @@
 	faultDiscard
 	// faultDiscardResponses discards only the data sent by the target.
 	faultDiscardResponses
-	// faultReset closes all connections, and new ones as soon as accepted.
+	// faultReset resets all connections, and closes new ones as soon as accepted.
 	faultReset
 	// faultCount is the number of fault values.
 	faultCount
@@ -78,15 +78,24 @@
 	return p.fault
 }
 
-// closeConns closes all proxied connections.
+// closeConns resets all proxied connections. An orderly close would end a response without
+// a length as if it were whole.
 func (p *proxy) closeConns() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for conn := range p.conns {
-		conn.Close()
+		reset(conn)
 	}
 }
 
+// reset closes a connection so that the other end gets an error.
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	conn.Close()
+}
+
 // track adds conn to the open connections, or removes it if open is false.
 func (p *proxy) track(conn net.Conn, open bool) {
 	p.mu.Lock()
@@ -124,19 +133,28 @@
 		defer p.track(conn, false)
 	}
 	var copies sync.WaitGroup
-	copies.Go(func() { p.copy(outbound, inbound, false); outbound.Close() })
-	copies.Go(func() { p.copy(inbound, outbound, true); inbound.Close() })
+	copies.Go(func() { end(outbound, p.copy(outbound, inbound, false)) })
+	copies.Go(func() { end(inbound, p.copy(inbound, outbound, true)) })
 	copies.Wait()
 }
 
-// copy forwards data from src to dst and applies the current fault to each chunk.
-// fromTarget says that src is the connection to the target.
-func (p *proxy) copy(dst io.Writer, src io.Reader, fromTarget bool) {
+// end closes conn as the other connection ended: in order, or by an error.
+func end(conn net.Conn, err error) {
+	if err != io.EOF {
+		reset(conn)
+		return
+	}
+	conn.Close()
+}
+
+// copy forwards data from src to dst and applies the current fault to each chunk. It returns
+// the error that ended it. fromTarget says that src is the connection to the target.
+func (p *proxy) copy(dst io.Writer, src io.Reader, fromTarget bool) error {
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := src.Read(buf)
 		if err != nil {
-			return
+			return err
 		}
 		switch f := p.currentFault(); {
 		case f == faultDiscard, f == faultDiscardResponses && fromTarget:
@@ -145,7 +163,7 @@
 			time.Sleep(chunkDelay)
 		}
 		if _, err := dst.Write(buf[:n]); err != nil {
-			return
+			return err
 		}
 	}
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -46,6 +46,9 @@
 	// A SIGHUP arrived before the program ignored or handled it and terminated the
 	// process, which was not restarted.
 	30038,
+	// The proxy closed connections in order where it should have reset them, which ended
+	// endless responses without a length as if they were whole.
+	98008,
 }
 
 // harness runs the VMs, backend servers, clients and store of one seed.
