--- a/internal/front/limit_test.go
+++ b/internal/front/limit_test.go
@@ -1,10 +1,12 @@
 package front
 
 import (
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -35,6 +37,29 @@
 	return l
 }
 
+// refusingAddress returns an address that refuses connections until the test ends. The port of
+// a closed listener could be taken by another process.
+func refusingAddress(t *testing.T) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address, ok := name.(*syscall.SockaddrInet4)
+	if !ok {
+		t.Fatalf("unexpected address %v", name)
+	}
+	return net.JoinHostPort("127.0.0.1", strconv.Itoa(address.Port))
+}
+
 // Guards against limits that are passed by, against requests at the limit that reach a
 // server, and against tokens that are lost with requests that were not sent.
 func TestAccountLimit(t *testing.T) {
@@ -66,7 +91,7 @@
 			if tt.behave == nil {
 				servers = nil
 			} else if tt.arrivals == 0 {
-				server.Close()
+				servers[0].Address = refusingAddress(t)
 			}
 			limiter := newLimiter(t, 5)
 			snapshot := catalog.NewSnapshot(9, accountConfig(t), servers, nil, nil)
