review: show that a long watch response stops all machines

Cause: a response of the store is cut at 8 MiB, so a watch that has more events to return fails, and is repeated from the same revision until the store has dropped its history. All machines keep the old configuration for the 12 s observed.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Builds the stand-ins that the scripts of the second review start. The system itself is
-# built by the line of deploy/system.toml.
+# built by the line of deploy/system.toml. The module has no dependencies.
 set -euo pipefail
-cd "$(dirname "$0")/.."
-mkdir -p target/review
-go build -o target/review/standin2 ./review/standin2
+cd "$(dirname "$0")/standin2"
+mkdir -p ../../target/review
+GOFLAGS="-buildvcs=false" go build -o ../../target/review/standin2 .
--- a/review/standin2/configmemory.go
+++ b/review/standin2/configmemory.go
@@ -47,9 +47,16 @@
 	return fmt.Sprintf("r%06d", l.ids)
 }
 
-// largeConfig returns a configuration with as many idle routes as fit into a value.
+// lookupRoute is the route that the clients of configMemory use.
+var lookupRoute = map[string]any{
+	"host": "lookup.example", "path_prefix": "/occupancy/", "kind": "idempotent", "service": "lease-desk",
+	"timeout_ms": 2000, "target_latency_ms": 300, "max_attempts": 2, "priority": 1, "session_affinity": true,
+}
+
+// largeConfig returns a configuration with a route in use and as many idle ones as fit
+// into a value.
 // Versions differ in their number and in the timeout of an idle route.
-func largeConfig(version int) []byte {
+func largeConfig(version int, inUse map[string]any) []byte {
 	routes := map[string]any{}
 	for i := range 3380 {
 		routes[fmt.Sprintf("plan-archive-%04d", i)] = map[string]any{
@@ -59,10 +66,7 @@
 		}
 	}
 	routes["plan-archive-0000"].(map[string]any)["timeout_ms"] = 700 + version
-	routes["occupancy-lookup"] = map[string]any{
-		"host": "lookup.example", "path_prefix": "/occupancy/", "kind": "idempotent", "service": "lease-desk",
-		"timeout_ms": 2000, "target_latency_ms": 300, "max_attempts": 2, "priority": 1, "session_affinity": true,
-	}
+	routes["occupancy-lookup"] = inUse
 	data, err := json.Marshal(map[string]any{
 		"version": version, "routes": routes,
 		"services": map[string]any{"lease-desk": map[string]any{"health_path": "/health", "max_connections": 360, "cold_start_s": 3, "cold_per_s": 3.5}},
@@ -78,7 +82,7 @@
 // connections. Like the platform, it kills a process that exceeds its memory.
 func configMemory(dir string, trouble bool) bool {
 	st := startStore("127.0.0.1")
-	first := largeConfig(1)
+	first := largeConfig(1, lookupRoute)
 	st.put("op/config", first)
 	record("operator writes version 1, %d bytes", len(first))
 	places := []place{{"lj-a", "lj"}, {"mb-a", "mb"}, {"kp-a", "kp"}}
@@ -121,7 +125,7 @@
 	for storm := time.Now(); ; storm = storm.Add(stormTime + stormGap) {
 		for at := storm; at.Sub(storm) < stormTime; at = at.Add(stormGap) {
 			version++
-			config := largeConfig(version)
+			config := largeConfig(version, lookupRoute)
 			if !pause(ctx, time.Until(at)) {
 				return
 			}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -20,6 +20,7 @@
 	"config-memory": configMemory,
 	"pipeline-cut":  pipelineCut,
 	"pipeline-stop": pipelineStop,
+	"watch-backlog": watchBacklog,
 }
 
 // caseTimeout ends a case that hangs, before the 120 s that a script may take.
--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -111,12 +111,16 @@
 func (s *store) record(i item) {
 	i.at = time.Now()
 	s.history = append(s.history, i)
-	for len(s.history) > 0 && i.at.Sub(s.history[0].at) > historyTime {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// forget drops the history that is older than historyTime.
+func (s *store) forget(now time.Time) {
+	for len(s.history) > 0 && now.Sub(s.history[0].at) > historyTime {
 		s.dropped = s.history[0].Revision
 		s.history = s.history[1:]
 	}
-	close(s.changed)
-	s.changed = make(chan struct{})
 }
 
 func respond(w http.ResponseWriter, body any) {
@@ -159,6 +163,7 @@
 	defer timer.Stop()
 	for ended := false; ; {
 		s.mu.Lock()
+		s.forget(time.Now())
 		if after < s.dropped {
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
