--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/standin2"
 mkdir -p ../../target/review
-GOFLAGS="-buildvcs=false" go build -o ../../target/review/standin2 .
+GOFLAGS="-buildvcs=false" GOWORK=off GOTOOLCHAIN=local go build -o ../../target/review/standin2 .
