--- a/review/standin2/configmemory.go
+++ b/review/standin2/configmemory.go
@@ -12,9 +12,10 @@
 
 const (
 	// stormTime and stormGap are those of the disruption config_storm: a change every gap,
-	// for a time. One storm follows the other.
-	stormTime = 4 * time.Second
-	stormGap  = 330 * time.Millisecond
+	// for a time. stormPause is the time from the end of a storm to the next one.
+	stormTime  = 4 * time.Second
+	stormGap   = 330 * time.Millisecond
+	stormPause = 670 * time.Millisecond
 	// maxValue is value_bytes of the settings.
 	maxValue = 1 << 20
 	// memoryMB is that of the smallest machine.
@@ -119,10 +120,11 @@
 	return held
 }
 
-// storms changes the configuration every stormGap for stormTime, again and again.
+// storms changes the configuration every stormGap for stormTime, again and again, with a
+// pause between.
 func storms(ctx context.Context, st *store) {
 	version := 1
-	for storm := time.Now(); ; storm = storm.Add(stormTime + stormGap) {
+	for storm := time.Now(); ; storm = storm.Add(stormTime + stormPause) {
 		for at := storm; at.Sub(storm) < stormTime; at = at.Add(stormGap) {
 			version++
 			config := largeConfig(version, lookupRoute)
