upstream: report answers that a reset ends during an upload as truncated

Callers saw: a server answered a long upload at once with a 200 without a length, sent part of its body and reset the connection. The client got that part as a complete answer. Cause: an answer without a length ends where reading finds the end of the input. The kernel reports a reset, or a timeout of sent data, to one system call only. If the upload's write gets the error, the read that follows returns the end of the input, as if the server had closed the connection. Class: a fact of the connection that two goroutines look for and one of them consumes. Evidence: TestResetDuringUploadIsNoEndOfTheAnswer of internal/node sends uploads through a whole entry VM. Change: the connection keeps the error of its first failed write. At the end of an answer without a length, a connection that is down counts as ended by its server only if no write got another error than EPIPE, which the kernel returns after the server's end of the connection. A write in progress on such a connection returns at once, so the check waits for it. TestEndOfConnectionDuringUploadEndsTheAnswer passes before and after: an answer that the server ends with its connection is still served whole, whatever it then does with the upload. Held already, tests kept: answers to pipelined requests, where nothing is written meanwhile, and the own interface, which takes no answer without a length.

--- /dev/null
+++ b/internal/daemon/broken_answers_test.go
@@ -0,0 +1,96 @@
+package daemon
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"fuchsiaspar/internal/backend"
+	"fuchsiaspar/internal/header"
+)
+
+// startRawBackend runs a backend server without the control protocol. It reads the head of
+// each request, writes what answer does, and closes the connection.
+func startRawBackend(t *testing.T, answer func(c *net.TCPConn, r *http.Request)) (address string) {
+	t.Helper()
+	listener := listen(t)
+	t.Cleanup(func() { listener.Close() })
+	serve := func(c *net.TCPConn) {
+		defer c.Close()
+		_ = c.SetReadBuffer(64 << 10)
+		r, err := http.ReadRequest(bufio.NewReaderSize(c, 16))
+		switch {
+		case err != nil:
+		case strings.HasPrefix(r.URL.Path, backend.ControlPath):
+			_, _ = io.WriteString(c, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+		default:
+			answer(c, r)
+		}
+	}
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c.(*net.TCPConn))
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// upload sends a long body to an entry VM. It returns an error unless the answer is
+// complete.
+func upload(t *testing.T, address string) (status int, ran bool, body string, err error) {
+	t.Helper()
+	// The type hides the length.
+	r, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/requests/desk/lookup", io.MultiReader(bytes.NewReader(make([]byte, 6<<20))))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set(header.Account, testAccount)
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, false, "", err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, resp.Header.Get(header.Outcome) == "ran", string(data), err
+}
+
+// Guards against the beginning of an answer that reaches the caller as the whole one,
+// because the server reset the connection while the upload was being sent.
+func TestResetDuringUploadIsNoEndOfTheAnswer(t *testing.T) {
+	part := strings.Repeat("y", 100)
+	for desc, framing := range map[string]string{
+		"without a length": "\r\n" + part,
+		"with a length":    "Content-Length: 200\r\n\r\n" + part,
+		"chunked":          "Transfer-Encoding: chunked\r\n\r\n64\r\n" + part + "\r\n",
+	} {
+		t.Run(desc, func(t *testing.T) {
+			var answers atomic.Int64
+			f := startTestFleetWith(t, 2, startRawBackend(t, func(c *net.TCPConn, r *http.Request) {
+				answers.Add(1)
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+backend.HeaderAttempt+": "+r.Header.Get(backend.HeaderAttempt)+"\r\n"+framing)
+				time.Sleep(2 * time.Millisecond)
+				_ = c.SetLinger(0)
+			}))
+			for _, address := range f.addresses {
+				for range 20 {
+					if status, ran, _, err := upload(t, address); err == nil && ran && status < http.StatusBadRequest {
+						t.Fatalf("the part was delivered through %s as a complete answer", address)
+					}
+				}
+			}
+			if answers.Load() == 0 {
+				t.Error("no request reached the server")
+			}
+		})
+	}
+}
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -73,14 +73,21 @@
 
 func startTestFleet(t testing.TB, vms int) *testFleet {
 	t.Helper()
-	f := &testFleet{store: platformstandin.New(platformstandin.Options{})}
 	server, err := standin.Start(standin.Options{ID: "desk-1", Slots: 3, ServiceTime: testServiceTime, Seed: 1})
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(server.Kill)
+	f := startTestFleetWith(t, vms, server.Address())
 	f.backends = append(f.backends, server)
-	f.store.SetVM(platform.VM{ID: "desk-1", Role: platform.RoleBackend, Zone: testZone, Address: server.Address(), Service: "desk", State: platform.VMLive})
+	return f
+}
+
+// startTestFleetWith is startTestFleet with the backend server at an address.
+func startTestFleetWith(t testing.TB, vms int, server string) *testFleet {
+	t.Helper()
+	f := &testFleet{store: platformstandin.New(platformstandin.Options{})}
+	f.store.SetVM(platform.VM{ID: "desk-1", Role: platform.RoleBackend, Zone: testZone, Address: server, Service: "desk", State: platform.VMLive})
 	listeners := make([]net.Listener, vms)
 	for i := range vms {
 		l := listen(t)
--- /dev/null
+++ b/internal/node/broken_answers_test.go
@@ -0,0 +1,250 @@
+package node
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"fuchsiaspar/platform"
+	"fuchsiaspar/platform/storetest"
+)
+
+// startRawBackend runs a backend server that reads the head of each request, writes what
+// answer does, and closes the connection.
+func startRawBackend(t *testing.T, store *storetest.Store, id, service string, answer func(c *net.TCPConn, r *http.Request)) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				// A long upload does not fit into the buffers of the connection.
+				_ = c.(*net.TCPConn).SetReadBuffer(64 << 10)
+				if r, err := http.ReadRequest(bufio.NewReaderSize(c, 16)); err == nil {
+					answer(c.(*net.TCPConn), r)
+				}
+			}()
+		}
+	}()
+	store.Put(platform.PrefixServers+id, fmt.Appendf(nil,
+		`{"address":%q,"info":{"service":%q,"version":"v1","zone":"z","slots":100},"status":{"state":"ready","sequence":1,"cold_left_ms":0}}`,
+		listener.Addr().String(), service))
+}
+
+// configureKinds configures a route of each kind to a service: /idempotent/,
+// /non_idempotent/ and /download/.
+func configureKinds(store *storetest.Store, service string) {
+	var routes []string
+	for _, kind := range []string{"idempotent", "non_idempotent", "download"} {
+		routes = append(routes, fmt.Sprintf(`%q:{"host":"h","path_prefix":"/%s/","kind":%q,"timeout_ms":4000,"service":%q,"max_attempts":2}`, kind, kind, kind, service))
+	}
+	store.Put(platform.KeyConfig, fmt.Appendf(nil, `{"version":1,"routes":{%s},"services":{%q:{"health_path":"/health"}},"limits":{"max_body_bytes":%d}}`,
+		strings.Join(routes, ","), service, 8<<20))
+}
+
+// answerHead returns the head of a server's answer to r, with more fields.
+func answerHead(r *http.Request, status, more string) string {
+	return "HTTP/1.1 " + status + "\r\n" + platform.HeaderRequestID + ": " + r.Header.Get(platform.HeaderRequestID) + "\r\n" +
+		platform.HeaderSeal + ": seal\r\n" + more + "\r\n"
+}
+
+// clientAnswer is what a client got.
+type clientAnswer struct {
+	status int
+	header http.Header
+	body   string
+	// err is nil if the answer was complete.
+	err error
+}
+
+// exchangeRaw sends a request on a connection of its own and returns the answer. It sends
+// the body while it waits.
+func exchangeRaw(t *testing.T, address, head, body string) clientAnswer {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if err := conn.SetDeadline(time.Now().Add(20 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		// The VM may answer before it has read everything.
+		_, _ = io.WriteString(conn, head+"\r\n"+body)
+	}()
+	return readAnswer(bufio.NewReader(conn))
+}
+
+func readAnswer(reader *bufio.Reader) clientAnswer {
+	resp, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return clientAnswer{err: err}
+	}
+	data, err := io.ReadAll(resp.Body)
+	return clientAnswer{resp.StatusCode, resp.Header, string(data), err}
+}
+
+// requestHead returns the head of a request without its last line.
+func requestHead(method, path, more string) string {
+	return method + " " + path + " HTTP/1.1\r\nHost: h\r\n" + platform.HeaderRequestID + ": id-1\r\n" + more
+}
+
+// upload is a request with a long body.
+type upload struct {
+	desc, head, body string
+}
+
+// uploads returns requests to path with bodies that are sent with a length or in chunks,
+// and that the VM buffers or streams.
+func uploads(path string) []upload {
+	const buffered, streamed = 250 << 10, 6 << 20
+	var list []upload
+	for desc, size := range map[string]int{"buffered": buffered, "streamed": streamed} {
+		data := strings.Repeat("x", size)
+		list = append(list,
+			upload{desc + " with a length", requestHead(http.MethodPost, path, fmt.Sprintf("Content-Length: %d\r\n", size)), data},
+			upload{desc + " in chunks", requestHead(http.MethodPost, path, "Transfer-Encoding: chunked\r\n"), fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", size, data)})
+	}
+	return list
+}
+
+// startVMWithBackend runs an entry VM with one backend server and routes of each kind.
+func startVMWithBackend(t *testing.T, answer func(c *net.TCPConn, r *http.Request)) *Node {
+	t.Helper()
+	store := storetest.Start(t, 2)
+	startRawBackend(t, store, "i-1", "one", answer)
+	configureKinds(store, "one")
+	n := startNode(t, "vm-a", store)
+	eventually(t, "servers known", func() bool { return n.Ready() && len(n.state.Current().Servers["one"]) == 1 })
+	return n
+}
+
+// resetRepeats is how often each upload is sent. Whether the upload or the reading of the
+// answer notices the reset is up to the scheduler.
+const resetRepeats = 40
+
+// Guards against the beginning of an answer without a length that reaches the client as
+// the whole one, because the server reset the connection while the upload was being sent.
+func TestResetDuringUploadIsNoEndOfTheAnswer(t *testing.T) {
+	// The longer one is streamed to the client.
+	for desc, part := range map[string]int{"short": 100, "long": 2 << 20} {
+		t.Run(desc+" part", func(t *testing.T) {
+			var requests atomic.Int64
+			n := startVMWithBackend(t, func(c *net.TCPConn, r *http.Request) {
+				_, _ = io.WriteString(c, answerHead(r, "200 OK", "")+strings.Repeat("y", part))
+				// Every second time, the upload waits for the server before the reset.
+				time.Sleep(time.Duration(requests.Add(1)%2) * 2 * time.Millisecond)
+				_ = c.SetLinger(0)
+			})
+			for _, path := range []string{"/idempotent/x", "/non_idempotent/x"} {
+				for _, u := range uploads(path) {
+					complete := 0
+					for range resetRepeats {
+						if got := exchangeRaw(t, n.settings.Listen.Front, u.head, u.body); got.err == nil && got.status < http.StatusBadRequest {
+							complete++
+						}
+					}
+					if complete > 0 {
+						t.Errorf("%s%s: the part was delivered as a complete answer in %d of %d requests", u.desc, path, complete, resetRepeats)
+					}
+				}
+			}
+		})
+	}
+}
+
+// Guards against a whole answer without a length that counts as broken off, because the
+// server ended the connection while the upload was being sent.
+func TestEndOfConnectionDuringUploadEndsTheAnswer(t *testing.T) {
+	const short, long = 100, 2 << 20
+	readUpload := func(r *http.Request, bytes int64) { _, _ = io.CopyN(io.Discard, r.Body, bytes) }
+	tests := map[string]struct {
+		size int
+		// end is what the server does after its end of the connection.
+		end func(c *net.TCPConn, r *http.Request)
+	}{
+		"short, closed at once":      {short, func(*net.TCPConn, *http.Request) {}},
+		"short, closed later":        {short, func(*net.TCPConn, *http.Request) { time.Sleep(20 * time.Millisecond) }},
+		"short, upload read to end":  {short, func(_ *net.TCPConn, r *http.Request) { readUpload(r, math.MaxInt64) }},
+		"long, closed after a while": {long, func(*net.TCPConn, *http.Request) { time.Sleep(200 * time.Millisecond) }},
+		"long, upload read to end":   {long, func(_ *net.TCPConn, r *http.Request) { readUpload(r, math.MaxInt64) }},
+		"long, upload read in part": {long, func(_ *net.TCPConn, r *http.Request) {
+			readUpload(r, 1<<20)
+			time.Sleep(100 * time.Millisecond)
+		}},
+		"short, reset after the end": {short, func(c *net.TCPConn, _ *http.Request) {
+			time.Sleep(20 * time.Millisecond)
+			_ = c.SetLinger(0)
+		}},
+	}
+	for desc, tt := range tests {
+		t.Run(desc, func(t *testing.T) {
+			n := startVMWithBackend(t, func(c *net.TCPConn, r *http.Request) {
+				_, _ = io.WriteString(c, answerHead(r, "200 OK", "")+strings.Repeat("y", tt.size))
+				_ = c.CloseWrite()
+				tt.end(c, r)
+			})
+			for _, u := range uploads("/non_idempotent/x") {
+				for range 5 {
+					got := exchangeRaw(t, n.settings.Listen.Front, u.head, u.body)
+					if got.err != nil || got.status != http.StatusOK || len(got.body) != tt.size || got.header.Get(platform.HeaderSeal) != "seal" {
+						t.Errorf("%s: got %d with %d bytes, %v, want 200 with %d bytes", u.desc, got.status, len(got.body), got.err, tt.size)
+					}
+				}
+			}
+		})
+	}
+}
+
+// Guards against the beginning of an answer without a length that reaches the client as
+// the whole one, in a response that waits for the previous one of its connection.
+func TestResetOfAnswersToPipelinedRequests(t *testing.T) {
+	const requests = 4
+	// The longer one exceeds what is held of a response that waits.
+	for desc, part := range map[string]int{"short": 100, "long": 1 << 20} {
+		t.Run(desc, func(t *testing.T) {
+			n := startVMWithBackend(t, func(c *net.TCPConn, r *http.Request) {
+				_, _ = io.WriteString(c, answerHead(r, "200 OK", "")+strings.Repeat("y", part))
+				time.Sleep(20 * time.Millisecond)
+				_ = c.SetLinger(0)
+			})
+			conn, err := net.Dial("tcp", n.settings.Listen.Front)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			if err := conn.SetDeadline(time.Now().Add(20 * time.Second)); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := io.WriteString(conn, strings.Repeat(requestHead(http.MethodGet, "/idempotent/x", "")+"\r\n", requests)); err != nil {
+				t.Fatal(err)
+			}
+			reader := bufio.NewReader(conn)
+			for i := range requests {
+				got := readAnswer(reader)
+				if got.err == nil && got.status < http.StatusBadRequest {
+					t.Errorf("response %d: the part was delivered as a complete answer", i)
+				}
+				if got.err != nil {
+					break
+				}
+			}
+		})
+	}
+}
--- a/internal/upstream/body.go
+++ b/internal/upstream/body.go
@@ -26,6 +26,11 @@
 	if err == nil {
 		return n, nil
 	}
+	if err == io.EOF && b.endsWithConnection() {
+		if cause := b.ex.conn.endError(); cause != nil {
+			err = cause
+		}
+	}
 	if err == io.EOF {
 		b.end()
 		return n, io.EOF
@@ -34,6 +39,12 @@
 	return n, errors.WithMessage(ErrTruncated, err.Error())
 }
 
+// endsWithConnection reports whether only the end of the connection marks the end of the
+// body.
+func (b *Body) endsWithConnection() bool {
+	return b.resp.ContentLength < 0 && len(b.resp.TransferEncoding) == 0
+}
+
 // end finishes the exchange after the body was read to its end, unless the request is
 // still being sent.
 func (b *Body) end() {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -5,9 +5,11 @@
 	"context"
 	"io"
 	"net"
+	"sync"
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -45,6 +47,11 @@
 	onClose func()
 	// reusableUntil is the time after which the idle connection is not reused.
 	reusableUntil time.Time
+
+	// writing is held during each write.
+	writing sync.Mutex
+	// writeErr is the error of the first write that failed.
+	writeErr error
 }
 
 // dial opens a connection with TCP_USER_TIMEOUT set to userTimeout.
@@ -73,6 +80,53 @@
 	return err
 }
 
+// Write implements net.Conn. It keeps the first error for endError.
+func (c *conn) Write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	if err != nil && c.writeErr == nil {
+		c.writeErr = err
+	}
+	return n, err
+}
+
+// endError returns why the end of the input, which has been read, is not the server's end
+// of the connection, or nil if it is.
+//
+// The kernel reports a reset or a timeout of a connection to one system call only. If that
+// is a write, reading finds an end of the input as if the server had closed the connection.
+// A write to a connection that the server had closed before fails with EPIPE instead.
+func (c *conn) endError() error {
+	if !c.isDown() {
+		return nil
+	}
+	// Since the connection is down, a write in progress returns at once.
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	var code syscall.Errno
+	if errors.As(c.writeErr, &code) && code != syscall.EPIPE {
+		return c.writeErr
+	}
+	return nil
+}
+
+// isDown reports whether the connection can carry no data in either direction. After the
+// server's end of the connection alone, it still can in one.
+func (c *conn) isDown() bool {
+	if c.raw == nil {
+		return true
+	}
+	down := true
+	// An error means that the connection was closed here.
+	_ = c.raw.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			down = info.State == unix.BPF_TCP_CLOSE
+		}
+	})
+	return down
+}
+
 // boundedInput fails once more bytes are read than allowed. A server in trouble may
 // send bytes without end where a response header is due, and the HTTP parser
 // would keep all of them.
