node, daemon: test answers without a status through a whole entry VM

Already held since: an answer with the status 000, or with another status that HTTP does not have, reaches no client. Until now only the clients for backend servers were tested. These tests send such answers through a whole entry VM of the platform, singly and pipelined, with and without a length and before a sound answer, and through the own interface at the owner of the server and over a relay. Sound answers of the same look, such as an unknown reason or a status without one, are served. No change in the product.

--- a/internal/daemon/broken_answers_test.go
+++ b/internal/daemon/broken_answers_test.go
@@ -94,3 +94,46 @@
 		})
 	}
 }
+
+// ownFields stands for the fields that every answer of a server has.
+const ownFields = "{own}"
+
+// checkHeads lets servers send answers in raw bytes, with ownFields for the fields that each
+// has. A caller must get the body "hello" of a sound one, and nothing of a broken one.
+func checkHeads(t *testing.T, broken, sound []string) {
+	t.Helper()
+	check := func(answer string, isSound bool) {
+		var answers atomic.Int64
+		f := startTestFleetWith(t, 2, startRawBackend(t, func(c *net.TCPConn, r *http.Request) {
+			answers.Add(1)
+			_, _ = io.WriteString(c, strings.ReplaceAll(answer, ownFields, backend.HeaderAttempt+": "+r.Header.Get(backend.HeaderAttempt)+"\r\n"))
+		}))
+		for _, address := range f.addresses {
+			request := call{method: http.MethodGet, path: "/v1/requests/desk/lookup", header: map[string]string{header.Account: testAccount}}
+			resp, body := request.send(t, address)
+			if got := resp.Header.Get(header.Outcome) == "ran" && body == "hello"; got != isSound {
+				t.Errorf("%q through %s: got %d %v %q", answer, address, resp.StatusCode, resp.Header, body)
+			}
+			if !isSound && strings.Contains(body, "hello") {
+				t.Errorf("%q through %s: got the server's bytes %q", answer, address, body)
+			}
+		}
+		if answers.Load() == 0 {
+			t.Errorf("%q: no request reached the server", answer)
+		}
+	}
+	for _, answer := range broken {
+		check(answer, false)
+	}
+	for _, answer := range sound {
+		check(answer, true)
+	}
+}
+
+// Guards against an answer without a status of HTTP that reaches a caller as an answer.
+func TestAnswerWithoutAStatusReachesNoCaller(t *testing.T) {
+	const rest = "\r\n" + ownFields + "Content-Length: 5\r\n\r\nhello"
+	checkHeads(t,
+		[]string{"HTTP/1.1 000 Trouble" + rest, "HTTP/1.1 000" + rest, "HTTP/1.1 099 Trouble" + rest, "HTTP/1.1 600 Trouble" + rest, "HTTP/1.1 20 OK" + rest},
+		[]string{"HTTP/1.1 200 OK" + rest, "HTTP/1.1 200" + rest, "HTTP/1.1 299 000" + rest})
+}
--- a/internal/node/broken_answers_test.go
+++ b/internal/node/broken_answers_test.go
@@ -16,34 +16,45 @@
 	"fuchsiaspar/platform/storetest"
 )
 
-// startRawBackend runs a backend server that reads the head of each request, writes what
-// answer does, and closes the connection.
-func startRawBackend(t *testing.T, store *storetest.Store, id, service string, answer func(c *net.TCPConn, r *http.Request)) {
+// listenRaw runs a backend server that reads the head of each request, writes what answer
+// does, and closes the connection. It returns the address.
+func listenRaw(t *testing.T, answer func(c *net.TCPConn, r *http.Request)) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { listener.Close() })
+	serve := func(c *net.TCPConn) {
+		defer c.Close()
+		// A long upload does not fit into the buffers of the connection.
+		_ = c.SetReadBuffer(64 << 10)
+		if r, err := http.ReadRequest(bufio.NewReaderSize(c, 16)); err == nil {
+			answer(c, r)
+		}
+	}
 	go func() {
 		for {
 			c, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			go func() {
-				defer c.Close()
-				// A long upload does not fit into the buffers of the connection.
-				_ = c.(*net.TCPConn).SetReadBuffer(64 << 10)
-				if r, err := http.ReadRequest(bufio.NewReaderSize(c, 16)); err == nil {
-					answer(c.(*net.TCPConn), r)
-				}
-			}()
+			go serve(c.(*net.TCPConn))
 		}
 	}()
+	return listener.Addr().String()
+}
+
+// putServer adds a backend server's entry to the store.
+func putServer(store *storetest.Store, id, service, address string) {
 	store.Put(platform.PrefixServers+id, fmt.Appendf(nil,
 		`{"address":%q,"info":{"service":%q,"version":"v1","zone":"z","slots":100},"status":{"state":"ready","sequence":1,"cold_left_ms":0}}`,
-		listener.Addr().String(), service))
+		address, service))
+}
+
+// routeDocument returns the configuration of a route that is named by its path.
+func routeDocument(path, kind, service string) string {
+	return fmt.Sprintf(`%q:{"host":"h","path_prefix":%q,"kind":%q,"timeout_ms":4000,"service":%q,"max_attempts":2}`, path, path, kind, service)
 }
 
 // configureKinds configures a route of each kind to a service: /idempotent/,
@@ -51,7 +62,7 @@
 func configureKinds(store *storetest.Store, service string) {
 	var routes []string
 	for _, kind := range []string{"idempotent", "non_idempotent", "download"} {
-		routes = append(routes, fmt.Sprintf(`%q:{"host":"h","path_prefix":"/%s/","kind":%q,"timeout_ms":4000,"service":%q,"max_attempts":2}`, kind, kind, kind, service))
+		routes = append(routes, routeDocument("/"+kind+"/", kind, service))
 	}
 	store.Put(platform.KeyConfig, fmt.Appendf(nil, `{"version":1,"routes":{%s},"services":{%q:{"health_path":"/health"}},"limits":{"max_body_bytes":%d}}`,
 		strings.Join(routes, ","), service, 8<<20))
@@ -128,7 +139,7 @@
 func startVMWithBackend(t *testing.T, answer func(c *net.TCPConn, r *http.Request)) *Node {
 	t.Helper()
 	store := storetest.Start(t, 2)
-	startRawBackend(t, store, "i-1", "one", answer)
+	putServer(store, "i-1", "one", listenRaw(t, answer))
 	configureKinds(store, "one")
 	n := startNode(t, "vm-a", store)
 	eventually(t, "servers known", func() bool { return n.Ready() && len(n.state.Current().Servers["one"]) == 1 })
@@ -248,3 +259,99 @@
 		})
 	}
 }
+
+// headCase is a server's answer in raw bytes, in which {own} stands for the fields that
+// every answer has.
+type headCase struct {
+	desc, answer string
+	// sound reports whether the client must get the answer, with the body "hello" or none.
+	sound bool
+}
+
+// checkHeads sends requests to servers that send the answers of cases, singly and pipelined.
+// The client must get nothing of an answer that is not sound.
+func checkHeads(t *testing.T, cases []headCase) {
+	t.Helper()
+	kinds := []string{"non_idempotent", "idempotent"}
+	store := storetest.Start(t, 500)
+	// Each answer has servers of its own for each kind, since servers that fail are ejected.
+	var routes, services []string
+	address := listenRaw(t, func(c *net.TCPConn, r *http.Request) {
+		var kind string
+		var i int
+		_, _ = fmt.Sscanf(strings.ReplaceAll(r.URL.Path, "/", " "), "%s %d", &kind, &i)
+		_, _ = io.WriteString(c, strings.ReplaceAll(cases[i].answer, "{own}",
+			platform.HeaderRequestID+": "+r.Header.Get(platform.HeaderRequestID)+"\r\n"+platform.HeaderSeal+": seal\r\n"))
+	})
+	for i := range cases {
+		for _, kind := range kinds {
+			service := fmt.Sprint(kind, "-", i)
+			routes = append(routes, routeDocument(fmt.Sprintf("/%s/%d/", kind, i), kind, service))
+			services = append(services, fmt.Sprintf(`%q:{"health_path":"/health"}`, service))
+			putServer(store, "i-"+service, service, address)
+		}
+	}
+	store.Put(platform.KeyConfig, fmt.Appendf(nil, `{"version":1,"routes":{%s},"services":{%s}}`, strings.Join(routes, ","), strings.Join(services, ",")))
+	n := startNode(t, "vm-a", store)
+	eventually(t, "servers known", func() bool { return n.Ready() && len(n.state.Current().Servers) == len(cases)*len(kinds) })
+	for i, c := range cases {
+		for _, kind := range kinds {
+			head := requestHead(http.MethodGet, fmt.Sprintf("/%s/%d/x", kind, i), "") + "\r\n"
+			for n, got := range exchangePipelined(t, n.settings.Listen.Front, strings.Repeat(head, 2)) {
+				switch {
+				case c.sound && (got.err != nil || got.header.Get(platform.HeaderSeal) != "seal" || (got.body != "hello" && got.body != "")):
+					t.Errorf("%s, %s, response %d: got %+v, want the server's answer", c.desc, kind, n, got)
+				case !c.sound && (got.err != nil || got.header.Get(platform.HeaderSeal) != "" || got.status < http.StatusInternalServerError):
+					t.Errorf("%s, %s, response %d: got %+v, want a failure of the VM", c.desc, kind, n, got)
+				case !c.sound && n == 0 && got.status != http.StatusBadGateway:
+					t.Errorf("%s, %s: got %d, which says that the request has not run", c.desc, kind, got.status)
+				}
+			}
+		}
+	}
+}
+
+// exchangePipelined sends two requests on a connection of their own and returns the answers.
+func exchangePipelined(t *testing.T, address, requests string) (answers [2]clientAnswer) {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if err := conn.SetDeadline(time.Now().Add(20 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(conn, requests); err != nil {
+		t.Fatal(err)
+	}
+	reader := bufio.NewReader(conn)
+	for i := range answers {
+		answers[i] = readAnswer(reader)
+	}
+	return answers
+}
+
+// Guards against an answer without a status of HTTP that reaches a client as an answer.
+func TestAnswerWithoutAStatusReachesNoClient(t *testing.T) {
+	const rest = "\r\n{own}Content-Length: 5\r\n\r\nhello"
+	var cases []headCase
+	for _, line := range []string{
+		"HTTP/1.1 000 Trouble", "HTTP/1.1 000", "HTTP/1.1 000 ", "HTTP/1.0 000 OK", "HTTP/1.1 001 Trouble", "HTTP/1.1 099 Trouble",
+		"HTTP/1.1 101 Switching Protocols", "HTTP/1.1 600 Trouble", "HTTP/1.1 999 Trouble", "HTTP/1.1 00 OK", "HTTP/1.1 0000 OK",
+		"HTTP/1.1 +200 OK", "HTTP/1.1 -200 OK", "HTTP/1.1 2 00 OK", "HTTP/1.1 OK", "HTTP/2.0 200 OK", "HTTP/1.1 \x00200 OK",
+	} {
+		cases = append(cases,
+			headCase{line, line + rest, false},
+			headCase{line + " before an answer", line + "\r\n{own}Content-Length: 0\r\n\r\nHTTP/1.1 200 OK" + rest, false},
+			headCase{line + " without a length", line + "\r\n{own}\r\nhello", false})
+	}
+	for _, line := range []string{
+		"HTTP/1.1 200 OK", "HTTP/1.1 200", "HTTP/1.1 200 ", "HTTP/1.1 200 000", "HTTP/1.0 200 OK", "HTTP/1.1 299 Other",
+		"HTTP/1.1 404 Not Found", "HTTP/1.1 499 Other", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK",
+	} {
+		cases = append(cases, headCase{line, line + rest, true})
+	}
+	cases = append(cases, headCase{"204", "HTTP/1.1 204 No Content\r\n{own}\r\n", true})
+	checkHeads(t, cases)
+}
