upstream, backend: take no response with an invalid field name for an answer

Callers saw: a server in trouble sent an answer in whose head the name of a field held a blank. The client got it as an answer, with the line joined to the field before it (the seal of a server became "seal X-Extra: 1"), or with a body that was not the server's: "Content-Length : 5" or "Transfer-Encoding : chunked" was not understood, so the body ran to the end of the connection and held the bytes of the chunks. Cause: net/http reads responses leniently. It accepts names that contain blanks and joins a line that begins with one to the previous field; nothing checked the names behind it. Class: input that the parser tolerates is taken for valid. Evidence: TestAnswerWithAnInvalidFieldNameReachesNoClient of internal/node sends 199 broken answers through a whole entry VM, to requests of two kinds, each twice, pipelined. Change: header.HeadScanner checks the names as the bytes of a head arrive, on both paths to backend servers; such a response counts as one that is none of HTTP: the request may have run, and is retried where that is allowed. A line that begins with a blank is refused too, as RFC 9112 (section 5.2) allows: joined to the field before, it changes its value. Result: none of these answers reaches a client. 46 sound answers with fields of the same look are served, and 6 through the own interface, also with heads beyond 8 KiB. Held already, tests kept: control bytes in names, which net/http refuses; a response of the store that a reset cuts off during a call (TestResetDuringACallOfTheStore), since it is JSON; answers of other VMs come in WebSocket messages, and those of seeds in CBOR, whose end is known.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"fuchsiaspar/internal/header"
+
 	"golang.org/x/sys/unix"
 )
 
@@ -40,6 +43,10 @@
 	bytes   atomic.Uint64
 	closed  atomic.Bool
 	onClose func()
+
+	mu sync.Mutex
+	// head checks the header of the response that is being read.
+	head header.HeadScanner
 }
 
 // Write writes p unless the connection was abandoned.
@@ -52,13 +59,30 @@
 	return n, err
 }
 
-// Read reads from the connection and counts the bytes.
+// Read reads from the connection, counts the bytes and checks those of a header.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.bytes.Add(uint64(n))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head.Scan(p[:n])
 	return n, err
 }
 
+// beginHead makes Read check the header that arrives next.
+func (c *trackedConn) beginHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head.Reset()
+}
+
+// headInvalid reports whether a field of the header had an invalid name.
+func (c *trackedConn) headInvalid() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.head.Invalid()
+}
+
 // Close closes the connection and calls onClose once.
 func (c *trackedConn) Close() error {
 	if c.closed.CompareAndSwap(false, true) {
--- a/internal/backend/errors.go
+++ b/internal/backend/errors.go
@@ -55,6 +55,7 @@
 	errServerLost     = errors.New("server does not answer on new connections")
 	errNoLength       = errors.New("answer has neither length nor chunked encoding")
 	errInvalidStatus  = errors.New("server responded with an invalid status")
+	errInvalidField   = errors.New("server responded with an invalid field name")
 	errProtocolSwitch = errors.New("server switched protocols")
 	errRequestBody    = errors.New("request body ended early")
 	errInvalidPath    = errors.New("path must start with a slash")
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -122,6 +122,7 @@
 		ex.client.metrics.repeats.Inc(1)
 	}
 	ex.conn = conn
+	conn.beginHead()
 	ex.writesBefore = conn.writesBegun()
 	if ex.writtenEarlier && !ex.req.Idempotent {
 		conn.abandon()
@@ -208,6 +209,9 @@
 
 // receive validates the response headers and returns the response.
 func (ex *exchange) receive(resp *http.Response) (*Response, *Error) {
+	if ex.currentConn().headInvalid() {
+		return nil, ex.fail(model.ReasonBadAnswer, errInvalidField)
+	}
 	ex.pool.recordInstance(resp.Header)
 	echo := resp.Header.Get(HeaderAttempt)
 	draining := resp.Header.Get(HeaderDraining) == headerTrue
--- a/internal/daemon/broken_answers_test.go
+++ b/internal/daemon/broken_answers_test.go
@@ -137,3 +137,23 @@
 		[]string{"HTTP/1.1 000 Trouble" + rest, "HTTP/1.1 000" + rest, "HTTP/1.1 099 Trouble" + rest, "HTTP/1.1 600 Trouble" + rest, "HTTP/1.1 20 OK" + rest},
 		[]string{"HTTP/1.1 200 OK" + rest, "HTTP/1.1 200" + rest, "HTTP/1.1 299 000" + rest})
 }
+
+// Guards against an answer with a field whose name HTTP does not allow. Such a line may hide
+// the length or the coding of the body.
+func TestAnswerWithAnInvalidFieldNameReachesNoCaller(t *testing.T) {
+	const start, end = "HTTP/1.1 200 OK\r\n" + ownFields, "Content-Length: 5\r\n\r\nhello"
+	var broken, sound []string
+	for _, line := range []string{"X-Extra : 1", "X Extra: 1", " X-Extra: 1", "\tX-Extra: 1", "X\x01Extra: 1", "Transfer-Encoding : chunked"} {
+		broken = append(broken, start+line+"\r\n"+end)
+	}
+	broken = append(broken,
+		start+strings.Repeat("X-Filler: "+strings.Repeat("x", 1000)+"\r\n", 12)+"X Extra: 1\r\n"+end,
+		"HTTP/1.1 103 Early Hints\r\n X-Extra: 1\r\n\r\n"+start+end,
+		start+"Content-Length : 5\r\n\r\nhello and more", start+" Content-Length: 5\r\n\r\nhello and more")
+	for _, line := range []string{"X-Extra:  a b\tc ", "X_!#$%&'*+-.^`|~1: 1", "X-Filler: " + strings.Repeat("x", 12_000)} {
+		sound = append(sound, start+line+"\r\n"+end)
+	}
+	sound = append(sound, "HTTP/1.1 103 Early Hints\r\nX-Extra: 1\r\n\r\n"+start+end,
+		start+"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", start+"Content-Length: 5\r\n\r\nhello\r\n X-Extra : 1\r\n")
+	checkHeads(t, broken, sound)
+}
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -228,6 +228,8 @@
 		outcome = pick.Failed
 	case errors.Is(err, upstream.ErrInvalidStatus):
 		outcome, message = pick.Failed, "invalid status"
+	case errors.Is(err, upstream.ErrInvalidField):
+		outcome, message = pick.Failed, "invalid field name"
 	}
 	q.recordOutcome(choice, outcome, nil)
 	q.logFailedAttempt(message, "cause", err)
--- a/internal/node/broken_answers_test.go
+++ b/internal/node/broken_answers_test.go
@@ -355,3 +355,46 @@
 	cases = append(cases, headCase{"204", "HTTP/1.1 204 No Content\r\n{own}\r\n", true})
 	checkHeads(t, cases)
 }
+
+// Guards against an answer with a field whose name HTTP does not allow. Such a line may hide
+// the length or the coding of the body.
+func TestAnswerWithAnInvalidFieldNameReachesNoClient(t *testing.T) {
+	const start, end = "HTTP/1.1 200 OK\r\n{own}", "Content-Length: 5\r\n\r\nhello"
+	var cases []headCase
+	for _, line := range []string{
+		"X-Extra : 1", "X Extra: 1", "X-Extra\t: 1", "X\tExtra: 1", " X-Extra: 1", "\tX-Extra: 1", " ", "\t", ": 1", " : 1", "X-Extra",
+		"X-Extra\x00: 1", "\x00X-Extra: 1", "X\x01Extra: 1", "X\x07Extra: 1", "X\x08Extra: 1", "X\x0bExtra: 1", "\x0cX-Extra: 1", "X\x1bExtra: 1",
+		"X\x1fExtra: 1", "X\x7fExtra: 1", "X\rExtra: 1", "\rX-Extra: 1", "X-Extra\r: 1", "X\xe4Extra: 1", "X(Extra): 1", "X\"Extra: 1",
+	} {
+		cases = append(cases,
+			headCase{fmt.Sprintf("%q", line), start + line + "\r\n" + end, false},
+			headCase{fmt.Sprintf("%q before all others", line), "HTTP/1.1 200 OK\r\n" + line + "\r\n{own}" + end, false},
+			headCase{fmt.Sprintf("%q after all others", line), start + "Content-Length: 5\r\n" + line + "\r\n\r\nhello", false},
+			headCase{fmt.Sprintf("%q without a length", line), start + line + "\r\n\r\nhello", false},
+			headCase{fmt.Sprintf("%q before bare line feeds", line), strings.ReplaceAll(start+line+"\r\n"+end, "\r\n", "\n"), false},
+			headCase{fmt.Sprintf("%q beyond 8 KiB", line), start + strings.Repeat("X-Filler: "+strings.Repeat("x", 1000)+"\r\n", 12) + line + "\r\n" + end, false},
+			headCase{fmt.Sprintf("%q in early hints", line), "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\n" + start + end, false})
+	}
+	for _, framing := range []string{
+		"Content-Length : 5\r\n\r\nhello and more", "Content-Length\t: 5\r\n\r\nhello and more", "Content Length: 5\r\n\r\nhello and more",
+		" Content-Length: 5\r\n\r\nhello and more", "\tContent-Length: 5\r\n\r\nhello and more", "Content-Length\x00: 5\r\n\r\nhello and more",
+		"Transfer-Encoding : chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", " Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+		"Transfer-Encoding\x01: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", "Transfer-Encoding : chunked\r\nContent-Length: 15\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+	} {
+		cases = append(cases, headCase{fmt.Sprintf("%q", framing), start + framing, false})
+	}
+	for _, line := range []string{
+		"X-Extra:1", "X-Extra:", "X-Extra: ", "x-extra:  a b\tc ", "X-Extra: a: b", "X-Extra: \t1", "X_!#$%&'*+-.^`|~1: 1", "9: 1", "X-Extra: \xe4",
+		"X-Extra: 1\r\nX-Extra: 2", "X-Filler: " + strings.Repeat("x", 12_000),
+	} {
+		cases = append(cases,
+			headCase{fmt.Sprintf("%.40q", line), start + line + "\r\n" + end, true},
+			headCase{fmt.Sprintf("%.40q with bare line feeds", line), strings.ReplaceAll(start+line+"\r\n"+end, "\r\n", "\n"), true},
+			headCase{fmt.Sprintf("%.40q without a length", line), start + line + "\r\n\r\nhello", true},
+			headCase{fmt.Sprintf("%.40q in early hints", line), "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\n" + start + end, true})
+	}
+	cases = append(cases,
+		headCase{"chunked, with blanks in the body", start + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", true},
+		headCase{"body that looks like a field", start + "Content-Length: 5\r\n\r\nhello\r\n X-Extra : 1\r\n", true})
+	checkHeads(t, cases)
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -9,6 +9,8 @@
 	"syscall"
 	"time"
 
+	"fuchsiaspar/internal/header"
+
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
@@ -80,6 +82,15 @@
 	return err
 }
 
+// beginHead makes the input check the header that is read next. A part of it may have been
+// buffered.
+func (c *conn) beginHead() {
+	c.input.head.Reset()
+	// Peeking at what is buffered does not fail.
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	c.input.head.Scan(buffered)
+}
+
 // Write implements net.Conn. It keeps the first error for endError.
 func (c *conn) Write(p []byte) (int, error) {
 	c.writing.Lock()
@@ -133,6 +144,8 @@
 type boundedInput struct {
 	source  io.Reader
 	allowed int
+	// head checks the header that is being read.
+	head header.HeadScanner
 }
 
 // allow sets the number of bytes that may be read from now on.
@@ -148,6 +161,7 @@
 	}
 	n, err := b.source.Read(p[:min(len(p), b.allowed)])
 	b.allowed -= n
+	b.head.Scan(p[:n])
 	return n, err
 }
 
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -45,6 +45,9 @@
 	// ErrInvalidStatus reports a response that is none of HTTP/1.x, by its version or its
 	// status, or a change of protocols. The request may have run.
 	ErrInvalidStatus = errors.New("upstream: response with an invalid status")
+	// ErrInvalidField reports a response header with a field whose name HTTP does not
+	// allow. The request may have run.
+	ErrInvalidField = errors.New("upstream: response with an invalid field name")
 	// ErrOversized reports that a response header, or what arrived in its place,
 	// exceeds its bounds. The request may have run.
 	ErrOversized = errors.New("upstream: response header too large")
@@ -108,7 +111,8 @@
 // Do sends a request to a server and returns once the response header has
 // arrived. Cancelling ctx closes the connection, also while the response body is
 // being read. Errors are ErrConnect, ErrNotSent, ErrNoResponse,
-// ErrUnrelatedResponse, ErrUnnamedRefusal, ErrInvalidStatus, ErrOversized and ErrTimeout.
+// ErrUnrelatedResponse, ErrUnnamedRefusal, ErrInvalidStatus, ErrInvalidField, ErrOversized and
+// ErrTimeout.
 func (c *Client) Do(ctx context.Context, server *catalog.Server, req *Request) (*Response, error) {
 	dialCtx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
@@ -235,10 +239,14 @@
 func (ex *exchange) readResponse() (*http.Response, error) {
 	ex.conn.input.allow(maxHeaderBytes)
 	for skipped := 0; ; {
+		ex.conn.beginHead()
 		resp, err := http.ReadResponse(ex.conn.reader, &http.Request{Method: ex.req.Method})
 		if err != nil {
 			return nil, ex.responseError(err)
 		}
+		if ex.conn.input.head.Invalid() {
+			return nil, ErrInvalidField
+		}
 		if countFields(resp.Header) > maxHeaderFields {
 			return nil, ErrOversized
 		}
@@ -293,6 +301,9 @@
 	if ex.conn.input.exhausted() {
 		return errors.WithMessage(ErrOversized, err.Error())
 	}
+	if ex.conn.input.head.Invalid() {
+		return errors.WithMessage(ErrInvalidField, err.Error())
+	}
 	if !time.Now().Before(ex.req.Deadline) {
 		return errors.WithMessage(ErrTimeout, err.Error())
 	}
