front, entry: refuse what cannot end in a planned stop instead of cutting it

Callers saw, on other systems: in a planned stop, requests that came late in the grace were taken and passed on; at its end they were cut without an answer, among them requests that may not be repeated. Cause here: the server of the front takes no request once its shutdown has begun, but connections stay open before that, for 0.3 of the grace and then for up to 0.6 of the rest while pipelined requests are in progress, and a body may end at any time. Nothing compared what is left of the grace with the deadline of a request. Class: work is begun without regard to when its owner ends. Change: overload.PlannedStop decides, for both interfaces, which requests are still passed on: every one for 0.3 of the grace, 3 s at most, since most end long before their deadlines; after that only those whose deadline is before the end. Others are refused at once: 503, not run, with a Retry-After of 10 ms, since another VM can serve them. Ruled out: late requests on connections that were silent or idle in a stop without pipelined requests; net/http closes them unread. Remains: a request that was passed on in the first 0.3 and outlasts the grace is cut.

--- a/cmd/fuchsiaspard/crowd_vm_test.go
+++ b/cmd/fuchsiaspard/crowd_vm_test.go
@@ -16,6 +16,7 @@
 	"testing"
 	"time"
 
+	"fuchsiaspar/internal/routereport"
 	kv "fuchsiaspar/platform"
 	"fuchsiaspar/platform/storetest"
 )
@@ -188,6 +189,52 @@
 	_, _ = io.Copy(w, io.LimitReader(zeros{}, int64(size)))
 }
 
+// addRawServer runs a second backend server, which reads the head of each request and writes
+// what answer does, and waits until the VM has a route of a kind to it beside the ordinary
+// one.
+func (vm *crowdVM) addRawServer(path, kind string, answer func(c net.Conn, r *http.Request)) {
+	vm.t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		vm.t.Fatal(err)
+	}
+	vm.t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					answer(c, r)
+				}
+			}()
+		}
+	}()
+	vm.store.Put(kv.PrefixServers+"s-2", fmt.Appendf(nil,
+		`{"address":%q,"info":{"service":"raw","zone":"z","slots":%d},"status":{"state":"ready","sequence":1,"cold_left_ms":0}}`,
+		listener.Addr().String(), serverSlots))
+	vm.store.Put(kv.KeyConfig, fmt.Appendf(nil,
+		`{"version":2,"routes":{
+		"r":{"host":%q,"path_prefix":"/a/","kind":"idempotent","timeout_ms":20000,"service":"desk","max_attempts":2},
+		"s":{"host":%q,"path_prefix":%q,"kind":%q,"timeout_ms":20000,"service":"raw","max_attempts":2}},
+		"services":{"desk":{"health_path":"/health"},"raw":{"health_path":"/health"}},
+		"limits":{"max_header_bytes":16384,"max_body_bytes":%d,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`,
+		crowdHost, crowdHost, path, kind, crowdMaxBody))
+	// A request would let a failing server be ejected before the crowd comes.
+	vm.waitFor("a route to the server", func() bool {
+		resp, err := http.Get("http://" + vm.addresses["metrics"] + routereport.Path + "?host=" + crowdHost + "&path=" + path + "x")
+		if err != nil {
+			return false
+		}
+		defer resp.Body.Close()
+		report, err := io.ReadAll(resp.Body)
+		return err == nil && strings.Contains(string(report), `"chosen":"s-2"`)
+	})
+}
+
 type zeros struct{}
 
 func (zeros) Read(p []byte) (int, error) {
--- a/cmd/fuchsiaspard/endless_test.go
+++ b/cmd/fuchsiaspard/endless_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -12,7 +11,6 @@
 	"testing"
 	"time"
 
-	"fuchsiaspar/internal/routereport"
 	kv "fuchsiaspar/platform"
 )
 
@@ -94,50 +92,14 @@
 	}
 }
 
-// startEndlessServer runs a backend server that sends answer, and configures a route to it
-// beside the ordinary one. It returns the number of requests that it got.
+// startEndlessServer runs a backend server that sends answer. It returns the number of
+// requests that it got.
 func startEndlessServer(vm *crowdVM, answer endlessAnswer) *atomic.Int64 {
 	vm.t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		vm.t.Fatal(err)
-	}
-	vm.t.Cleanup(func() { listener.Close() })
 	var requests atomic.Int64
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					requests.Add(1)
-					answer.send(c, r)
-				}
-			}()
-		}
-	}()
-	vm.store.Put(kv.PrefixServers+"s-2", fmt.Appendf(nil,
-		`{"address":%q,"info":{"service":"endless","zone":"z","slots":%d},"status":{"state":"ready","sequence":1,"cold_left_ms":0}}`,
-		listener.Addr().String(), serverSlots))
-	vm.store.Put(kv.KeyConfig, fmt.Appendf(nil,
-		`{"version":2,"routes":{
-		"r":{"host":%q,"path_prefix":"/a/","kind":"idempotent","timeout_ms":20000,"service":"desk","max_attempts":2},
-		"e":{"host":%q,"path_prefix":%q,"kind":"idempotent","timeout_ms":20000,"service":"endless","max_attempts":2}},
-		"services":{"desk":{"health_path":"/health"},"endless":{"health_path":"/health"}},
-		"limits":{"max_header_bytes":16384,"max_body_bytes":%d,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`,
-		crowdHost, crowdHost, endlessPath, crowdMaxBody))
-	// A request would let the server be ejected before the crowd comes.
-	vm.waitFor("a route to the server", func() bool {
-		resp, err := http.Get("http://" + vm.addresses["metrics"] + routereport.Path + "?host=" + crowdHost + "&path=" + endlessPath + "x")
-		if err != nil {
-			return false
-		}
-		defer resp.Body.Close()
-		report, err := io.ReadAll(resp.Body)
-		return err == nil && strings.Contains(string(report), `"chosen":"s-2"`)
+	vm.addRawServer(endlessPath, "idempotent", func(c net.Conn, r *http.Request) {
+		requests.Add(1)
+		answer.send(c, r)
 	})
 	return &requests
 }
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -5,22 +5,32 @@
 	"time"
 
 	"fuchsiaspar/internal/model"
+	"fuchsiaspar/internal/overload"
 )
 
 // drainPollInterval is the period at which a stopping daemon checks for
 // requests in flight.
 const drainPollInterval = 20 * time.Millisecond
 
+// overrunShare is the fraction of the stop timeout during which requests are passed on
+// although their deadlines are after its end.
+const overrunShare = 0.3
+
 // Stop shuts the daemon down gracefully, within the stop timeout of the
 // settings. It withdraws this VM from lookup answers and hands its backend
 // servers over, keeps serving until cached lookup answers and its own tickets
 // have expired, and waits for requests in flight before stopping the services.
 func (d *Daemon) Stop(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, d.settings.Limits.StopTimeout.Std())
+	timeout, linger := d.settings.Limits.StopTimeout.Std(), d.clientCacheLifetime()
+	now := time.Now()
+	end := now.Add(timeout)
+	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	d.logger.Info("leaving", "vm", d.settings.VM.Name)
+	overrun := min(linger, time.Duration(float64(timeout)*overrunShare))
+	d.entry.PlanStop(overload.PlannedStop{Last: now.Add(overrun), End: end})
 	d.control.Leave()
-	d.sleep(ctx, d.clientCacheLifetime())
+	d.sleep(ctx, linger)
 	d.awaitIdle(ctx)
 	err := d.kernel.Stop(ctx)
 	d.logger.Info("stopped", "vm", d.settings.VM.Name)
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -47,6 +47,9 @@
 // responds, a failure forbids another attempt, or no zone is left. If only a change
 // of owners prevented an attempt, it waits for the new owners.
 func (s *Server) dispatch(ctx context.Context, q *request) (*response, *Failure) {
+	if f := s.checkStop(q); f != nil {
+		return nil, f
+	}
 	s.options.RetryBudget.RecordFirstAttempt(time.Now(), q.service, q.priority)
 	p := &progress{tried: q.state.DrainedZones[q.account]}
 	for {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"fuchsiaspar/internal/backend"
@@ -12,6 +13,7 @@
 	"fuchsiaspar/internal/intake"
 	"fuchsiaspar/internal/model"
 	"fuchsiaspar/internal/once"
+	"fuchsiaspar/internal/overload"
 	"fuchsiaspar/internal/owner"
 	"fuchsiaspar/internal/pace"
 	"fuchsiaspar/internal/peer"
@@ -74,6 +76,8 @@
 	inFlight inFlightCounter
 	tokens   once.TokenCache
 	hedges   hedgeTimers
+	// stop is nil unless the VM stops as planned.
+	stop atomic.Pointer[overload.PlannedStop]
 }
 
 // NewServer returns a Server and registers its handlers of peer messages with
@@ -89,6 +93,9 @@
 	return s
 }
 
+// PlanStop announces when the VM stops. Requests that it could not end are refused.
+func (s *Server) PlanStop(stop overload.PlannedStop) { s.stop.Store(&stop) }
+
 // ActiveRequests returns the number of callers' requests and relayed attempts in
 // flight.
 func (s *Server) ActiveRequests() int64 { return s.inFlight.count() }
@@ -133,6 +140,14 @@
 	s.writeResponse(ctx, w, q, resp)
 }
 
+// checkStop refuses a request that could outlast the planned stop of this VM.
+func (s *Server) checkStop(q *request) *Failure {
+	if stop := s.stop.Load(); stop != nil && !stop.MayPassOn(time.Now(), q.deadline) {
+		return notRun(http.StatusServiceUnavailable, model.ReasonStopping, "this entry VM stops before the deadline; try another")
+	}
+	return nil
+}
+
 // writeFailure responds with a failure, counts it and records it for explain.
 func (s *Server) writeFailure(w http.ResponseWriter, q *request, f *Failure) {
 	s.metrics.failed(f)
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -172,6 +172,8 @@
 		r.Objective = q.route.TargetLatency
 	}
 	switch {
+	case reason == reasonStopping:
+		r.Cause = overload.Stopping
 	case reason == string(pick.Yield):
 		r.Cause = overload.Yielded
 	case reason == string(pick.Paused) || q.deferred:
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -76,6 +76,9 @@
 		if q.deadline.Sub(now) < minAttemptTime {
 			return pick.Choice{}, reasonTimeout
 		}
+		if stop := q.server.stop.Load(); stop != nil && !stop.MayPassOn(now, q.deadline) {
+			return pick.Choice{}, reasonStopping
+		}
 		if !q.takeToken(now) {
 			return pick.Choice{}, reasonAccountLimit
 		}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -19,6 +19,7 @@
 	"fuchsiaspar/internal/header"
 	"fuchsiaspar/internal/intake"
 	"fuchsiaspar/internal/model"
+	"fuchsiaspar/internal/overload"
 	"fuchsiaspar/internal/pick"
 	"fuchsiaspar/internal/pipeline"
 	"fuchsiaspar/internal/upstream"
@@ -66,6 +67,8 @@
 	metrics  *metrics
 	active   atomic.Int64
 	draining atomic.Bool
+	// stop is nil unless the VM stops as planned.
+	stop     atomic.Pointer[overload.PlannedStop]
 	invalid  invalidLog
 	pipeline *pipeline.Handler
 	bounds   boundLog
@@ -89,6 +92,9 @@
 	s.pipeline.StopStarting()
 }
 
+// PlanStop announces when the VM stops. Requests that it could not end are refused.
+func (s *Server) PlanStop(stop overload.PlannedStop) { s.stop.Store(&stop) }
+
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.active.Add(1)
--- a/internal/front/report.go
+++ b/internal/front/report.go
@@ -31,7 +31,9 @@
 	// reasonServerBytes refuses a request whose body the servers tried can't take beside
 	// those that they are receiving.
 	reasonServerBytes = "server_bytes"
-	reasonUnknownKey  = "unknown_key"
+	// reasonStopping refuses a request that could outlast the planned stop of the VM.
+	reasonStopping   = "stopping"
+	reasonUnknownKey = "unknown_key"
 	// reasonUnconfirmedKey refuses an unknown key that a newer configuration may have.
 	reasonUnconfirmedKey = "unconfirmed_key"
 	// reasonAccountLimit refuses a request of an account that has used up its limit.
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"fuchsiaspar/internal/background"
+	"fuchsiaspar/internal/overload"
 	"fuchsiaspar/platform"
 
 	"github.com/pkg/errors"
@@ -20,6 +21,9 @@
 	// lingerShare is the fraction of the grace period during which a leaving VM
 	// still accepts connections from clients with an outdated look-up.
 	lingerShare = 0.3
+	// maxOverrun bounds the time in which requests are passed on although their deadlines
+	// are after the end of the grace period.
+	maxOverrun = 3 * time.Second
 	// shutdownMargin is what remains of the grace period when the last request
 	// must be finished.
 	shutdownMargin = 300 * time.Millisecond
@@ -76,13 +80,17 @@
 // requests in progress.
 func (n *Node) shutdown(ctx context.Context) error {
 	grace := n.settings.Bounds.Grace
-	ctx, cancel := context.WithTimeout(ctx, grace-shutdownMargin)
+	linger := time.Duration(float64(grace) * lingerShare)
+	now := time.Now()
+	end := now.Add(grace - shutdownMargin)
+	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	n.leaving.Store(true)
+	n.front.PlanStop(overload.PlannedStop{Last: now.Add(min(linger, maxOverrun)), End: end})
 	n.front.DrainConnections()
 	n.liveness.Leave()
 	n.log.Event("stopping", "active", n.front.ActiveRequests(), "grace", grace)
-	background.Sleep(ctx, time.Duration(float64(grace)*lingerShare))
+	background.Sleep(ctx, linger)
 	err := n.kernel.Stop(ctx)
 	return errors.Wrap(err, "stop")
 }
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -1,4 +1,5 @@
-// Package overload decides when a client whose request was refused may come back.
+// Package overload decides when a client whose request was refused may come back, and which
+// requests a VM that stops refuses.
 // Its decisions depend on their arguments only.
 package overload
 
@@ -18,6 +19,8 @@
 	Yielded
 	// Paused means that all servers for the request want none for a time.
 	Paused
+	// Stopping means that this VM is about to stop. Others can serve the request.
+	Stopping
 )
 
 const (
@@ -30,6 +33,8 @@
 	// longer wait would not make the next attempt more likely to succeed, and
 	// would cost the client its latency objective.
 	shedWait = 10 * time.Millisecond
+	// stoppingWait is short, since the client comes back to another VM.
+	stoppingWait = 10 * time.Millisecond
 )
 
 // Refusal describes a refused request.
@@ -50,6 +55,8 @@
 		return r.Objective
 	case Shed:
 		return shedWait
+	case Stopping:
+		return stoppingWait
 	case Paused:
 		// The servers are not sure to have room for all clients at once.
 		return r.PauseLeft + time.Duration(float64(fullWait)*fullSpread*2*draw)
--- a/internal/overload/patterns_test.go
+++ b/internal/overload/patterns_test.go
@@ -103,6 +103,7 @@
 		{"full", Refusal{Cause: Full, Objective: objective}, 200 * time.Millisecond, 400 * time.Millisecond},
 		{"shed", Refusal{Cause: Shed, Objective: objective}, 0, objective - workTime - 2*roundTrip},
 		{"yielded", Refusal{Cause: Yielded, Objective: objective}, objective, objective},
+		{"stopping", Refusal{Cause: Stopping, Objective: objective}, time.Millisecond, objective - workTime - 2*roundTrip},
 		{"paused", Refusal{Cause: Paused, Objective: objective, PauseLeft: 3 * time.Second}, 3 * time.Second, 3200 * time.Millisecond},
 	}
 	for _, tt := range tests {
