node, daemon: let the raw test servers announce the end of a connection

Trace: the raw test server closed its connection after each answer without announcing it. The entry VM had returned the connection to the pool, and sent the second request on it before the close arrived. Such a request may have run, so 502 is right; the fault was the test server's. A second finding of the same runs: the first of two pipelined requests that may be repeated got 503, since the second one was sent first and the server was ejected for its answer. 503 was true, as the request had not reached a server. Change: the test servers announce the close. The check is as strict as before and more exact: 503 is wrong for each request that reached a server, not only for the first one, and 502 for each that did not; each case must reach its server.

--- a/internal/daemon/broken_answers_test.go
+++ b/internal/daemon/broken_answers_test.go
@@ -106,7 +106,8 @@
 		var answers atomic.Int64
 		f := startTestFleetWith(t, 2, startRawBackend(t, func(c *net.TCPConn, r *http.Request) {
 			answers.Add(1)
-			_, _ = io.WriteString(c, strings.ReplaceAll(answer, ownFields, backend.HeaderAttempt+": "+r.Header.Get(backend.HeaderAttempt)+"\r\n"))
+			// A request on a connection that is being closed unannounced gets no answer.
+			_, _ = io.WriteString(c, strings.ReplaceAll(answer, ownFields, backend.HeaderAttempt+": "+r.Header.Get(backend.HeaderAttempt)+"\r\nConnection: close\r\n"))
 		}))
 		for _, address := range f.addresses {
 			request := call{method: http.MethodGet, path: "/v1/requests/desk/lookup", header: map[string]string{header.Account: testAccount}}
--- a/internal/node/broken_answers_test.go
+++ b/internal/node/broken_answers_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -177,6 +178,7 @@
 					}
 				}
 			}
+			t.Logf("%d requests reached the server", requests.Load())
 		})
 	}
 }
@@ -277,12 +279,16 @@
 	store := storetest.Start(t, 500)
 	// Each answer has servers of its own for each kind, since servers that fail are ejected.
 	var routes, services []string
+	// reached holds the requests that reached a server.
+	var reached sync.Map
 	address := listenRaw(t, func(c *net.TCPConn, r *http.Request) {
 		var kind string
 		var i int
 		_, _ = fmt.Sscanf(strings.ReplaceAll(r.URL.Path, "/", " "), "%s %d", &kind, &i)
+		reached.Store(r.URL.Path, true)
+		// A request on a connection that is being closed unannounced gets no answer.
 		_, _ = io.WriteString(c, strings.ReplaceAll(cases[i].answer, "{own}",
-			platform.HeaderRequestID+": "+r.Header.Get(platform.HeaderRequestID)+"\r\n"+platform.HeaderSeal+": seal\r\n"))
+			platform.HeaderRequestID+": "+r.Header.Get(platform.HeaderRequestID)+"\r\n"+platform.HeaderSeal+": seal\r\nConnection: close\r\n"))
 	})
 	for i := range cases {
 		for _, kind := range kinds {
@@ -297,15 +303,22 @@
 	eventually(t, "servers known", func() bool { return n.Ready() && len(n.state.Current().Servers) == len(cases)*len(kinds) })
 	for i, c := range cases {
 		for _, kind := range kinds {
-			head := requestHead(http.MethodGet, fmt.Sprintf("/%s/%d/x", kind, i), "") + "\r\n"
-			for n, got := range exchangePipelined(t, n.settings.Listen.Front, strings.Repeat(head, 2)) {
+			paths := [2]string{fmt.Sprintf("/%s/%d/a", kind, i), fmt.Sprintf("/%s/%d/b", kind, i)}
+			requests := requestHead(http.MethodGet, paths[0], "") + "\r\n" + requestHead(http.MethodGet, paths[1], "") + "\r\n"
+			for n, got := range exchangePipelined(t, n.settings.Listen.Front, requests) {
+				_, ran := reached.Load(paths[n])
 				switch {
 				case c.sound && (got.err != nil || got.header.Get(platform.HeaderSeal) != "seal" || (got.body != "hello" && got.body != "")):
 					t.Errorf("%s, %s, response %d: got %+v, want the server's answer", c.desc, kind, n, got)
 				case !c.sound && (got.err != nil || got.header.Get(platform.HeaderSeal) != "" || got.status < http.StatusInternalServerError):
 					t.Errorf("%s, %s, response %d: got %+v, want a failure of the VM", c.desc, kind, n, got)
-				case !c.sound && n == 0 && got.status != http.StatusBadGateway:
-					t.Errorf("%s, %s: got %d, which says that the request has not run", c.desc, kind, got.status)
+				case !c.sound && ran == (got.status == http.StatusServiceUnavailable):
+					t.Errorf("%s, %s, response %d: got %d, which is wrong about whether the request has run: %v", c.desc, kind, n, got.status, ran)
+				}
+			}
+			if _, ran := reached.Load(paths[0]); !ran {
+				if _, ran := reached.Load(paths[1]); !ran {
+					t.Errorf("%s, %s: no request reached the server", c.desc, kind)
 				}
 			}
 		}
@@ -403,8 +416,8 @@
 // Guards against a bound on the fields of an answer that refuses those below it.
 func TestAnswersWithManyFields(t *testing.T) {
 	fields := func(count int) string {
-		// Two fields name the request and the seal, one the length.
-		return "HTTP/1.1 200 OK\r\n{own}" + strings.Repeat("A: b\r\n", count-3) + "Content-Length: 5\r\n\r\nhello"
+		// {own} has three fields, and one states the length.
+		return "HTTP/1.1 200 OK\r\n{own}" + strings.Repeat("A: b\r\n", count-4) + "Content-Length: 5\r\n\r\nhello"
 	}
 	checkHeads(t, []headCase{
 		{"as many fields as allowed", fields(header.MaxFields), true},
