peer: bound the response to the opening handshake of a link

Callers saw nothing yet; found when looking for the cause of endless bytes elsewhere. Cause: the WebSocket library reads the response to its handshake with no bound on its size. The address of a VM that is gone may be that of a faulty process by now. Class: as for the answers of servers, bytes that are kept until the sender stops. Evidence: TestEndlessBytesInPlaceOfAnotherVM lets the address of another VM send bytes without end. Change: at most 16 KiB are read until the handshake has ended. The first message of a link and the later ones have bounds of their own already.

--- a/internal/peer/connect.go
+++ b/internal/peer/connect.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -15,6 +16,33 @@
 // of a hello message.
 const bufferBytes = 1 << 12
 
+// maxHandshakeBytes bounds the response to the opening handshake of a WebSocket.
+const maxHandshakeBytes = 16 << 10
+
+// errHandshakeTooLarge ends a handshake whose response exceeds maxHandshakeBytes.
+var errHandshakeTooLarge = errors.New("peer: handshake too large")
+
+// handshakeConn bounds what is read until the handshake has ended, since the WebSocket
+// library keeps a response of any size. It is used by one goroutine until then.
+type handshakeConn struct {
+	net.Conn
+	left  int
+	ended bool
+}
+
+// Read implements net.Conn.
+func (c *handshakeConn) Read(p []byte) (int, error) {
+	if c.ended {
+		return c.Conn.Read(p)
+	}
+	if c.left <= 0 {
+		return 0, errHandshakeTooLarge
+	}
+	n, err := c.Conn.Read(p[:min(len(p), c.left)])
+	c.left -= n
+	return n, err
+}
+
 // maxLinksPerVM bounds the open links to one VM.
 const maxLinksPerVM = 4
 
@@ -64,11 +92,23 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, m.opts.SilenceAfter)
 	defer cancel()
-	dialer := websocket.Dialer{NetDialContext: m.opts.Dial, ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes}
+	handshake := &handshakeConn{left: maxHandshakeBytes}
+	dialer := websocket.Dialer{
+		NetDialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := m.opts.Dial(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			handshake.Conn = conn
+			return handshake, nil
+		},
+		ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes,
+	}
 	conn, _, err := dialer.DialContext(ctx, "ws://"+address+Path, nil)
 	if err != nil {
 		return nil, hello{}, errors.Wrap(err, "peer: dial")
 	}
+	handshake.ended = true
 	peer, err := m.exchangeHello(conn, m.sendHello, m.receiveHello)
 	if err == nil && peer.VM != vm {
 		err = errors.Errorf("peer: %s answers at the address of %s", peer.VM, vm)
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -84,6 +84,9 @@
 	if o.Rand == nil {
 		o.Rand = rand.New(rand.NewSource(int64(o.Incarnation)))
 	}
+	if o.Dial == nil {
+		o.Dial = (&net.Dialer{}).DialContext
+	}
 	if o.Distance == nil {
 		o.Distance = func(model.VMID) Distance { return DistanceUnknown }
 	}
