backend: refuse control responses with an invalid field name

Callers saw nothing yet; found when looking for the cause of invalid field names elsewhere. Cause: with "Fuchsiaspar-Instance : one", a server in trouble looked like one without the control protocol, and counted as ready. Evidence: TestControlResponseWithAnInvalidFieldName failed before the change in 2 of 4 cases; in the others net/http refuses the response. Change: the names are checked as in the store's client. A sound response is accepted.

--- a/internal/backend/control.go
+++ b/internal/backend/control.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 
+	"fuchsiaspar/internal/header"
 	"fuchsiaspar/internal/model"
 
 	"github.com/pkg/errors"
@@ -98,6 +99,9 @@
 		return "", err
 	}
 	defer resp.Body.Close()
+	if !header.ValidNames(resp.Header) {
+		return "", errInvalidField
+	}
 	instance := resp.Header.Get(HeaderInstance)
 	if err := checkControlResponse(resp.StatusCode, instance); err != nil {
 		return "", err
--- a/internal/backend/cut_test.go
+++ b/internal/backend/cut_test.go
@@ -15,6 +15,21 @@
 // cutHeadServer answers each request with the beginning of a response head, up to the byte
 // that the path names by its length, and closes the connection.
 func cutHeadServer(t *testing.T, head string) string {
+	t.Helper()
+	return listenRaw(t, func(r *http.Request) string {
+		return strings.ReplaceAll(head, "{attempt}", r.Header.Get(backend.HeaderAttempt))[:len(r.URL.Path)]
+	})
+}
+
+// rawServer answers each request with the bytes of a response and closes the connection.
+func rawServer(t *testing.T, response string) string {
+	t.Helper()
+	return listenRaw(t, func(*http.Request) string { return response })
+}
+
+// listenRaw answers each request with the bytes that answer returns and closes the
+// connection.
+func listenRaw(t *testing.T, answer func(r *http.Request) string) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -24,8 +39,7 @@
 	serve := func(c net.Conn) {
 		defer c.Close()
 		if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-			answer := strings.ReplaceAll(head, "{attempt}", r.Header.Get(backend.HeaderAttempt))
-			_, _ = io.WriteString(c, answer[:len(r.URL.Path)])
+			_, _ = io.WriteString(c, answer(r))
 		}
 	}
 	go func() {
--- a/internal/backend/status_test.go
+++ b/internal/backend/status_test.go
@@ -37,3 +37,27 @@
 		})
 	}
 }
+
+// Guards against a server in trouble that counts as ready, since a control response with an
+// invalid field name looks like that of a server without the control protocol.
+func TestControlResponseWithAnInvalidFieldName(t *testing.T) {
+	const start, end = "HTTP/1.1 200 OK\r\nContent-Length: 14\r\n", "\r\n{\"ready\":true}"
+	ready := func(field string) (bool, error) {
+		head := start + field + end
+		client := backend.New(backend.Options{Silence: longSilence, PlainSilence: longSilence})
+		defer client.Close()
+		report, err := client.Health(t.Context(), backend.Target{ID: "server-1", Address: rawServer(t, head)})
+		return report.Ready, err
+	}
+	for _, field := range []string{
+		backend.HeaderInstance + " : one\r\n", " " + backend.HeaderInstance + ": one\r\n", backend.HeaderInstance + ": one\r\nX Extra: 1\r\n",
+		backend.HeaderInstance + "\x01: one\r\n",
+	} {
+		if isReady, err := ready(field); err == nil {
+			t.Errorf("%q: got ready %v, want an error", field, isReady)
+		}
+	}
+	if isReady, err := ready(backend.HeaderInstance + ": one\r\nX-Extra: a b\r\n"); err != nil || !isReady {
+		t.Errorf("a sound response: got ready %v, %v", isReady, err)
+	}
+}
