backend: let a header with too many fields fail the attempt once

Cause: the read that exceeded the bound returned none of its bytes. On a connection that was used before, http.Transport takes that for one that had been closed, and sends a request that may be repeated again, outside the retry budget. Change: the bytes count as read, and the header is checked for both faults once it is complete. TestAnswersWithManyFields of internal/daemon shows the bound from both sides through the own interface, with 240 fields served over a relay, as documented.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -60,14 +60,16 @@
 }
 
 // Read reads from the connection, counts the bytes and checks those of a header. It fails
-// once a header has too many fields.
+// once a header has too many fields. The bytes up to there count as read, since
+// http.Transport would take a failure without any for a connection that had been closed
+// before the request, and would send the request again.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.bytes.Add(uint64(n))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.head.Scan(p[:n]); c.head.Oversized() {
-		return 0, errTooManyFields
+		return n, errTooManyFields
 	}
 	return n, err
 }
@@ -79,11 +81,17 @@
 	c.head.Reset()
 }
 
-// headInvalid reports whether a field of the header had an invalid name.
-func (c *trackedConn) headInvalid() bool {
+// headError returns why the header must not be used, or nil.
+func (c *trackedConn) headError() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.head.Invalid()
+	switch {
+	case c.head.Invalid():
+		return errInvalidField
+	case c.head.Oversized():
+		return errTooManyFields
+	}
+	return nil
 }
 
 // Close closes the connection and calls onClose once.
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -209,8 +209,8 @@
 
 // receive validates the response headers and returns the response.
 func (ex *exchange) receive(resp *http.Response) (*Response, *Error) {
-	if ex.currentConn().headInvalid() {
-		return nil, ex.fail(model.ReasonBadAnswer, errInvalidField)
+	if err := ex.currentConn().headError(); err != nil {
+		return nil, ex.fail(model.ReasonBadAnswer, err)
 	}
 	ex.pool.recordInstance(resp.Header)
 	echo := resp.Header.Get(HeaderAttempt)
--- a/internal/daemon/broken_answers_test.go
+++ b/internal/daemon/broken_answers_test.go
@@ -158,3 +158,13 @@
 		start+"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", start+"Content-Length: 5\r\n\r\nhello\r\n X-Extra : 1\r\n")
 	checkHeads(t, broken, sound)
 }
+
+// Guards against a bound on the fields of an answer that refuses those below it.
+func TestAnswersWithManyFields(t *testing.T) {
+	fields := func(count int) string {
+		// ownFields are two, and one states the length.
+		return "HTTP/1.1 200 OK\r\n" + ownFields + strings.Repeat("A: b\r\n", count-3) + "Content-Length: 5\r\n\r\nhello"
+	}
+	// The relay between entry VMs adds some.
+	checkHeads(t, []string{fields(header.MaxFields + 1), fields(50 * header.MaxFields)}, []string{fields(240)})
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -122,8 +122,8 @@
 	return nil
 }
 
-// isDown reports whether the connection can carry no data in either direction. After the
-// server's end of the connection alone, it still can in one.
+// isDown reports whether the connection can carry no data in either direction, or whether
+// that is unknown. After the server's end of the connection alone, it still can in one.
 func (c *conn) isDown() bool {
 	if c.raw == nil {
 		return true
