front, entry: reset the connection when an answer to HTTP/1.0 breaks off

Callers saw nothing yet; found when looking for the cause of the upload's reset on the way to the client. Cause: a response without a length has no other end than that of its connection for a client of HTTP/1.0. Aborting it closed the connection as at a proper end, so a streamed answer that the server broke off looked complete. Evidence: TestBrokenOffAnswerIsNotWholeForHTTP10 failed before the change in internal/node, with 1 MiB of 2 MiB as a whole answer, and in internal/daemon at the owner of the server and over a relay. Change: intake.Abort resets the connection in that case. For HTTP/1.1 nothing changes, since a reset could take earlier responses of the connection with it.

--- a/internal/daemon/broken_answers_test.go
+++ b/internal/daemon/broken_answers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -151,3 +152,32 @@
 	// The relay between entry VMs adds some.
 	checkHeads(t, []string{fields(header.MaxFields + 1), fields(50 * header.MaxFields)}, []string{fields(240)})
 }
+
+// Guards against the beginning of an answer that a caller of HTTP/1.0, which knows no chunks,
+// takes for the whole one when the connection ends.
+func TestBrokenOffAnswerIsNotWholeForHTTP10(t *testing.T) {
+	const part, whole = 1 << 20, 2 << 20
+	f := startTestFleetWith(t, 2, startRawBackend(t, func(c *net.TCPConn, r *http.Request) {
+		_, _ = io.WriteString(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n%x\r\n", whole)+strings.Repeat("y", part))
+		if strings.HasSuffix(r.URL.Path, "/whole") {
+			_, _ = io.WriteString(c, strings.Repeat("y", whole-part)+"\r\n0\r\n\r\n")
+		}
+	}))
+	for _, address := range f.addresses {
+		for _, path := range []string{"/lookup/part", "/lookup/whole"} {
+			conn, err := net.Dial("tcp", address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			_ = conn.SetDeadline(time.Now().Add(waitTimeout))
+			if _, err := io.WriteString(conn, "GET /v1/requests/desk"+path+" HTTP/1.0\r\n"+header.Account+": "+testAccount+"\r\n\r\n"); err != nil {
+				t.Fatal(err)
+			}
+			data, err := io.ReadAll(conn)
+			if isWhole := err == nil; isWhole != strings.HasSuffix(path, "/whole") || !strings.HasPrefix(string(data), "HTTP/1.0 200") {
+				t.Errorf("%s through %s: got %d bytes, %v", path, address, len(data), err)
+			}
+		}
+	}
+}
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -7,6 +7,7 @@
 	"strconv"
 
 	"fuchsiaspar/internal/header"
+	"fuchsiaspar/internal/intake"
 	"fuchsiaspar/internal/model"
 )
 
@@ -22,14 +23,14 @@
 
 // writeResponse sends resp to the caller. If the body ends early, it aborts the
 // connection, so that the caller never takes the response for complete.
-func (s *Server) writeResponse(ctx context.Context, w http.ResponseWriter, q *request, resp *response) {
+func (s *Server) writeResponse(ctx context.Context, w http.ResponseWriter, r *http.Request, q *request, resp *response) {
 	defer resp.body.Close()
 	writeResponseHead(w, s.revision(), resp)
 	body := s.rateLimited(ctx, resp.body, s.options.Region, q.region, q.priority)
 	if err := copyBody(w, body, resp.length); err != nil {
 		s.metrics.truncated()
 		s.recordDecision(q, &Failure{Outcome: model.OutcomeRan, Reason: model.ReasonTruncated, Message: err.Error()})
-		panic(http.ErrAbortHandler)
+		intake.Abort(r)
 	}
 	s.metrics.answered(q.priority)
 }
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -123,7 +123,7 @@
 		resp.body = io.NopCloser(bytes.NewReader(body))
 	}
 	s.options.Tickets.Finish(id, result)
-	s.writeResponse(r.Context(), w, q, resp)
+	s.writeResponse(r.Context(), w, r, q, resp)
 }
 
 // readCloser combines a Reader and a Closer.
@@ -151,7 +151,7 @@
 		s.writeFailure(w, q, resultFailure(result))
 		return
 	}
-	s.writeResponse(r.Context(), w, q, &response{
+	s.writeResponse(r.Context(), w, r, q, &response{
 		status: result.Status,
 		header: result.Header,
 		length: int64(len(result.Body)),
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -148,7 +148,7 @@
 		s.writeFailure(w, q, f)
 		return
 	}
-	s.writeResponse(ctx, w, q, resp)
+	s.writeResponse(ctx, w, r, q, resp)
 }
 
 func ticketOwnerGone(message string) *Failure {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -137,7 +137,7 @@
 		s.writeFailure(w, q, f)
 		return
 	}
-	s.writeResponse(ctx, w, q, resp)
+	s.writeResponse(ctx, w, r, q, resp)
 }
 
 // checkStop refuses a request that could outlast the planned stop of this VM.
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -66,7 +66,7 @@
 		q.recordOutcome(choice, pick.Failed, report)
 	}
 	if !complete {
-		panic(http.ErrAbortHandler)
+		intake.Abort(q.r)
 	}
 }
 
--- a/internal/intake/request.go
+++ b/internal/intake/request.go
@@ -108,6 +108,27 @@
 	return c.finish, true
 }
 
+// Abort ends the response to r, which is not complete, and its connection. A client of
+// HTTP/1.0 knows the end of a response without a length only by that of the connection, which
+// is therefore reset.
+func Abort(r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) {
+		FromContext(r.Context()).resetOnClose()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// resetOnClose makes Close reset the connection.
+func (c *Conn) resetOnClose() {
+	if c == nil {
+		return
+	}
+	if tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		// If this fails, the connection has failed.
+		_ = tcp.SetLinger(0)
+	}
+}
+
 // WithoutBody returns a handler for requests whose bodies mean nothing.
 func WithoutBody(inner http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/node/broken_answers_test.go
+++ b/internal/node/broken_answers_test.go
@@ -398,3 +398,24 @@
 		{"many more fields", fields(50 * header.MaxFields), false},
 	})
 }
+
+// Guards against the beginning of an answer that a client of HTTP/1.0, which knows no chunks,
+// takes for the whole one when the connection ends.
+func TestBrokenOffAnswerIsNotWholeForHTTP10(t *testing.T) {
+	const part, whole = 1 << 20, 2 << 20
+	n := startVMWithBackend(t, func(c *net.TCPConn, r *http.Request) {
+		_, _ = io.WriteString(c, answerHead(r, "200 OK", "Transfer-Encoding: chunked\r\n")+fmt.Sprintf("%x\r\n", whole)+strings.Repeat("y", part))
+		if strings.HasSuffix(r.URL.Path, "/whole") {
+			_, _ = io.WriteString(c, strings.Repeat("y", whole-part)+"\r\n0\r\n\r\n")
+		}
+	})
+	for _, version := range []string{"HTTP/1.0", "HTTP/1.1"} {
+		for _, path := range []string{"/download/part", "/download/whole"} {
+			head := strings.Replace(requestHead(http.MethodGet, path, "Connection: close\r\n"), "HTTP/1.1", version, 1)
+			got := exchangeRaw(t, n.settings.Listen.Front, head, "")
+			if isWhole := got.err == nil; isWhole != strings.HasSuffix(path, "/whole") || got.status != http.StatusOK {
+				t.Errorf("%s, %s: got %d with %d bytes, %v", version, path, got.status, len(got.body), got.err)
+			}
+		}
+	}
+}
