--- a/cmd/fuchsiaspard/crowd_vm_test.go
+++ b/cmd/fuchsiaspard/crowd_vm_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -47,8 +48,9 @@
 	exited chan struct{}
 	// addresses holds the listen addresses by role.
 	addresses map[string]string
-	// released ends the answers that the backend server holds back.
+	// released ends the answers that the backend server holds back, held counts them.
 	released chan struct{}
+	held     atomic.Int64
 
 	mu             sync.Mutex
 	maxDescriptors int
@@ -177,6 +179,7 @@
 	}
 	query := r.URL.Query()
 	if query.Has("hold") {
+		vm.held.Add(1)
 		select {
 		case <-vm.released:
 		case <-r.Context().Done():
--- a/cmd/fuchsiaspard/stop_test.go
+++ b/cmd/fuchsiaspard/stop_test.go
@@ -137,7 +137,7 @@
 			if _, err := io.WriteString(pipelined, strings.Repeat(requestHead(http.MethodGet, routePath, ""), 3)); err != nil {
 				t.Fatal(err)
 			}
-			time.Sleep(100 * time.Millisecond)
+			vm.waitFor("pipelined requests", func() bool { return vm.held.Load() == 3 })
 			if err := vm.process.Process.Signal(syscall.SIGTERM); err != nil {
 				t.Fatal(err)
 			}
