intake: let clients read an answer that comes before the end of their upload

Callers saw: an upload that a server answered early got the beginning of the answer and a reset, although the server had sent all of it and the VM had written it. Refusals of large bodies ended in the same way. Cause: net/http waits 0.5 s after the response before it resets a connection of which it has not read all. It decides so by the body of its request, which the accounting of clients replaced by a wrapper, so the connection was reset at once and what the client had not read was lost. Class: a handler changes what it shares with net/http. Change: the accounting works on a copy of the request. The test that waited 0.2 s for an answer to be received asks the kernel instead.

--- a/internal/intake/request.go
+++ b/internal/intake/request.go
@@ -87,10 +87,15 @@
 			panic(http.ErrAbortHandler)
 		}
 		defer c.finish()
-		if r.ContentLength != 0 {
-			r.Body = &measuredBody{ReadCloser: r.Body, conn: c}
+		if r.ContentLength == 0 {
+			inner.ServeHTTP(w, r)
+			return
 		}
-		inner.ServeHTTP(w, r)
+		// net/http looks at the body of its own request to decide whether the client needs
+		// time to read the response before the connection is reset.
+		measured := *r
+		measured.Body = &measuredBody{ReadCloser: r.Body, conn: c}
+		inner.ServeHTTP(w, &measured)
 	})
 }
 
--- a/internal/node/broken_answers_test.go
+++ b/internal/node/broken_answers_test.go
@@ -17,6 +17,8 @@
 	"fuchsiaspar/internal/wiretest"
 	"fuchsiaspar/platform"
 	"fuchsiaspar/platform/storetest"
+
+	"golang.org/x/sys/unix"
 )
 
 // putServer adds a backend server's entry to the store.
@@ -60,6 +62,13 @@
 // exchangeRaw sends a request on a connection of its own and returns the answer. It sends
 // the body while it waits.
 func exchangeRaw(t *testing.T, address, head, body string) clientAnswer {
+	t.Helper()
+	return exchangeLate(t, address, head, body, 0)
+}
+
+// exchangeLate is exchangeRaw with a client that begins to read the answer after a delay, and
+// whose connection takes little of it until then.
+func exchangeLate(t *testing.T, address, head, body string, delay time.Duration) clientAnswer {
 	t.Helper()
 	conn, err := net.Dial("tcp", address)
 	if err != nil {
@@ -73,6 +82,10 @@
 		// The VM may answer before it has read everything.
 		_, _ = io.WriteString(conn, head+"\r\n"+body)
 	}()
+	if delay > 0 {
+		_ = conn.(*net.TCPConn).SetReadBuffer(64 << 10)
+		time.Sleep(delay)
+	}
 	return readAnswer(bufio.NewReader(conn))
 }
 
@@ -155,6 +168,25 @@
 	}
 }
 
+// awaitReceived waits until the other side has received all that was written to c.
+func awaitReceived(t *testing.T, c *net.TCPConn) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	for unsent := 1; unsent > 0; time.Sleep(time.Millisecond) {
+		err := raw.Control(func(fd uintptr) {
+			if unsent, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err != nil {
+				unsent = 0
+			}
+		})
+		if err != nil {
+			return
+		}
+	}
+}
+
 // Guards against a whole answer without a length that counts as broken off, because the
 // server ended the connection while the upload was being sent.
 func TestEndOfConnectionDuringUploadEndsTheAnswer(t *testing.T) {
@@ -168,11 +200,11 @@
 		"short, closed at once":      {short, func(*net.TCPConn, *http.Request) {}},
 		"short, closed later":        {short, func(*net.TCPConn, *http.Request) { time.Sleep(20 * time.Millisecond) }},
 		"short, upload read to end":  {short, func(_ *net.TCPConn, r *http.Request) { readUpload(r, math.MaxInt64) }},
-		"long, closed after a while": {long, func(*net.TCPConn, *http.Request) { time.Sleep(200 * time.Millisecond) }},
+		"long, closed once received": {long, func(c *net.TCPConn, _ *http.Request) { awaitReceived(t, c) }},
 		"long, upload read to end":   {long, func(_ *net.TCPConn, r *http.Request) { readUpload(r, math.MaxInt64) }},
-		"long, upload read in part": {long, func(_ *net.TCPConn, r *http.Request) {
+		"long, upload read in part": {long, func(c *net.TCPConn, r *http.Request) {
 			readUpload(r, 1<<20)
-			time.Sleep(100 * time.Millisecond)
+			awaitReceived(t, c)
 		}},
 		"short, reset after the end": {short, func(c *net.TCPConn, _ *http.Request) {
 			time.Sleep(20 * time.Millisecond)
@@ -434,3 +466,24 @@
 		}
 	}
 }
+
+// Guards against a whole answer that is lost on its way to a client that still sends its
+// upload, because the VM resets the connection as soon as it has written the answer.
+func TestAnswerDuringUploadArrives(t *testing.T) {
+	const size = 800 << 10
+	for desc, framing := range map[string]string{"with a length": fmt.Sprintf("Content-Length: %d\r\n", size), "without a length": ""} {
+		t.Run(desc, func(t *testing.T) {
+			n := startVMWithBackend(t, func(c *net.TCPConn, r *http.Request) {
+				_, _ = io.WriteString(c, answerHead(r, "200 OK", framing)+strings.Repeat("y", size))
+				_ = c.CloseWrite()
+				awaitReceived(t, c)
+			})
+			for _, u := range uploads("/non_idempotent/x") {
+				got := exchangeLate(t, n.settings.Listen.Front, u.head, u.body, 100*time.Millisecond)
+				if got.err != nil || got.status != http.StatusOK || len(got.body) != size {
+					t.Errorf("%s: got %d with %d bytes, %v, want 200 with %d bytes", u.desc, got.status, len(got.body), got.err, size)
+				}
+			}
+		})
+	}
+}
