front, node: answer what servers have finished before a planned stop closes connections

What callers saw: a client sent three idempotent requests at once, 0.1 s before its VM was stopped. The two behind the first were done at their servers after 0.5 s.

Cause: the stop waited for requests that were started early only for 0.6 of the time that was left when the listeners closed. The shutdown of net/http then closes each connection after its current response, and the requests behind it are cancelled, also finished ones. The class: work of several requests ends with the first of them. The same happened where the first request outlasts the grace: it was cut at the end, and all that waited behind it with it.

Ruled out: the linger of 0.3 of the grace (the listeners are open then and nothing is closed), and the memory for held answers (answers of 2 bytes are lost, too).

Change: the stop waits for started requests until the end of the grace. The 0.6 were there so that a client that doesn't read can't keep the VM accepting connections; the listener has been closed first since then. 0.2 s before the end, the reserve that PlannedStop already keeps for the last responses, requests whose servers still work are given up: they get 502, since they may have run, and are not repeated. So every started request gets its turn. A response that a client is reading is not given up.

--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -31,6 +32,11 @@
 		return q.handleTruncated(choice, err, report)
 	}
 	if !complete {
+		// From here on, giving up would end the connection of the client.
+		if !q.keepWaiting() {
+			resp.Body.Close()
+			return q.handleTruncated(choice, context.Canceled, report)
+		}
 		q.streamResponse(choice, resp, buffered, report)
 		return resultDelivered
 	}
@@ -75,7 +81,7 @@
 func (q *request) handleTruncated(choice pick.Choice, err error, report *pick.Report) attemptResult {
 	q.mayHaveRun = true
 	outcome := pick.Failed
-	if q.r.Context().Err() != nil {
+	if q.abandoned() {
 		outcome = pick.Abandoned
 	}
 	q.recordOutcome(choice, outcome, report)
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -107,6 +108,8 @@
 	switch {
 	case q.r.Context().Err() != nil:
 		return reasonClientLeft
+	case q.server.waiting.Err() != nil:
+		return reasonStopping
 	case !time.Now().Before(q.deadline):
 		return reasonTimeout
 	case q.mayHaveRun && !q.route.Kind.Repeatable():
@@ -152,7 +155,11 @@
 		// The server reads the body as fast as the client sends it.
 		q.server.opts.Fleet.StopTiming(choice)
 	}
-	resp, err := q.server.opts.Client.Do(q.r.Context(), choice.Target, &upstream.Request{
+	ctx, cancel := context.WithCancel(q.r.Context())
+	defer cancel()
+	q.keepWaiting = context.AfterFunc(q.server.waiting, cancel)
+	defer q.keepWaiting()
+	resp, err := q.server.opts.Client.Do(ctx, choice.Target, &upstream.Request{
 		ID:       q.id,
 		Method:   q.r.Method,
 		URI:      q.r.RequestURI,
@@ -212,7 +219,7 @@
 func (q *request) handleNoResponse(choice pick.Choice, err error) attemptResult {
 	if errors.Is(err, upstream.ErrConnect) || errors.Is(err, upstream.ErrNotSent) {
 		outcome := pick.Unanswered
-		if q.r.Context().Err() != nil || errors.Is(err, upstream.ErrTooManyConnections) {
+		if q.abandoned() || errors.Is(err, upstream.ErrTooManyConnections) {
 			outcome = pick.Abandoned
 		}
 		q.recordOutcome(choice, outcome, nil)
@@ -223,7 +230,7 @@
 	q.mayHaveRun = true
 	outcome, message := pick.Unanswered, "no answer"
 	switch {
-	case q.r.Context().Err() != nil:
+	case q.abandoned():
 		outcome = pick.Abandoned
 	case errors.Is(err, upstream.ErrUnnamedRefusal):
 		outcome = pick.Refused
@@ -239,6 +246,12 @@
 	return resultFailed
 }
 
+// abandoned reports whether an attempt may have failed because the client left or the VM
+// stops, which says nothing about the server.
+func (q *request) abandoned() bool {
+	return q.r.Context().Err() != nil || q.server.waiting.Err() != nil
+}
+
 // recordOutcome reports the end of an attempt to the server selection. report is
 // nil if the server did not send its load.
 func (q *request) recordOutcome(choice pick.Choice, outcome pick.Outcome, report *pick.Report) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -6,6 +6,7 @@
 package front
 
 import (
+	"context"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -68,7 +69,10 @@
 	active   atomic.Int64
 	draining atomic.Bool
 	// stop is nil unless the VM stops as planned.
-	stop     atomic.Pointer[overload.PlannedStop]
+	stop atomic.Pointer[overload.PlannedStop]
+	// waiting ends when a VM that stops no longer waits for servers. giveUp ends it.
+	waiting  context.Context
+	giveUp   context.CancelFunc
 	invalid  invalidLog
 	pipeline *pipeline.Handler
 	bounds   boundLog
@@ -77,6 +81,7 @@
 // NewServer returns a Server.
 func NewServer(opts Options) *Server {
 	s := &Server{opts: opts, metrics: newMetrics(opts.Scope)}
+	s.waiting, s.giveUp = context.WithCancel(context.Background())
 	s.pipeline = s.newPipeline()
 	return s
 }
@@ -92,8 +97,12 @@
 	s.pipeline.StopStarting()
 }
 
-// PlanStop announces when the VM stops. Requests that it could not end are refused.
-func (s *Server) PlanStop(stop overload.PlannedStop) { s.stop.Store(&stop) }
+// PlanStop announces when the VM stops. Requests that it could not end are refused, and
+// those that are in progress near the end are given up.
+func (s *Server) PlanStop(stop overload.PlannedStop) {
+	s.stop.Store(&stop)
+	time.AfterFunc(time.Until(stop.GiveUp()), s.giveUp)
+}
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -133,6 +142,9 @@
 	body            body
 	forwardedHeader http.Header
 
+	// keepWaiting ends the current attempt's watch on the VM's stop. It reports false if the
+	// attempt has been given up.
+	keepWaiting func() bool
 	// attempts counts the attempts in which the request was sent to a server.
 	attempts int
 	// tried lists the servers of failed attempts, which are not chosen again.
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -135,22 +135,13 @@
 	return group.Wait()
 }
 
-// startedShare is the part of the remaining time in which requests that were started early
-// may be answered before connections are closed after one response each.
-const startedShare = 0.6
-
 // finishStarted accepts no further connections and waits for the requests that were
-// started early.
+// started early, since a shutdown closes each connection after its current response.
 func (s *listeners) finishStarted(ctx context.Context) {
 	if s.frontListener != nil {
 		// An error means that it is closed.
 		_ = s.frontListener.Close()
 	}
-	if deadline, ok := ctx.Deadline(); ok {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, time.Duration(startedShare*float64(time.Until(deadline))))
-		defer cancel()
-	}
 	s.traffic.FinishStarted(ctx)
 }
 
--- a/internal/overload/stop.go
+++ b/internal/overload/stop.go
@@ -6,7 +6,8 @@
 // responses.
 const stopReserve = 200 * time.Millisecond
 
-// PlannedStop decides which requests a VM that stops still passes on.
+// PlannedStop decides which requests a VM that stops still passes on, and when it gives up
+// those that are in progress.
 type PlannedStop struct {
 	// Last is the time up to which every request is passed on: clients with an outdated
 	// look-up still come, and most requests end long before their deadlines.
@@ -19,5 +20,10 @@
 // could still run at the end is refused instead, since it would end without an answer, and
 // its client could not know whether it has run.
 func (s PlannedStop) MayPassOn(now, deadline time.Time) bool {
-	return !now.After(s.Last) || !deadline.After(s.End.Add(-stopReserve))
+	return !now.After(s.Last) || !deadline.After(s.GiveUp())
 }
+
+// GiveUp returns the time from which the VM no longer waits for servers. A request that is
+// given up gets an answer of its own, since the responses to later requests of its connection
+// wait for it.
+func (s PlannedStop) GiveUp() time.Time { return s.End.Add(-stopReserve) }
--- a/internal/overload/stop_test.go
+++ b/internal/overload/stop_test.go
@@ -20,4 +20,7 @@
 			}
 		}
 	}
+	if got := stop.GiveUp().Sub(start); got != 5500*time.Millisecond {
+		t.Errorf("gives up after %v", got)
+	}
 }
