intake: deliver the last answers when a connection with unread requests is closed

What callers saw: a client with further requests on its connection, and which has not read all of the answers yet, lost their rest when a planned stop closed the connection. An answer of 20 KB ended after 3,850 bytes with a reset.

Cause: Linux resets a connection that is closed with unread input, and drops what it has not delivered. What a client sends after SIGTERM is not read ahead any more, so it stays in the kernel. net/http avoids the reset only behind unread bodies. The same happened behind any response with "Connection: close", and at the own interface.

--- a/cmd/fuchsiaspard/stop_pipelined_test.go
+++ b/cmd/fuchsiaspard/stop_pipelined_test.go
@@ -13,12 +13,15 @@
 	"testing"
 	"time"
 
+	"fuchsiaspar/internal/wiretest"
 	kv "fuchsiaspar/platform"
 )
 
 const (
 	// nearEnd is a work time that ends in the stop, near its end.
 	nearEnd = 2200 * time.Millisecond
+	// middle is a work time that ends while the VM still accepts connections.
+	middle = 500 * time.Millisecond
 	// beyondEnd is a work time that outlasts the stop.
 	beyondEnd = 3 * stopGrace
 	// quick is the work time of requests that are behind others.
@@ -39,6 +42,8 @@
 	pause time.Duration
 	// late is sent after the signal, behind the requests, unless it is empty.
 	late []work
+	// window is the size in bytes of the client's receive buffer, unless it is zero.
+	window int
 
 	conn   net.Conn
 	reader *bufio.Reader
@@ -48,6 +53,8 @@
 	// Of the sizes, the first is held for its turn, the next is read ahead by the VM, and the
 	// last is longer than what the VM and the connections take.
 	const held, ahead, long = 20 << 10, 90 << 10, 6 << 20
+	// A client with a small window leaves the rest of an answer in the VM's kernel.
+	const small = 4 << 10
 	return []*pipelinedClient{
 		{name: "behind one that ends near the end", requests: []work{{nearEnd, 2}, {quick, 2}, {quick, 2}}},
 		{name: "between", requests: []work{{quick, 2}, {nearEnd, 2}, {quick, held}, {nearEnd, 2}, {quick, 2}}},
@@ -56,23 +63,14 @@
 		{name: "among such", requests: []work{{beyondEnd, 2}, {quick, 2}, {beyondEnd, 2}, {quick, ahead}, {quick, 2}}},
 		{name: "as many as are started", requests: append([]work{{nearEnd, 2}}, make([]work, 16)...)},
 		{name: "late reader", requests: []work{{nearEnd, 2}, {quick, held}, {quick, 2}}, pause: 2400 * time.Millisecond},
+		{name: "small window", requests: []work{{middle, 2}, {quick, held}}, pause: 2400 * time.Millisecond, window: small},
+		{name: "small window, more behind", requests: []work{{middle, 2}, {quick, held}}, late: make([]work, 400), pause: 2400 * time.Millisecond, window: small},
 		{name: "more behind", requests: []work{{nearEnd, 2}, {quick, 2}}, late: []work{{quick, 2}, {quick, 2}}},
 	}
 }
 
 func (c *pipelinedClient) id(i int) string { return fmt.Sprintf("%s, request %d", c.name, i) }
 
-func (c *pipelinedClient) open(t *testing.T, address string) {
-	t.Helper()
-	conn, err := net.Dial("tcp", address)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { conn.Close() })
-	_ = conn.SetDeadline(time.Now().Add(hangTimeout))
-	c.conn, c.reader = conn, bufio.NewReader(conn)
-}
-
 // send sends the requests from index first on.
 func (c *pipelinedClient) send(t *testing.T, first int, requests []work) {
 	t.Helper()
@@ -157,14 +155,16 @@
 }
 
 // TestPlannedStopAnswersAllThatServersFinished guards against a planned stop that closes
-// connections while finished answers to pipelined requests wait for their turn.
+// connections while finished answers to pipelined requests wait for their turn, or have not
+// been delivered yet.
 func TestPlannedStopAnswersAllThatServersFinished(t *testing.T) {
 	vm := startCrowdVM(t, (&deployment{t: t, dir: t.TempDir()}).build("fuchsiaspard"))
 	server := &pipelinedServer{reached: map[string]bool{}, finished: map[string]bool{}}
 	vm.addRawServer(stopPath, "idempotent", server.serve)
 	clients := pipelinedClients()
 	for _, c := range clients {
-		c.open(t, vm.addresses["front"])
+		c.conn = wiretest.DialWindow(t, vm.addresses["front"], c.window)
+		c.reader = bufio.NewReader(c.conn)
 		c.send(t, 0, c.requests)
 	}
 	vm.waitFor("the requests at the server", func() bool {
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -1,15 +1,19 @@
 package daemon
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"fuchsiaspar/internal/header"
 	"fuchsiaspar/internal/model"
+	"fuchsiaspar/internal/wiretest"
 )
 
 // Guards against a request that comes late in a planned stop, is passed on, and is cut at
@@ -65,3 +69,36 @@
 		}
 	}
 }
+
+// Guards against answers that the kernel drops when a stop closes the connection of a client
+// that has sent further requests: it resets a connection with unread input.
+func TestPlannedStopDeliversAnswersBeforeUnreadRequests(t *testing.T) {
+	const size, behind = 20 << 10, 400
+	reached, released := make(chan struct{}, behind+1), make(chan struct{})
+	f := startTestFleetWith(t, 2, startRawBackend(t, func(c *net.TCPConn, _ *http.Request) {
+		reached <- struct{}{}
+		<-released
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", size, strings.Repeat("x", size))
+	}))
+	conn := wiretest.DialWindow(t, f.addresses[0], 4<<10)
+	request := fmt.Sprintf("GET /v1/requests/desk/lookup/a HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: 15000\r\n\r\n",
+		header.Account, testAccount, header.DeadlineMS)
+	if _, err := io.WriteString(conn, strings.Repeat(request, 1+behind)); err != nil {
+		t.Fatal(err)
+	}
+	<-reached
+	stopped := make(chan error, 1)
+	go func() { stopped <- f.daemons[0].Stop(context.Background()) }()
+	time.Sleep(100 * time.Millisecond)
+	close(released)
+	if err := <-stopped; err != nil {
+		t.Errorf("stop: %v", err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n, err := io.Copy(io.Discard, resp.Body); err != nil || n != size || resp.StatusCode != http.StatusOK {
+		t.Errorf("got %d with %d bytes, %v", resp.StatusCode, n, err)
+	}
+}
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -172,6 +172,7 @@
 
 // Close implements net.Conn.
 func (c *Conn) Close() error {
+	c.discardUnread()
 	err := c.Conn.Close()
 	c.closed.Do(func() { c.guard.remove(c.client) })
 	return err
