front: close no connection behind whose response requests have been started

What callers saw: when a planned stop began, a response got "Connection: close", and a request that had been started and passed on behind it was dropped.

Cause: requests behind the current one are started before its handler is called, and the handler looked at the start of the drain on its own. If the drain began between the two, the response closed the connection. The window is short, but a VM has as little as 0.1 of a core.

Change: a response closes its connection only if nothing has been started behind it. The drain ends the starting first, so that nothing is started afterwards either.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -90,11 +90,13 @@
 // started before the response to the previous one of their connection.
 func (s *Server) ActiveRequests() int64 { return s.active.Load() + s.pipeline.Pending() }
 
-// DrainConnections adds "Connection: close" to every response from now on, so that
-// clients reconnect, possibly to another VM. Requests are still served.
+// DrainConnections adds "Connection: close" to responses from now on, so that clients
+// reconnect, possibly to another VM. Requests are still served, and those that were started
+// behind another one are answered.
 func (s *Server) DrainConnections() {
-	s.draining.Store(true)
+	// In this order, nothing is started behind a response that closes its connection.
 	s.pipeline.StopStarting()
+	s.draining.Store(true)
 }
 
 // PlanStop announces when the VM stops. Requests that it could not end are refused, and
@@ -114,8 +116,7 @@
 // serveRequest serves one request. It may run before the previous response of the
 // connection has been sent.
 func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
-	// A request that was started early may have others behind it, which will be answered.
-	if s.draining.Load() && !pipeline.IsStarted(w) {
+	if s.draining.Load() && pipeline.MayClose(w, r) {
 		w.Header().Set("Connection", "close")
 	}
 	req := &request{server: s, w: w, r: r, start: time.Now(), snapshot: s.opts.Snapshot()}
--- a/internal/front/stop_test.go
+++ b/internal/front/stop_test.go
@@ -10,6 +10,8 @@
 
 	"fuchsiaspar/internal/overload"
 	"fuchsiaspar/platform"
+
+	"github.com/uber-go/tally/v4"
 )
 
 // Guards against a planned stop that leaves a request without an answer, repeats one that it
@@ -73,3 +75,34 @@
 		t.Errorf("got %d bytes of the long response, %v, want %d", n, err, 2*part)
 	}
 }
+
+// onPipelinedStart calls a function when a request is started early.
+type onPipelinedStart struct {
+	tally.Scope
+	call func()
+}
+
+// Counter implements tally.Scope.
+func (s onPipelinedStart) Counter(name string) tally.Counter {
+	if name == "pipelined_started" {
+		s.call()
+	}
+	return s.Scope.Counter(name)
+}
+
+// Guards against a response that closes its connection since the VM began to drain after
+// requests behind it had been started: they would be dropped.
+func TestDrainBetweenTheStartOfTwoPipelinedReads(t *testing.T) {
+	a := newAwaited()
+	front, _ := newFrontWithTimeout(t, 5*time.Second, a.serve)
+	server, ok := front.Config.Handler.(*Server)
+	if !ok {
+		t.Fatal("another handler")
+	}
+	// The second request is started before the handler of the first one is called.
+	server.metrics.scope = onPipelinedStart{server.metrics.scope, server.DrainConnections}
+	_, reader := dialFront(t, front, pipelinedRequest("GET", "/read/a", "1"), pipelinedRequest("GET", "/read/slow", "2"))
+	a.arrivals(t, 2)
+	close(a.release)
+	expectResponses(t, reader, "1", "2")
+}
--- a/internal/pipeline/started.go
+++ b/internal/pipeline/started.go
@@ -45,6 +45,22 @@
 	panicked any
 }
 
+// MayClose reports whether the response to r may close its connection: no request has been
+// started behind it. After StopStarting, none will be.
+func MayClose(w http.ResponseWriter, r *http.Request) bool {
+	if IsStarted(w) {
+		// Others may have been started behind this one.
+		return false
+	}
+	c, ok := r.Context().Value(connKey{}).(*Conn)
+	if !ok {
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.ahead.queue) == 0
+}
+
 // IsStarted reports whether w is the response writer of a request that was started before
 // the previous response of its connection.
 func IsStarted(w http.ResponseWriter) bool {
