node: test resets during uploads that come from closing with unread input

A server that closes with unread input, as one that has not read the upload does, is now tested too, with both lengths of the part.

--- a/internal/node/broken_answers_test.go
+++ b/internal/node/broken_answers_test.go
@@ -140,15 +140,27 @@
 // Guards against the beginning of an answer without a length that reaches the client as
 // the whole one, because the server reset the connection while the upload was being sent.
 func TestResetDuringUploadIsNoEndOfTheAnswer(t *testing.T) {
-	// The longer one is streamed to the client.
-	for desc, part := range map[string]int{"short": 100, "long": 2 << 20} {
-		t.Run(desc+" part", func(t *testing.T) {
+	// The longer part is streamed to the client.
+	const short, long = 100, 2 << 20
+	byOption := func(_ *testing.T, c *net.TCPConn) { _ = c.SetLinger(0) }
+	tests := map[string]struct {
+		part int
+		// reset makes the close that follows a reset.
+		reset func(t *testing.T, c *net.TCPConn)
+	}{
+		"short part":                    {short, byOption},
+		"long part":                     {long, byOption},
+		"short part, closed with input": {short, awaitUnread},
+		"long part, closed with input":  {long, awaitUnread},
+	}
+	for desc, tt := range tests {
+		t.Run(desc, func(t *testing.T) {
 			var requests atomic.Int64
 			n := startVMWithBackend(t, func(c *net.TCPConn, r *http.Request) {
-				_, _ = io.WriteString(c, answerHead(r, "200 OK", "")+strings.Repeat("y", part))
+				_, _ = io.WriteString(c, answerHead(r, "200 OK", "")+strings.Repeat("y", tt.part))
 				// Every second time, the upload waits for the server before the reset.
 				time.Sleep(time.Duration(requests.Add(1)%2) * 2 * time.Millisecond)
-				_ = c.SetLinger(0)
+				tt.reset(t, c)
 			})
 			for _, path := range []string{"/idempotent/x", "/non_idempotent/x"} {
 				for _, u := range uploads(path) {
@@ -187,6 +199,25 @@
 	}
 }
 
+// awaitUnread waits until c has input that nobody has read.
+func awaitUnread(t *testing.T, c *net.TCPConn) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	for unread := 0; unread == 0; {
+		err := raw.Control(func(fd uintptr) {
+			if unread, err = unix.IoctlGetInt(int(fd), unix.SIOCINQ); err != nil {
+				unread = 1
+			}
+		})
+		if err != nil {
+			return
+		}
+	}
+}
+
 // Guards against a whole answer without a length that counts as broken off, because the
 // server ended the connection while the upload was being sent.
 func TestEndOfConnectionDuringUploadEndsTheAnswer(t *testing.T) {
