pipeline: count started requests that get no answer

The log has a line for a finished answer that waits for its turn, and none if it is dropped then. The metric pipelined_dropped counts them, by whether the answer was complete.

--- a/internal/front/pipelined.go
+++ b/internal/front/pipelined.go
@@ -21,6 +21,7 @@
 		MayStart: s.mayStart,
 		OnStart:  s.metrics.startedEarly,
 		OnStop:   s.logStop,
+		OnDrop:   s.metrics.droppedEarly,
 	}
 	if s.opts.Guard != nil {
 		opts.Handler, opts.Hold = s.opts.Guard.Handler(opts.Handler), s.opts.Guard.Hold
--- a/internal/front/report.go
+++ b/internal/front/report.go
@@ -90,6 +90,12 @@
 	m.scope.Tagged(map[string]string{"kind": kind}).Counter("server_statements").Inc(1)
 }
 
+// droppedEarly counts a request that was started before the previous response and not
+// answered.
+func (m *metrics) droppedEarly(finished bool) {
+	m.scope.Tagged(map[string]string{"finished": strconv.FormatBool(finished)}).Counter("pipelined_dropped").Inc(1)
+}
+
 // startedEarly counts a request that was started before the previous response.
 func (m *metrics) startedEarly() { m.scope.Counter("pipelined_started").Inc(1) }
 
--- a/internal/pipeline/ahead.go
+++ b/internal/pipeline/ahead.go
@@ -179,6 +179,7 @@
 func (c *Conn) cancelStarted() {
 	a := &c.ahead
 	for _, s := range a.queue {
+		c.handler.opts.OnDrop(s.finished())
 		s.cancel()
 		close(s.dropped)
 		a.held -= s.held
--- a/internal/pipeline/handler.go
+++ b/internal/pipeline/handler.go
@@ -63,10 +63,12 @@
 	// started. It returns false if the request must not be started, and a function that is
 	// called when the request has been answered or dropped.
 	Hold func(ctx context.Context) (release func(), ok bool)
-	// OnStart and OnStop report a started request, and why no further one is started. They
-	// must return quickly.
+	// OnStart and OnStop report a started request, and why no further one is started. OnDrop
+	// reports a started request that is not answered, and whether its response was complete.
+	// They must return quickly.
 	OnStart func()
 	OnStop  func(reason string)
+	OnDrop  func(finished bool)
 }
 
 // Handler is the http.Handler of a server that starts pipelined requests early. It is safe
--- a/internal/pipeline/helpers_test.go
+++ b/internal/pipeline/helpers_test.go
@@ -24,6 +24,8 @@
 	// served lists the requests whose handler was called, by client address.
 	served map[string][]string
 	stops  map[string]int
+	// drops counts requests without an answer, by whether their responses were complete.
+	drops  map[bool]int
 	starts atomic.Int64
 }
 
@@ -36,7 +38,7 @@
 // startServerWith is startServer with a limit on the time to read a request header.
 func startServerWith(t testing.TB, wrapped bool, handler http.HandlerFunc, headerTimeout time.Duration) *server {
 	t.Helper()
-	s := &server{served: map[string][]string{}, stops: map[string]int{}}
+	s := &server{served: map[string][]string{}, stops: map[string]int{}, drops: map[bool]int{}}
 	s.handler = NewHandler(Options{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			s.mu.Lock()
@@ -51,6 +53,11 @@
 			defer s.mu.Unlock()
 			s.stops[reason]++
 		},
+		OnDrop: func(finished bool) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.drops[finished]++
+		},
 	})
 	s.Server = httptest.NewUnstartedServer(s.handler)
 	s.Config.ErrorLog = discardLog
@@ -71,6 +78,12 @@
 	return s
 }
 
+func (s *server) dropped(finished bool) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.drops[finished]
+}
+
 func (s *server) stopped(reason string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -119,6 +119,21 @@
 	eventually(t, "the others are cancelled", func() bool { return g.cancelled.Load() == 2 && s.handler.Pending() == 0 })
 }
 
+// Guards against finished responses that are dropped without a trace.
+func TestDroppedRequestsAreReported(t *testing.T) {
+	g := newGate()
+	s := startServer(t, true, g.serve)
+	conn, reader := s.dial(t)
+	send(t, conn, get("/hold-close")+get("/a")+get("/hold-3"))
+	eventually(t, "all run", func() bool { return g.ran("/hold-3") })
+	// The second one ends on its own.
+	time.Sleep(50 * time.Millisecond)
+	g.release("/hold-close")
+	receiveAll(t, reader, "/hold-close")
+	expectEnd(t, reader)
+	eventually(t, "one finished and one unfinished request reported", func() bool { return s.dropped(true) == 1 && s.dropped(false) == 1 })
+}
+
 // Guards against requests that occupy servers after their client has disconnected.
 func TestAllRequestsAreCancelledWhenTheClientDisconnects(t *testing.T) {
 	g := newGate()
@@ -307,7 +322,7 @@
 		{"another method", 7, "HEAD /a HTTP/1.1\r\nHost: h\r\n\r\n", false},
 	} {
 		started := &started{release: func() {}, offset: 7, request: parsed(t, get("/a")), cancel: func() {}, dropped: make(chan struct{})}
-		c := &Conn{handler: NewHandler(Options{}), headStart: tt.start}
+		c := &Conn{handler: NewHandler(Options{OnDrop: func(bool) {}}), headStart: tt.start}
 		c.handler.pending.Store(1)
 		c.ahead.queue = append(c.ahead.queue, started)
 		if got := c.takeStarted(parsed(t, tt.head)); (got == started) != tt.taken {
--- a/internal/pipeline/started.go
+++ b/internal/pipeline/started.go
@@ -75,6 +75,16 @@
 	s.conn.handler.opts.Handler.ServeHTTP(s, s.request)
 }
 
+// finished reports whether the handler has returned.
+func (s *started) finished() bool {
+	select {
+	case <-s.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // answer sends the response, when net/http has called the handler for the same request.
 func (s *started) answer(w http.ResponseWriter, r *http.Request) {
 	stop := context.AfterFunc(r.Context(), s.cancel)
