unread: read nothing behind discarded input

Bytes that arrive between the discard and the close would follow a gap. Within a request they could complete a changed body, and behind one the rest of a body could be read as a request.

Change: the discard and the reads of a connection go through unread.Input. Once the discard has begun, no read returns bytes. The connection that is next to TCP does both: that of pipeline at the platform's interface, that of intake at the own one.

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"fuchsiaspar/internal/unread"
 )
 
 const (
@@ -49,6 +51,7 @@
 	guard  *Guard
 	client *Client
 	closed sync.Once
+	input  unread.Input
 
 	// mu orders deadlines, so that one set later does not undo an eviction.
 	mu      sync.Mutex
@@ -70,7 +73,7 @@
 	if err := c.evictionErr(); err != nil {
 		return 0, err
 	}
-	n, err := c.Conn.Read(p)
+	n, err := c.input.Read(c.Conn, p)
 	if refusal := c.headerArrived(p[:n]); refusal != 0 {
 		c.refuseHeader(refusal)
 		return 0, ErrEvicted
@@ -172,7 +175,9 @@
 
 // Close implements net.Conn.
 func (c *Conn) Close() error {
-	c.discardUnread()
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		c.input.Discard(tcp)
+	}
 	err := c.Conn.Close()
 	c.closed.Do(func() { c.guard.remove(c.client) })
 	return err
--- a/internal/intake/descriptors.go
+++ b/internal/intake/descriptors.go
@@ -20,49 +20,25 @@
 	return stated
 }
 
-// maxDiscarded bounds the bytes that discardUnread takes from one connection.
-const maxDiscarded = 256 << 10
-
 // hasUnread reports whether the kernel holds input of the connection. It is false if the
 // connection has failed, or gives no access to its descriptor.
 func (c *Conn) hasUnread() bool {
 	if c == nil {
 		return false
 	}
-	unread := false
-	c.control(func(fd int) {
-		var one [1]byte
-		n, _, err := unix.Recvfrom(fd, one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		unread = err == nil && n > 0
-	})
-	return unread
-}
-
-// discardUnread takes what the kernel holds of the connection's input. If a connection is
-// closed with unread input, as that of a client that has sent further requests, the kernel
-// resets it and drops the part of the responses that has not been delivered.
-func (c *Conn) discardUnread() {
-	c.control(func(fd int) {
-		var part [4 << 10]byte
-		for range maxDiscarded / len(part) {
-			if n, _, err := unix.Recvfrom(fd, part[:], unix.MSG_DONTWAIT); err != nil || n < len(part) {
-				return
-			}
-		}
-	})
-}
-
-// control calls use with the descriptor of the connection. It does nothing if the connection
-// is closed, or gives no access to its descriptor.
-func (c *Conn) control(use func(fd int)) {
 	owner, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return
+		return false
 	}
 	raw, err := owner.SyscallConn()
 	if err != nil {
-		return
+		return false
 	}
-	// An error means that the connection is closed.
-	_ = raw.Control(func(fd uintptr) { use(int(fd)) })
+	unread := false
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		n, _, peekErr := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		unread = peekErr == nil && n > 0
+	})
+	return err == nil && unread
 }
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -8,6 +8,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"fuchsiaspar/internal/unread"
 )
 
 // phase is what net/http does with the bytes that the connection delivers.
@@ -59,6 +61,7 @@
 	readDeadline time.Time
 
 	ahead readAhead
+	input unread.Input
 }
 
 // resync orders the calls that net/http makes between two requests. A read of its whole
@@ -74,7 +77,7 @@
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	if len(p) == 0 {
-		return c.TCPConn.Read(p)
+		return c.input.Read(c.TCPConn, p)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -104,7 +107,7 @@
 	c.buf.release()
 	p = p[:min(len(p), c.readLimit())]
 	c.mu.Unlock()
-	n, err := c.TCPConn.Read(p)
+	n, err := c.input.Read(c.TCPConn, p)
 	c.mu.Lock()
 	if n > 0 {
 		delivered := c.deliver(p[:n])
@@ -187,7 +190,7 @@
 		if c.buf.len() > 0 && c.canReadAhead() {
 			space := c.buf.space()
 			c.mu.Unlock()
-			n, err := c.TCPConn.Read(space)
+			n, err := c.input.Read(c.TCPConn, space)
 			c.mu.Lock()
 			c.buf.grow(n)
 			if err != nil {
@@ -198,7 +201,7 @@
 			continue
 		}
 		c.mu.Unlock()
-		n, err := c.TCPConn.Read(p[:1])
+		n, err := c.input.Read(c.TCPConn, p[:1])
 		c.mu.Lock()
 		if n == 0 {
 			c.readFailed(err)
@@ -264,12 +267,14 @@
 	return io.Copy(w, struct{ io.Reader }{c})
 }
 
-// Close implements net.Conn. It cancels the requests that were started early.
+// Close implements net.Conn. It cancels the requests that were started early, and discards
+// unread ones, so that the client gets the responses that were sent.
 func (c *Conn) Close() error {
 	c.mu.Lock()
 	c.ahead.ended = true
 	c.cancelStarted()
 	c.mu.Unlock()
+	c.input.Discard(c.TCPConn)
 	return c.TCPConn.Close()
 }
 
