--- a/review/standin3/store.go
+++ b/review/standin3/store.go
@@ -78,19 +78,6 @@
 	s.remove(key)
 }
 
-// keys returns the keys under a prefix.
-func (s *store) keys(prefix string) []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var found []string
-	for key := range s.items {
-		if strings.HasPrefix(key, prefix) {
-			found = append(found, key)
-		}
-	}
-	return found
-}
-
 func (s *store) write(it item) {
 	s.revision++
 	it.Revision, it.CreatedAt = s.revision, s.revision
--- a/review/standin3/world.go
+++ b/review/standin3/world.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -28,9 +29,10 @@
 
 // vm is a machine with a process of the daemon.
 type vm struct {
-	name, front, ready, control, directory string
-	command                                *exec.Cmd
-	exited                                 chan struct{}
+	name, ip, front, ready, control, directory string
+
+	command *exec.Cmd
+	exited  chan struct{}
 }
 
 // world is a deployment of stand-ins around the project's own processes.
@@ -97,18 +99,18 @@
 
 func (w *world) nextID() string { return fmt.Sprintf("%016x", 0x1c41d07b00000000+w.requests.Add(1)) }
 
-// freePorts returns addresses with ports that nobody uses now.
-func freePorts(count int) ([]string, error) {
-	var addresses []string
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
+// claimNetwork returns x for the loopback addresses 127.x.*.*, which this process has for
+// itself: it holds a port there until it exits. Nothing connects from these addresses, so
+// that their ports stay free while a process is not running.
+func claimNetwork() (int, error) {
+	const first, count = 2, 200
+	for i := range count {
+		network := first + (os.Getpid()+i)%count
+		if _, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:7000", network)); err == nil {
+			return network, nil
 		}
-		defer listener.Close()
-		addresses = append(addresses, listener.Addr().String())
 	}
-	return addresses, nil
+	return 0, errors.New("no free loopback network")
 }
 
 // startVMs writes the settings of the machines and starts their processes.
@@ -117,14 +119,15 @@
 	for _, region := range regions {
 		zones += fmt.Sprintf("%s-a = %q\n", region, region)
 	}
+	network, err := claimNetwork()
+	if err != nil {
+		return err
+	}
 	for i, region := range regions {
-		ports, err := freePorts(4)
-		if err != nil {
-			return err
-		}
+		ip := fmt.Sprintf("127.%d.1.%d", network, i+1)
 		w.vms = append(w.vms, &vm{
-			name: fmt.Sprintf("edge-%s-a-%d", region, i+1), front: ports[0], ready: ports[1], control: ports[2], directory: ports[3],
-			exited: make(chan struct{}),
+			name: fmt.Sprintf("edge-%s-a-%d", region, i+1), ip: ip, exited: make(chan struct{}),
+			front: ip + ":7001", ready: ip + ":7002", control: ip + ":7003", directory: ip + ":7004",
 		})
 	}
 	for i, v := range w.vms {
@@ -133,7 +136,7 @@
 role = "entry"
 machine_class = "edge"
 serves = ["edge","directory","control"]
-ip = "127.0.0.1"
+ip = %q
 zone = "%s-a"
 region = %q
 seeds = [%q]
@@ -178,7 +181,7 @@
 history_s = 20
 value_bytes = 1048576
 ttl_min_ms = 1000
-`, v.name, regions[i], regions[i], w.vms[0].control, beatInterval.Milliseconds(), zones, v.front, v.ready, v.control, v.directory,
+`, v.name, v.ip, regions[i], regions[i], w.vms[0].control, beatInterval.Milliseconds(), zones, v.front, v.ready, v.control, v.directory,
 			stableWindow.Milliseconds(), drainTime.Milliseconds(), graceSeconds, w.store.address)
 		if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 			return err
