--- a/review/standin3/client.go
+++ b/review/standin3/client.go
@@ -109,3 +109,16 @@
 	e.status, e.seal, e.body = resp.StatusCode, resp.Header.Get("X-Fuchsiaspar-Response-Seal"), string(data)
 	return e, !resp.Close
 }
+
+// readAnswer reads the whole answer to a request.
+func readAnswer(reader *bufio.Reader, id string) (*http.Response, error) {
+	resp, err := http.ReadResponse(reader, &http.Request{Method: http.MethodGet})
+	if err != nil {
+		return nil, err
+	}
+	if got := resp.Header.Get("X-Fuchsiaspar-Request-Id"); got != id {
+		return nil, fmt.Errorf("answer to another request, %q", got)
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp, err
+}
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -18,10 +18,11 @@
 
 // cases are the cases by name. Each returns how the rule was broken, or an empty string.
 var cases = map[string]func(w *world, trouble bool) (string, error){
-	"pipelined": pipelinedCase,
-	"entry":     entryCase,
-	"framing":   framingCase,
-	"gone":      goneCase,
+	"entry":   entryCase,
+	"framing": framingCase,
+	"gone":    goneCase,
+	"seal":    sealCase,
+	"unread":  unreadCase,
 }
 
 func main() { os.Exit(run()) }
