--- a/review/standin3/gone.go
+++ b/review/standin3/gone.go
@@ -13,8 +13,8 @@
 const (
 	goneServers = 9
 	goneWork    = 900 * time.Millisecond
-	goneClients = 10
-	goneTime    = 8 * time.Second
+	goneClients = 16
+	goneTime    = 5 * time.Second
 	// goneEvery is the number of exchanges of which one is left by its client.
 	goneEvery = 5
 	// goneAfter is the time after the close from which on no request may reach a server.
--- a/review/standin3/server.go
+++ b/review/standin3/server.go
@@ -159,6 +159,14 @@
 			"X-Fuchsiaspar-Instance-Id: "+b.id+"\r\nContent-Length: 0\r\n\r\n")
 		return err == nil
 	}
+	if r.URL.Path == "/health" {
+		_, err := io.WriteString(conn, b.head("HTTP/1.1", "200 OK", id)+"X-Fuchsiaspar-Instance-Id: "+b.id+"\r\nContent-Length: 0\r\n\r\n")
+		return err == nil
+	}
+	if id == "" {
+		_, err := io.WriteString(conn, b.head("HTTP/1.1", "400 Bad Request", id)+"X-Fuchsiaspar-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+		return err == nil
+	}
 	a := &arrival{id: id, server: b.id, at: time.Now()}
 	b.world.arrived(a)
 	select {
